--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Builds, checks and runs acaciaspar. See README.md.
+GO ?= go
+MODULES := . ./testbed
+
+.PHONY: build test lint generate demo bench clean
+
+build:
+	$(GO) build -o bin/ ./cmd/... ./testbed/cmd/...
+
+test: build
+	$(GO) test -race ./... ./testbed/...
+
+lint:
+	@files=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$' | grep -v '\.twirp\.go$$')); \
+	if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+	$(GO) vet ./... ./testbed/...
+	$(GO) tool staticcheck ./... ./testbed/...
+
+generate:
+	mkdir -p bin/tools
+	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative protocol/fleetpb/fleet.proto
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/protocol/work/work.go
@@ -0,0 +1,163 @@
+// Package work defines the HTTP form in which an entry router hands a request
+// to an agent. It owns no state.
+//
+// The router sends POST Path with the caller's body. The agent answers with
+// the endpoint's status, headers and body, and with the cost as trailer. If
+// the answer is the agent's own, it carries the header outcome.Header.
+package work
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+// Path is the path of the agent's work handler.
+const Path = "/fleet/v1/work"
+
+// CostTrailer carries the metered cost in cost units.
+const CostTrailer = "Acaciaspar-Cost"
+
+// forwardedPrefix marks caller headers on the way to the agent, so that a
+// caller can't set a header of this protocol.
+const forwardedPrefix = "Acaciaspar-Forward-"
+
+// hopHeaders are meaningful for one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Header is the description of a request that travels beside its body.
+type Header struct {
+	// Fleet is the name of the fleet.
+	Fleet string
+	// Router is the address of the entry router's fleet listener.
+	Router string
+	// Request is unique in the fleet.
+	Request string
+	// Attempt is 1 for the first.
+	Attempt uint32
+	Team    string
+	Service string
+	// Operation is the name of the operation in the service's object.
+	Operation string
+	// Endpoint is the endpoint that the slot token belongs to.
+	Endpoint string
+	// SlotToken was offered by the agent.
+	SlotToken string
+	// Weight is the weight of the team's share.
+	Weight uint64
+	// Hint is the expected cost in cost units.
+	Hint uint64
+	// ConfigVersion is the version in force at the router.
+	ConfigVersion uint64
+	// Method and URI are the caller's method and its path and query below the service.
+	Method string
+	URI    string
+	// Forwarded holds the caller's end-to-end headers without its credentials.
+	Forwarded http.Header
+}
+
+// Encode sets the header fields that describe the request.
+func (w *Header) Encode(h http.Header) {
+	h.Set("Acaciaspar-Fleet", w.Fleet)
+	h.Set("Acaciaspar-Router", w.Router)
+	h.Set("Acaciaspar-Request", w.Request)
+	h.Set("Acaciaspar-Attempt", strconv.FormatUint(uint64(w.Attempt), 10))
+	h.Set("Acaciaspar-Team", w.Team)
+	h.Set("Acaciaspar-Service", w.Service)
+	h.Set("Acaciaspar-Operation", w.Operation)
+	h.Set("Acaciaspar-Endpoint", w.Endpoint)
+	h.Set("Acaciaspar-Slot-Token", w.SlotToken)
+	h.Set("Acaciaspar-Weight", strconv.FormatUint(w.Weight, 10))
+	h.Set("Acaciaspar-Hint", strconv.FormatUint(w.Hint, 10))
+	h.Set("Acaciaspar-Config-Version", strconv.FormatUint(w.ConfigVersion, 10))
+	h.Set("Acaciaspar-Method", w.Method)
+	h.Set("Acaciaspar-Uri", w.URI)
+	for name, values := range w.Forwarded {
+		h[forwardedPrefix+name] = values
+	}
+}
+
+// Decode reads the fields that Encode sets and refuses malformed ones.
+func Decode(h http.Header) (*Header, error) {
+	w := &Header{
+		Fleet:     h.Get("Acaciaspar-Fleet"),
+		Router:    h.Get("Acaciaspar-Router"),
+		Request:   h.Get("Acaciaspar-Request"),
+		Team:      h.Get("Acaciaspar-Team"),
+		Service:   h.Get("Acaciaspar-Service"),
+		Operation: h.Get("Acaciaspar-Operation"),
+		Endpoint:  h.Get("Acaciaspar-Endpoint"),
+		SlotToken: h.Get("Acaciaspar-Slot-Token"),
+		Method:    h.Get("Acaciaspar-Method"),
+		URI:       h.Get("Acaciaspar-Uri"),
+		Forwarded: http.Header{},
+	}
+	attempt, err := strconv.ParseUint(h.Get("Acaciaspar-Attempt"), 10, 32)
+	if err != nil {
+		return nil, fmt.Errorf("attempt: %w", err)
+	}
+	w.Attempt = uint32(attempt)
+	numbers := []struct {
+		name  string
+		value *uint64
+	}{
+		{"Acaciaspar-Weight", &w.Weight},
+		{"Acaciaspar-Hint", &w.Hint},
+		{"Acaciaspar-Config-Version", &w.ConfigVersion},
+	}
+	for _, n := range numbers {
+		*n.value, err = strconv.ParseUint(h.Get(n.name), 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", n.name, err)
+		}
+	}
+	for name, values := range h {
+		if rest, ok := strings.CutPrefix(name, forwardedPrefix); ok {
+			w.Forwarded[http.CanonicalHeaderKey(rest)] = values
+		}
+	}
+	return w, w.validate()
+}
+
+func (w *Header) validate() error {
+	if w.Request == "" || w.Team == "" || w.Service == "" || w.SlotToken == "" {
+		return fmt.Errorf("request, team, service and slot token must be set")
+	}
+	if w.Attempt == 0 || w.Weight == 0 {
+		return fmt.Errorf("attempt and weight must be positive")
+	}
+	u, err := url.ParseRequestURI(w.URI)
+	if err != nil {
+		return fmt.Errorf("uri: %w", err)
+	}
+	if u.Host != "" || !strings.HasPrefix(w.URI, "/") || strings.HasPrefix(w.URI, "//") {
+		return fmt.Errorf("uri %q is not a path", w.URI)
+	}
+	return nil
+}
+
+// EndToEnd returns a copy of h without hop-by-hop headers, without the
+// caller's credentials and without headers of this protocol.
+func EndToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, listed := range h.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	out.Del("Authorization")
+	for name := range out {
+		if strings.HasPrefix(name, "Acaciaspar-") {
+			delete(out, name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/state/objects/model.go
@@ -0,0 +1,98 @@
+// Package objects holds the objects that operators publish: teams, services,
+// endpoints and shares. It parses and checks them and computes differences.
+// A Set is immutable once built; the package owns no other state.
+package objects
+
+// Kind names a kind of object.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindTeam     Kind = "Team"
+	KindService  Kind = "Service"
+	KindEndpoint Kind = "Endpoint"
+	KindShare    Kind = "Share"
+)
+
+// Team is a customer of the pool.
+type Team struct {
+	Name string `json:"name" yaml:"name"`
+	// TokenSHA256 lists lower-case hexadecimal SHA-256 hashes of the team's bearer tokens.
+	TokenSHA256 []string `json:"tokenSHA256" yaml:"tokenSHA256"`
+}
+
+// ServiceType tells how the cost of a service's requests is metered.
+type ServiceType string
+
+const (
+	// ModelService costs one unit per token.
+	ModelService ServiceType = "model"
+	// PlainService costs one unit per millisecond of endpoint time.
+	PlainService ServiceType = "plain"
+)
+
+// Operation is one call of a service.
+type Operation struct {
+	Name string `json:"name" yaml:"name"`
+	// Path is the path below the service's name; it starts with a slash.
+	Path string `json:"path" yaml:"path"`
+	// Idempotent operations may be sent again after an unknown outcome. Default: false.
+	Idempotent bool `json:"idempotent,omitempty" yaml:"idempotent"`
+}
+
+// Service is served by endpoints and used by teams through shares.
+type Service struct {
+	Name       string      `json:"name" yaml:"name"`
+	Type       ServiceType `json:"type" yaml:"type"`
+	Operations []Operation `json:"operations" yaml:"operations"`
+	// DefaultCost is the hint, in cost units, when the caller gives none.
+	DefaultCost uint64 `json:"defaultCost" yaml:"defaultCost"`
+	// MaxCost is the largest cost of one request, in cost units. Larger hints are cut to it.
+	MaxCost uint64 `json:"maxCost" yaml:"maxCost"`
+}
+
+// Fencing tells whether an endpoint checks fencing numbers.
+type Fencing string
+
+const (
+	// FencingChecked endpoints refuse requests with an older fencing number.
+	FencingChecked Fencing = "checked"
+	// FencingIgnored endpoints take requests with any number.
+	FencingIgnored Fencing = "ignored"
+)
+
+// EndpointState tells whether an endpoint takes new work.
+type EndpointState string
+
+const (
+	// EndpointActive endpoints take work. This is the default.
+	EndpointActive EndpointState = "active"
+	// EndpointDraining endpoints finish what runs and take no new work.
+	EndpointDraining EndpointState = "draining"
+)
+
+// Endpoint is a back end of one service.
+type Endpoint struct {
+	Name    string `json:"name" yaml:"name"`
+	Service string `json:"service" yaml:"service"`
+	// Zone is the availability zone.
+	Zone string `json:"zone" yaml:"zone"`
+	// Slots is the number of requests that run at the same time.
+	Slots uint32 `json:"slots" yaml:"slots"`
+	// Prefetch is the number of requests that the agent may hold ready beyond Slots. Default: 0.
+	Prefetch uint32        `json:"prefetch,omitempty" yaml:"prefetch"`
+	Fencing  Fencing       `json:"fencing" yaml:"fencing"`
+	State    EndpointState `json:"state,omitempty" yaml:"state"`
+}
+
+// Share gives a team its part of a service.
+type Share struct {
+	Name    string `json:"name" yaml:"name"`
+	Team    string `json:"team" yaml:"team"`
+	Service string `json:"service" yaml:"service"`
+	// Weight is relative to the other shares of the service, 1 to MaxWeight.
+	Weight uint64 `json:"weight" yaml:"weight"`
+}
+
+// MaxWeight is the largest weight of a share.
+const MaxWeight = 1_000_000
