--- a/transport/logclient/logclient.go
+++ b/transport/logclient/logclient.go
@@ -186,6 +186,13 @@
 	return out.Beginning, out.End, nil
 }
 
+// isCertainRefusal reports whether a status can only come from before the log
+// acted. A 408 or a 5xx may also come from something in front of the log that
+// gave up after passing the request on.
+func isCertainRefusal(status int) bool {
+	return status/100 == 4 && status != http.StatusRequestTimeout
+}
+
 func (c *Client) url(topic, rest string) string {
 	return c.base + "/topics/" + url.PathEscape(topic) + "/partitions/0" + rest
 }
@@ -196,7 +203,7 @@
 		return eris.Wrap(err, "call the log")
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable {
+	if isCertainRefusal(resp.StatusCode) {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		return &RefusedError{Status: resp.StatusCode, Body: strings.TrimSpace(string(text))}
 	}
--- /dev/null
+++ b/transport/tlsconf/tlsconf_test.go
@@ -0,0 +1,156 @@
+package tlsconf
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	must.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	must.NoError(t, err)
+	return &authority{cert: cert, key: key}
+}
+
+// issue writes a certificate signed by the authority into dir.
+func (a *authority) issue(t *testing.T, dir, name string, serial int64) Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	must.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	must.NoError(t, err)
+	files := Files{
+		Certificate: filepath.Join(dir, name+".crt"),
+		Key:         filepath.Join(dir, name+".key"),
+		CA:          filepath.Join(dir, name+".ca"),
+	}
+	writePEM(t, files.Certificate, "CERTIFICATE", der)
+	writePEM(t, files.Key, "EC PRIVATE KEY", keyDER)
+	writePEM(t, files.CA, "CERTIFICATE", a.cert.Raw)
+	return files
+}
+
+func writePEM(t *testing.T, name, kind string, der []byte) {
+	must.NoError(t, os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// dial opens one TLS connection to a fleet server and returns the serial number of its certificate.
+func dial(server *Source, client *tls.Config) (int64, error) {
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server.FleetServer())
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "ok")
+		_ = c.Close()
+	}()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		return 0, err
+	}
+	defer raw.Close()
+	c := tls.Client(raw, client)
+	// With TLS 1.3 the client learns of a refused certificate at its first read.
+	if _, err := io.ReadAll(c); err != nil {
+		return 0, err
+	}
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// Guards against a fleet listener that serves a process without the fleet's
+// certificate, and against a client that trusts a foreign server.
+func TestOnlyTheFleetsCertificatesAreAccepted(t *testing.T) {
+	dir := t.TempDir()
+	fleet, foreign := newAuthority(t), newAuthority(t)
+	server, err := Open(fleet.issue(t, dir, "server", 2))
+	must.NoError(t, err)
+	member, err := Open(fleet.issue(t, dir, "member", 3))
+	must.NoError(t, err)
+	stranger, err := Open(foreign.issue(t, dir, "stranger", 4))
+	must.NoError(t, err)
+
+	_, err = dial(server, member.FleetClient())
+	must.NoError(t, err)
+	_, err = dial(server, &tls.Config{InsecureSkipVerify: true})
+	must.Error(t, err)
+	strangerTrusting := stranger.FleetClient()
+	strangerTrusting.VerifyConnection = nil
+	_, err = dial(server, strangerTrusting)
+	must.Error(t, err)
+	_, err = dial(stranger, member.FleetClient())
+	must.ErrorContains(t, err, "verify the server's certificate")
+}
+
+// Guards against serving an old certificate until a restart, and against
+// losing the certificate in force when a replacement is incomplete.
+func TestFilesAreReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	fleet := newAuthority(t)
+	server, err := Open(fleet.issue(t, dir, "server", 2))
+	must.NoError(t, err)
+	member, err := Open(fleet.issue(t, dir, "member", 3))
+	must.NoError(t, err)
+
+	// expire lets the next handshake look at the files.
+	expire := func() {
+		server.mu.Lock()
+		server.checked = time.Time{}
+		server.stamp = [3]time.Time{}
+		server.mu.Unlock()
+	}
+	fleet.issue(t, dir, "server", 5)
+	expire()
+	serial, err := dial(server, member.FleetClient())
+	must.NoError(t, err)
+	must.Eq(t, 5, serial)
+
+	must.NoError(t, os.WriteFile(server.files.Key, []byte("half"), 0o600))
+	expire()
+	serial, err = dial(server, member.FleetClient())
+	must.NoError(t, err)
+	must.Eq(t, 5, serial)
+}
+
+// Guards against starting with a part of the files.
+func TestOpenNeedsAllFiles(t *testing.T) {
+	_, err := Open(Files{Certificate: "a"})
+	must.ErrorContains(t, err, "must be set together")
+}
