Parse, check, hash and compare sets of objects

Files are parsed node by node, so that every fault is reported with its line. Set.Apply checks only what a change can have made inconsistent; a property test compares it with the check of the whole set. The hash is taken over the digests of the objects, so a small change doesn't encode all other objects.

--- /dev/null
+++ b/state/objects/objects_test.go
@@ -0,0 +1,300 @@
+package objects
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const goodFile = `# A small pool.
+kind: Team
+name: harbour
+tokenSHA256: [` + hashA + `]
+---
+kind: Service
+name: strand-assist
+type: model
+operations:
+  - name: chat
+    path: /v1/chat
+    idempotent: true
+  - {name: complete, path: /v1/complete}
+defaultCost: 500
+maxCost: 8000
+---
+{"kind": "Endpoint", "name": "duluth-1", "service": "strand-assist",
+ "zone": "duluth", "slots": 8, "fencing": "checked"}
+---
+- {kind: Share, name: harbour-strand-assist, team: harbour, service: strand-assist, weight: 10}
+`
+
+const (
+	hashA = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+	hashB = "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+)
+
+func loadGood(t testing.TB) *Set {
+	t.Helper()
+	set, faults := Load(Source{"pool.yaml", []byte(goodFile)})
+	must.SliceEmpty(t, faults)
+	return set
+}
+
+// Guards against fields lost between file, set and encoded form.
+func TestLoadEncodeDecode(t *testing.T) {
+	set := loadGood(t)
+	must.Eq(t, "harbour", set.TeamByTokenHash(hashA).Name)
+	must.Eq(t, 10, set.Share("harbour", "strand-assist").Weight)
+	must.True(t, set.Services["strand-assist"].OperationByPath("/v1/chat").Idempotent)
+	must.Eq(t, EndpointActive, set.Endpoints["duluth-1"].State)
+	decoded, err := Decode(set.Encode())
+	must.NoError(t, err)
+	must.Eq(t, set.Hash(), decoded.Hash())
+	must.Eq(t, set.Teams, decoded.Teams)
+	must.Eq(t, set.Services, decoded.Services)
+	must.Eq(t, set.Endpoints, decoded.Endpoints)
+	must.Eq(t, set.Shares, decoded.Shares)
+}
+
+// Guards against a check that stops at the first fault or names a wrong line.
+func TestCheckReportsEveryFault(t *testing.T) {
+	bad := strings.Join([]string{
+		`{kind: Team, name: Bad_Name, tokenSHA256: [xyz]}`,
+		`{kind: Team, name: one, tokenSHA256: [` + hashA + `, ` + hashA + `]}`,
+		`{kind: Team, name: two, tokenSHA256: [` + hashA + `], colour: red}`,
+		`{kind: Service, name: s, type: odd, defaultCost: 9, maxCost: 3, operations: [{name: a, path: x}, {name: a, path: /y}, {name: b, path: /y}]}`,
+		`{kind: Service, name: zero, type: plain, defaultCost: 0, maxCost: 0}`,
+		`{kind: Endpoint, name: e, service: s, zone: z, slots: 1025, prefetch: 65, fencing: maybe, state: gone}`,
+		`{kind: Endpoint, name: e, service: zero, zone: z, slots: 1, fencing: checked}`,
+		`{kind: Endpoint, name: f, service: none, zone: "", slots: 0, fencing: ignored}`,
+		`{kind: Share, name: p, team: one, service: s, weight: 0}`,
+		`{kind: Share, name: q, team: one, service: s, weight: 1000001}`,
+		`{kind: Share, name: r, service: s, weight: 1.5}`,
+		`{kind: Share, name: r, team: ghost, service: s, weight: 1}`,
+		`{kind: Lease, name: l}`,
+		`{name: nothing}`,
+		`{kind: Team, name: "", tokenSHA256: []}`,
+		`just text`,
+	}, "\n---\n")
+	set, faults := Load(Source{"bad.yaml", []byte(bad)})
+	must.Nil(t, set)
+	var got []string
+	for _, f := range faults {
+		must.Eq(t, "bad.yaml", f.File)
+		got = append(got, fmt.Sprintf("%d %s %s %s", f.Line/2+1, f.Kind, f.Object, f.Field))
+	}
+	must.Eq(t, []string{
+		"1 Team Bad_Name name",
+		"1 Team Bad_Name tokenSHA256[0]",
+		"2 Team one tokenSHA256[1]",
+		"3 Team two colour",
+		"3 Team two tokenSHA256[0]",
+		"4 Service s defaultCost",
+		"4 Service s operations[0].path",
+		"4 Service s operations[1].name",
+		"4 Service s operations[2].path",
+		"4 Service s type",
+		"5 Service zero defaultCost",
+		"5 Service zero maxCost",
+		"6 Endpoint e fencing",
+		"6 Endpoint e prefetch",
+		"6 Endpoint e slots",
+		"6 Endpoint e state",
+		"7 Endpoint e name",
+		"7 Endpoint e service",
+		"8 Endpoint f service",
+		"8 Endpoint f slots",
+		"8 Endpoint f zone",
+		"9 Share p weight",
+		"10 Share q team",
+		"10 Share q weight",
+		"11 Share r team",
+		"11 Share r weight",
+		"12 Share r name",
+		"13  l kind",
+		"14  nothing kind",
+		"15 Team  name",
+		"16   ",
+	}, got)
+}
+
+// Guards against a syntax error without its line.
+func TestSyntaxErrorHasLine(t *testing.T) {
+	_, faults := Load(Source{"bad.yaml", []byte("kind: Team\nname: [a\n---\n")})
+	must.SliceNotEmpty(t, faults)
+	must.Positive(t, faults[0].Line)
+	must.StrContains(t, faults[0].String(), "bad.yaml:")
+}
+
+// Guards against an agent that refuses its part because the rest is missing.
+func TestSliceDecodes(t *testing.T) {
+	slice, err := Decode(loadGood(t).Slice("duluth-1").Encode())
+	must.NoError(t, err)
+	must.Eq(t, 2, slice.Size())
+	must.NotNil(t, slice.Services[slice.Endpoints["duluth-1"].Service])
+	must.Eq(t, 0, loadGood(t).Slice("absent").Size())
+}
+
+// Guards against changes that a strict reader must refuse.
+func TestApplyRefusesBadChanges(t *testing.T) {
+	set := loadGood(t)
+	team := putOf(&Team{Name: "x", TokenSHA256: []string{hashB}})
+	for name, changes := range map[string][]Change{
+		"absent":     {{Op: OpDelete, Kind: KindTeam, Name: "absent"}},
+		"dangling":   {{Op: OpDelete, Kind: KindTeam, Name: "harbour"}},
+		"twice":      {team, team},
+		"operation":  {{Op: "rename", Kind: KindTeam, Name: "x"}},
+		"kind":       {{Op: OpDelete, Kind: "Lease", Name: "x"}},
+		"other name": {{Op: OpPut, Kind: KindTeam, Name: "y", Object: team.Object}},
+		"no object":  {{Op: OpPut, Kind: KindTeam, Name: "x"}},
+		"field":      {{Op: OpPut, Kind: KindTeam, Name: "x", Object: json.RawMessage(`{"kind":"Team","name":"x","age":3}`)}},
+		"delete with object": {{Op: OpDelete, Kind: KindShare, Name: "harbour-strand-assist",
+			Object: team.Object}},
+	} {
+		next, faults := set.Apply(changes)
+		must.Nil(t, next, must.Sprint(name))
+		must.SliceNotEmpty(t, faults, must.Sprint(name))
+	}
+}
+
+func drawObject(t *rapid.T) Object {
+	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	switch rapid.SampledFrom(kinds).Draw(t, "kind") {
+	case KindTeam:
+		hashes := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{hashA, hashB, "bad"}), 0, 1, rapid.ID).Draw(t, "hashes")
+		return &Team{Name: name.Draw(t, "name"), TokenSHA256: hashes}
+	case KindService:
+		return &Service{Name: name.Draw(t, "name"), Type: PlainService, DefaultCost: 1, MaxCost: rapid.Uint64Range(0, 2).Draw(t, "max")}
+	case KindEndpoint:
+		return &Endpoint{Name: name.Draw(t, "name"), Service: name.Draw(t, "service"), Zone: "z", Slots: 1, Fencing: FencingIgnored}
+	default:
+		return &Share{Name: name.Draw(t, "name"), Team: name.Draw(t, "team"), Service: name.Draw(t, "service"), Weight: 1}
+	}
+}
+
+func drawChanges(t *rapid.T) []Change {
+	var changes []Change
+	for range rapid.IntRange(1, 6).Draw(t, "count") {
+		c := putOf(drawObject(t))
+		if rapid.Bool().Draw(t, "delete") {
+			c = Change{Op: OpDelete, Kind: c.Kind, Name: c.Name}
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+// Guards against a check of only the changed objects that misses a fault which
+// the check of the whole set finds, and against a hash or lookup table that
+// depends on the path to a set.
+func TestApplyEqualsFullCheck(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := NewSet()
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			changes := drawChanges(t)
+			patched, err := set.Patch(changes)
+			must.NoError(t, err)
+			next, faults := set.Apply(changes)
+			if faults == nil {
+				must.SliceEmpty(t, next.Check())
+				must.Eq(t, patched.Hash(), next.Hash())
+			} else if !onlyBadChanges(faults) {
+				must.SliceNotEmpty(t, patched.Check())
+			}
+			if next == nil {
+				continue
+			}
+			rebuilt, err := Decode(next.Encode())
+			must.NoError(t, err)
+			must.Eq(t, rebuilt.Hash(), next.Hash())
+			must.Eq(t, len(rebuilt.teamByToken), len(next.teamByToken))
+			must.Eq(t, len(rebuilt.shareByPair), len(next.shareByPair))
+			back, err := next.Patch(Diff(next, set))
+			must.NoError(t, err)
+			must.Eq(t, set.Hash(), back.Hash())
+			set = next
+		}
+	})
+}
+
+func onlyBadChanges(faults []Fault) bool {
+	return slices.ContainsFunc(faults, func(f Fault) bool {
+		return f.Message == "does not exist" || f.Message == "is changed twice"
+	})
+}
+
+func largeSet(teams int) *Set {
+	all := make([]Object, 0, 2*teams+32)
+	for i := range 32 {
+		all = append(all, &Service{Name: fmt.Sprintf("model-%02d", i), Type: ModelService, DefaultCost: 500, MaxCost: 8000,
+			Operations: []Operation{{Name: "chat", Path: "/v1/chat", Idempotent: true}}})
+	}
+	for i := range teams {
+		name := fmt.Sprintf("team-%05d", i)
+		all = append(all, &Team{Name: name, TokenSHA256: []string{fmt.Sprintf("%064x", i)}})
+		for j := range 2 {
+			service := fmt.Sprintf("model-%02d", (i+j)%32)
+			all = append(all, &Share{Name: name + "-" + service, Team: name, Service: service, Weight: 1})
+		}
+	}
+	return NewSet(all...)
+}
+
+// Guards against merging many changes in another way than few.
+func TestManyChanges(t *testing.T) {
+	set := largeSet(200)
+	must.SliceEmpty(t, set.Check())
+	grown, faults := NewSet().Apply(Diff(NewSet(), set))
+	must.SliceEmpty(t, faults)
+	must.Eq(t, set.Hash(), grown.Hash())
+	emptied, faults := grown.Apply(Diff(grown, NewSet()))
+	must.SliceEmpty(t, faults)
+	must.Eq(t, NewSet().Hash(), emptied.Hash())
+}
+
+func BenchmarkApplyOneShareOf18000Teams(b *testing.B) {
+	set := largeSet(18_000)
+	b.ReportAllocs()
+	for i := range b.N {
+		share := *set.Shares["team-00007-model-07"]
+		share.Weight = uint64(i%MaxWeight + 1)
+		next, faults := set.Apply([]Change{putOf(&share)})
+		if faults != nil {
+			b.Fatal(faults)
+		}
+		_ = next.Hash()
+	}
+}
+
+func BenchmarkEncodeDecode18000Teams(b *testing.B) {
+	set := largeSet(18_000)
+	b.ReportAllocs()
+	for range b.N {
+		if _, err := Decode(set.Encode()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Guards against crashes of the parser, and against a file that is accepted
+// while its encoded form is not.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodFile))
+	f.Add([]byte(`[{"kind":"Team","name":"a","tokenSHA256":[]}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, faults := Load(Source{"fuzz.yaml", data})
+		if set == nil {
+			must.SliceNotEmpty(t, faults)
+			return
+		}
+		must.SliceEmpty(t, set.Check())
+		decoded, err := Decode(set.Encode())
+		must.NoError(t, err)
+		must.Eq(t, set.Hash(), decoded.Hash())
+	})
+}
--- a/state/objects/set.go
+++ b/state/objects/set.go
@@ -1,8 +1,21 @@
 package objects
 
-import "sort"
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sort"
 
-// Set is a whole, checked set of objects.
+	"github.com/rotisserie/eris"
+)
+
+// kindCount is the number of kinds.
+const kindCount = 4
+
+// Set is a whole set of objects. It is immutable once built.
 type Set struct {
 	Teams     map[string]*Team
 	Services  map[string]*Service
@@ -11,18 +24,32 @@
 
 	teamByToken map[string]*Team
 	shareByPair map[pair]*Share
+	// digests lists the objects of each kind in the order of their names. It
+	// makes the hash of a changed set cheap: only changed objects are encoded.
+	digests [kindCount][]digest
 }
 
 type pair struct{ team, service string }
 
-// NewSet returns an empty set.
-func NewSet() *Set {
+// digest is the SHA-256 of an object's canonical form.
+type digest struct {
+	name string
+	sum  [sha256.Size]byte
+}
+
+// NewSet returns a set of these objects without checking them. Of two objects
+// of the same kind and name the last one counts.
+func NewSet(objects ...Object) *Set {
 	s := &Set{
 		Teams:     map[string]*Team{},
 		Services:  map[string]*Service{},
 		Endpoints: map[string]*Endpoint{},
 		Shares:    map[string]*Share{},
 	}
+	for _, o := range objects {
+		normalize(o)
+		s.put(o)
+	}
 	s.index()
 	return s
 }
@@ -39,6 +66,123 @@
 	for _, sh := range s.Shares {
 		s.shareByPair[pair{sh.Team, sh.Service}] = sh
 	}
+	for i, kind := range kinds {
+		s.digests[i] = s.digestAll(kind)
+	}
+}
+
+func (s *Set) digestAll(kind Kind) []digest {
+	var all []digest
+	s.each(kind, func(o Object) { all = append(all, digestOf(o)) })
+	slices.SortFunc(all, compareDigests)
+	return all
+}
+
+func digestOf(o Object) digest {
+	return digest{name: o.ObjectName(), sum: sha256.Sum256(EncodeObject(o))}
+}
+
+func compareDigests(a, b digest) int { return cmp.Compare(a.name, b.name) }
+
+func (s *Set) each(kind Kind, visit func(Object)) {
+	switch kind {
+	case KindTeam:
+		for _, o := range s.Teams {
+			visit(o)
+		}
+	case KindService:
+		for _, o := range s.Services {
+			visit(o)
+		}
+	case KindEndpoint:
+		for _, o := range s.Endpoints {
+			visit(o)
+		}
+	case KindShare:
+		for _, o := range s.Shares {
+			visit(o)
+		}
+	}
+}
+
+// Object returns the object of a kind and name, or nil.
+func (s *Set) Object(kind Kind, name string) Object {
+	switch kind {
+	case KindTeam:
+		if o, ok := s.Teams[name]; ok {
+			return o
+		}
+	case KindService:
+		if o, ok := s.Services[name]; ok {
+			return o
+		}
+	case KindEndpoint:
+		if o, ok := s.Endpoints[name]; ok {
+			return o
+		}
+	case KindShare:
+		if o, ok := s.Shares[name]; ok {
+			return o
+		}
+	}
+	return nil
+}
+
+func (s *Set) put(o Object) {
+	switch o := o.(type) {
+	case *Team:
+		s.Teams[o.Name] = o
+	case *Service:
+		s.Services[o.Name] = o
+	case *Endpoint:
+		s.Endpoints[o.Name] = o
+	case *Share:
+		s.Shares[o.Name] = o
+	}
+}
+
+func (s *Set) remove(kind Kind, name string) {
+	switch kind {
+	case KindTeam:
+		delete(s.Teams, name)
+	case KindService:
+		delete(s.Services, name)
+	case KindEndpoint:
+		delete(s.Endpoints, name)
+	case KindShare:
+		delete(s.Shares, name)
+	}
+}
+
+// cloneFor returns a copy whose tables of the kinds named may be changed. All
+// objects and the tables of other kinds are shared with s.
+func (s *Set) cloneFor(changed map[Kind]bool) *Set {
+	c := *s
+	if changed[KindTeam] {
+		c.Teams = maps.Clone(s.Teams)
+		c.teamByToken = maps.Clone(s.teamByToken)
+	}
+	if changed[KindService] {
+		c.Services = maps.Clone(s.Services)
+	}
+	if changed[KindEndpoint] {
+		c.Endpoints = maps.Clone(s.Endpoints)
+	}
+	if changed[KindShare] {
+		c.Shares = maps.Clone(s.Shares)
+		c.shareByPair = maps.Clone(s.shareByPair)
+	}
+	for i, kind := range kinds {
+		if changed[kind] {
+			c.digests[i] = slices.Clone(s.digests[i])
+		}
+	}
+	return &c
+}
+
+// Size returns the number of objects.
+func (s *Set) Size() int {
+	return len(s.Teams) + len(s.Services) + len(s.Endpoints) + len(s.Shares)
 }
 
 // TeamByTokenHash returns the team with this lower-case hexadecimal token hash, or nil.
@@ -68,3 +212,73 @@
 	sort.Strings(names)
 	return names
 }
+
+// Slice returns the part of the set that the agent of an endpoint needs: the
+// endpoint and its service. Both are missing if the endpoint is.
+func (s *Set) Slice(endpoint string) *Set {
+	e := s.Endpoints[endpoint]
+	if e == nil {
+		return NewSet()
+	}
+	if service := s.Services[e.Service]; service != nil {
+		return NewSet(e, service)
+	}
+	return NewSet(e)
+}
+
+// Hash identifies the content of the set. It is the SHA-256 of the set's
+// canonical form: the SHA-256 digests of the canonical JSON of all objects, in
+// the order Team, Service, Endpoint, Share and by name within a kind.
+func (s *Set) Hash() [sha256.Size]byte {
+	h := sha256.New()
+	for i := range s.digests {
+		for j := range s.digests[i] {
+			h.Write(s.digests[i][j].sum[:])
+		}
+	}
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// MarshalJSON returns a JSON array of the objects in canonical order and form.
+func (s *Set) MarshalJSON() ([]byte, error) { return s.Encode(), nil }
+
+// Encode returns a JSON array of the objects in canonical order and form.
+func (s *Set) Encode() []byte {
+	var b bytes.Buffer
+	b.WriteByte('[')
+	for i, kind := range kinds {
+		for _, d := range s.digests[i] {
+			if b.Len() > 1 {
+				b.WriteByte(',')
+			}
+			b.Write(EncodeObject(s.Object(kind, d.name)))
+		}
+	}
+	b.WriteByte(']')
+	return b.Bytes()
+}
+
+// Decode parses what Encode wrote. It doesn't check that the set is
+// consistent, because an agent gets only a slice; see Set.Check.
+func Decode(data []byte) (*Set, error) {
+	if len(data) > MaxInputBytes {
+		return nil, eris.Errorf("set of %d bytes is larger than %d", len(data), MaxInputBytes)
+	}
+	var raw []json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, eris.Wrap(err, "decode set")
+	}
+	decoded := make([]Object, 0, len(raw))
+	for _, r := range raw {
+		o, err := DecodeObject(r)
+		if err != nil {
+			return nil, err
+		}
+		decoded = append(decoded, o)
+	}
+	s := NewSet(decoded...)
+	if s.Size() != len(raw) {
+		return nil, eris.New("set has two objects of the same kind and name")
+	}
+	return s, nil
+}
