--- /dev/null
+++ b/coordination/publication/publication_test.go
@@ -0,0 +1,287 @@
+package publication
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/acaciaspar/acaciaspar/state/objects"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func id(n int) string { return fmt.Sprintf("%032x", n) }
+
+func teams(names ...string) *objects.Set {
+	var all []objects.Object
+	for _, name := range names {
+		all = append(all, &objects.Team{Name: name})
+	}
+	return objects.NewSet(all...)
+}
+
+func encode(t must.T, p *Publication) []byte {
+	raw, err := p.Encode()
+	must.NoError(t, err)
+	return raw
+}
+
+func encodeSnapshot(t must.T, s *Snapshot) []byte {
+	raw, err := s.Encode()
+	must.NoError(t, err)
+	return raw
+}
+
+// Guards against accepting what one of the conditions of the rule excludes.
+func TestAcceptanceRule(t *testing.T) {
+	s := NewState()
+	first := s.Propose(id(1), "mira", now, teams("a"))
+	must.Eq(t, Accepted, s.Apply(0, encode(t, first)).Outcome)
+	must.Eq(t, Duplicate, s.Apply(1, encode(t, first)).Outcome)
+	must.Eq(t, Skipped, s.Apply(1, encode(t, first)).Outcome)
+
+	stale := *first
+	stale.ID = id(2)
+	wrongHash := *s.Propose(id(3), "mira", now, teams("a", "b"))
+	wrongHash.Hash = first.Hash
+	inconsistent := s.Propose(id(4), "mira", now, objects.NewSet(&objects.Share{Name: "x", Team: "a", Service: "s", Weight: 1}))
+	empty := s.Propose(id(5), "mira", now, teams("a"))
+	badID := *s.Propose("12", "mira", now, teams("b"))
+	nobody := *s.Propose(id(6), "", now, teams("b"))
+	for i, c := range []struct {
+		data   []byte
+		want   Outcome
+		reason string
+	}{
+		{encode(t, &stale), Refused, "base version 0"},
+		{encode(t, &wrongHash), Refused, "hash"},
+		{encode(t, inconsistent), Refused, "does not exist"},
+		{encode(t, empty), Refused, "no changes"},
+		{encode(t, &badID), Malformed, "hexadecimal"},
+		{encode(t, &nobody), Malformed, "operator"},
+		{[]byte(`{"format":2,"type":"publication"}`), Malformed, "format 2"},
+		{[]byte(`{"format":1,"type":"note"}`), Malformed, "note"},
+		{[]byte("\x1f\x8bnot gzip"), Malformed, "decompress"},
+		{nil, Malformed, "decode"},
+	} {
+		v := s.Apply(int64(2+i), c.data)
+		must.Eq(t, c.want, v.Outcome, must.Sprint(i))
+		must.StrContains(t, v.Reason, c.reason)
+		must.Eq(t, 1, v.Version)
+	}
+	must.Eq(t, 12, s.NextOffset)
+	must.Eq(t, teams("a").Hash(), s.Hash)
+}
+
+// Guards against a snapshot that replaces the state of a reader that has one.
+func TestSnapshotNeverReplacesState(t *testing.T) {
+	s := NewState()
+	old := s.Snapshot(now)
+	s.Apply(0, encode(t, s.Propose(id(1), "mira", now, teams("a"))))
+	other := Restore(1, teams("z"), 1, nil).Snapshot(now)
+	must.Eq(t, SnapshotRefused, s.Apply(1, encodeSnapshot(t, old)).Outcome)
+	must.Eq(t, SnapshotRefused, s.Apply(2, encodeSnapshot(t, other)).Outcome)
+	must.Eq(t, SnapshotConfirmed, s.Apply(3, encodeSnapshot(t, s.Snapshot(now))).Outcome)
+	must.Eq(t, teams("a").Hash(), s.Hash)
+}
+
+// Guards against starting from a snapshot that can't be continued or that
+// contradicts itself.
+func TestRecoverChoosesUsableSnapshot(t *testing.T) {
+	early := Restore(1, teams("a"), 2, nil).Snapshot(now)
+	late := Restore(2, teams("a", "b"), 6, nil).Snapshot(now)
+	broken := Restore(9, teams("z"), 7, nil).Snapshot(now)
+	broken.Hash = early.Hash
+	future := Restore(9, teams("z"), 99, nil).Snapshot(now)
+	records := []Record{
+		{5, encodeSnapshot(t, early)},
+		{6, encodeSnapshot(t, late)},
+		{7, encodeSnapshot(t, broken)},
+		{8, encodeSnapshot(t, future)},
+	}
+	s, err := Recover(5, records)
+	must.NoError(t, err)
+	must.Eq(t, 2, s.Version)
+	must.Eq(t, 6, s.NextOffset)
+	s, err = RecoverEarliest(2, records)
+	must.NoError(t, err)
+	must.Eq(t, 1, s.Version)
+	_, err = Recover(7, records)
+	must.ErrorIs(t, err, ErrNoStart)
+	s, err = Recover(0, nil)
+	must.NoError(t, err)
+	must.Eq(t, 0, s.Version)
+}
+
+// history draws a log and returns it with the verdicts of a reader from offset 0
+// and its state after each record.
+func history(t *rapid.T) (records []Record, verdicts []Verdict, states []State) {
+	reader := NewState()
+	past := []State{*reader}
+	var sent [][]byte
+	for offset := range int64(rapid.IntRange(1, 16).Draw(t, "records")) {
+		seen := past[rapid.IntRange(max(0, len(past)-3), len(past)-1).Draw(t, "seen")]
+		var data []byte
+		switch action := rapid.IntRange(0, 9).Draw(t, "action"); {
+		case action == 0:
+			data = []byte("junk")
+		case action <= 2:
+			data = encodeSnapshot(t, seen.Snapshot(now))
+		case action == 3 && len(sent) > 0:
+			data = rapid.SampledFrom(sent).Draw(t, "repeated")
+		default:
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "team")
+			data = encode(t, seen.Propose(id(int(offset)), "mira", now, teams(name)))
+			sent = append(sent, data)
+		}
+		records = append(records, Record{offset, data})
+		verdicts = append(verdicts, reader.Apply(offset, data))
+		states = append(states, *reader)
+		// Copies share nothing that Apply changes except the table of known ids.
+		past = append(past, *Restore(reader.Version, reader.Set, reader.NextOffset, reader.Recent()))
+	}
+	return records, verdicts, states
+}
+
+// Guards against readers that derive different versions from the same log
+// because they started at different records.
+func TestReadersAgreeFromAnyStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records, verdicts, states := history(t)
+		last := states[len(states)-1]
+		for beginning := range records {
+			retained := records[beginning:]
+			for _, choose := range []func(int64, []Record) (*State, error){Recover, RecoverEarliest} {
+				s, err := choose(int64(beginning), retained)
+				if err != nil {
+					must.ErrorIs(t, err, ErrNoStart)
+					continue
+				}
+				for _, r := range retained {
+					if v := s.Apply(r.Offset, r.Value); v.Outcome != Skipped {
+						must.Eq(t, verdicts[r.Offset], v)
+					}
+				}
+				must.Eq(t, last.Version, s.Version)
+				must.Eq(t, last.Hash, s.Hash)
+				must.Eq(t, last.NextOffset, s.NextOffset)
+				must.Eq(t, last.recent, s.recent)
+			}
+		}
+	})
+}
+
+// Guards against forgetting ids too early or keeping too many.
+func TestRecentIDsAreBounded(t *testing.T) {
+	s := NewState()
+	var first []byte
+	for i := range RecentIDs + 10 {
+		data := encode(t, s.Propose(id(i), "mira", now, teams(fmt.Sprint(i%2))))
+		if i == 10 {
+			first = data
+		}
+		must.Eq(t, Accepted, s.Apply(int64(i), data).Outcome)
+	}
+	must.Len(t, RecentIDs, s.Recent())
+	must.Eq(t, Duplicate, s.Apply(s.NextOffset, first).Outcome)
+	must.MapLen(t, RecentIDs, s.known)
+}
+
+// explorer walks through all interleavings of two publishers. Each reads the
+// log once, sends its publication, and may send it again because the reply
+// was lost. A send reaches the log at any later moment or never.
+type explorer struct {
+	t    *testing.T
+	runs int
+}
+
+type publisher struct {
+	data  []byte
+	sends int
+	// inFlight counts sends that haven't reached the log.
+	inFlight int
+}
+
+func (e *explorer) walk(log [][]byte, publishers [2]publisher) {
+	e.runs++
+	e.check(log, publishers)
+	for i, p := range publishers {
+		next := publishers
+		switch {
+		case p.data == nil:
+			reader := NewState()
+			for offset, data := range log {
+				reader.Apply(int64(offset), data)
+			}
+			next[i].data = encode(e.t, reader.Propose(id(i+1), "mira", now, teams(fmt.Sprintf("team-%d", i))))
+			e.walk(log, next)
+		case p.sends < 2:
+			next[i].sends++
+			next[i].inFlight++
+			e.walk(log, next)
+		}
+		if p.inFlight > 0 {
+			next = publishers
+			next[i].inFlight--
+			e.walk(append(log[:len(log):len(log)], p.data), next)
+		}
+	}
+}
+
+func (e *explorer) check(log [][]byte, publishers [2]publisher) {
+	reader := NewState()
+	winners := map[uint64]string{}
+	bases := map[uint64]bool{}
+	accepted := map[string]int{}
+	for offset, data := range log {
+		v := reader.Apply(int64(offset), data)
+		bases[v.Publication.Base] = true
+		if v.Outcome == Accepted {
+			must.Eq(e.t, "", winners[v.Publication.Base])
+			winners[v.Publication.Base] = v.Publication.ID
+			accepted[v.Publication.ID]++
+		}
+	}
+	must.Eq(e.t, len(bases), len(winners), must.Sprint("every base that was tried has exactly one winner"))
+	must.Eq(e.t, uint64(len(winners)), reader.Version)
+	for i, p := range publishers {
+		must.LessEq(e.t, 1, accepted[id(i+1)])
+		// A publisher that repeats its publication reads the same verdict.
+		if p.data != nil && accepted[id(i+1)] == 1 {
+			must.Eq(e.t, Duplicate, reader.Apply(reader.NextOffset, p.data).Outcome)
+		}
+	}
+}
+
+// Guards against two winners for one base, a lost publication counted twice,
+// or a repetition that takes effect again.
+func TestTwoPublishersExhaustively(t *testing.T) {
+	e := &explorer{t: t}
+	e.walk(nil, [2]publisher{})
+	must.Greater(t, 1000, e.runs)
+	t.Logf("%d states", e.runs)
+}
+
+// Guards against crashes of the decoder and of a reader, and against a reader
+// that an unusable record stops.
+func FuzzDecode(f *testing.F) {
+	s := NewState()
+	p := s.Propose(id(1), "mira", now, teams("a"))
+	raw, _ := p.Encode()
+	f.Add(raw)
+	raw, _ = json.Marshal(record{Format: Format, Type: typeSnapshot, Snapshot: s.Snapshot(now)})
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := NewState()
+		v := reader.Apply(0, data)
+		must.Eq(t, 1, reader.NextOffset)
+		must.Eq(t, v.Outcome == Accepted, reader.Version == 1)
+		must.SliceEmpty(t, reader.Set.Check())
+		_, _ = Recover(0, []Record{{0, data}})
+		must.Eq(t, Accepted, reader.Apply(1, encode(t, reader.Propose(id(99), "mira", now, teams("zz", "yy")))).Outcome)
+	})
+}
