Routers follow the configuration stream and take newer versions from peers

A reply is verified by hash, and the state never goes back. logclient.ReadRange reads a range in batches that shrink after an error, since one reply is limited to 64 MiB.

--- /dev/null
+++ b/router/configfollow/follower_test.go
@@ -0,0 +1,412 @@
+package configfollow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/acaciaspar/acaciaspar/coordination/publication"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/state/configstore"
+	"github.com/acaciaspar/acaciaspar/state/objects"
+	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
+	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
+	"github.com/acaciaspar/acaciaspar/transport/logclient"
+)
+
+// generous bounds the wait for a condition; no test measures time.
+const generous = 30 * time.Second
+
+// fakeLog is one partition in memory behind the log's HTTP interface.
+type fakeLog struct {
+	mu        sync.Mutex
+	beginning int64
+	records   []logclient.Record
+}
+
+func (l *fakeLog) append(value []byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := l.beginning + int64(len(l.records))
+	l.records = append(l.records, logclient.Record{Offset: offset, Value: value})
+	return offset
+}
+
+func (l *fakeLog) expire(beginning int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = l.records[beginning-l.beginning:]
+	l.beginning = beginning
+}
+
+func (l *fakeLog) end() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.beginning + int64(len(l.records))
+}
+
+func (l *fakeLog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodPost:
+		var in struct {
+			Records []struct {
+				Value []byte `json:"value"`
+			} `json:"records"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&in)
+		var offsets []map[string]any
+		for _, rec := range in.Records {
+			offsets = append(offsets, map[string]any{"partition": 0, "offset": l.append(rec.Value)})
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"offsets": offsets})
+	case strings.HasSuffix(r.URL.Path, "/offsets"):
+		end := l.end()
+		_ = json.NewEncoder(w).Encode(map[string]any{"beginning_offset": l.beginning, "end_offset": end})
+	default:
+		l.serveMessages(w, r)
+	}
+}
+
+func (l *fakeLog) serveMessages(w http.ResponseWriter, r *http.Request) {
+	var offset, count int64
+	_, _ = fmt.Sscan(r.URL.Query().Get("offset"), &offset)
+	_, _ = fmt.Sscan(r.URL.Query().Get("count"), &count)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if offset < l.beginning {
+		w.WriteHeader(http.StatusRequestedRangeNotSatisfiable)
+		return
+	}
+	out := []map[string]any{}
+	for _, rec := range l.records {
+		if rec.Offset >= offset && int64(len(out)) < count {
+			out = append(out, map[string]any{"offset": rec.Offset, "value": rec.Value})
+		}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// gate passes requests to the log or fails them.
+type gate struct {
+	mu   sync.Mutex
+	shut bool
+	log  http.Handler
+}
+
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = shut
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	g.log.ServeHTTP(w, r)
+}
+
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.b.String(), text)
+}
+
+// node is one router as far as the configuration is concerned.
+type node struct {
+	fleetpb.Control
+	follower *Follower
+	store    *configstore.Store
+	address  string
+	gate     *gate
+	logs     *lines
+}
+
+func (n *node) FetchConfig(ctx context.Context, r *fleetpb.FetchConfigRequest) (*fleetpb.FetchConfigReply, error) {
+	return n.follower.FetchConfig(ctx, r)
+}
+
+type nodeOptions struct {
+	shut  bool
+	duty  bool
+	every int
+	peers []*node
+	fleet string
+}
+
+func startNode(t *testing.T, log *fakeLog, o nodeOptions) *node {
+	t.Helper()
+	n := &node{store: configstore.New(), logs: &lines{}, gate: &gate{log: log, shut: o.shut}}
+	if o.every == 0 {
+		o.every = 1 << 30
+	}
+	if o.fleet == "" {
+		o.fleet = "test"
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	n.address = listener.Addr().String()
+	logServer := httptest.NewServer(n.gate)
+	t.Cleanup(logServer.Close)
+	client := fleethttp.NewClient(nil)
+	caller := fleetrpc.NewCaller(fleetrpc.Identity{Fleet: o.fleet, Address: n.address}, n.store, client, "http")
+	n.follower = New(Options{
+		Store: n.store, Log: logclient.New(logServer.URL, logServer.Client()), Caller: caller,
+		Peers: func() []string {
+			var addresses []string
+			for _, p := range o.peers {
+				addresses = append(addresses, p.address)
+			}
+			return addresses
+		},
+		SnapshotDuty: func() bool { return o.duty }, SnapshotEvery: o.every, SnapshotInterval: time.Hour,
+		PollInterval: 5 * time.Millisecond,
+		Logger:       slog.New(slog.NewJSONHandler(io.MultiWriter(n.logs, testWriter{t}), nil)),
+		Metrics:      metrics.NewRegistry(),
+	})
+	server := fleethttp.NewServer(fleetpb.NewControlServer(n), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	group.Go(func() { _ = n.follower.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = server.Close()
+		group.Wait()
+		client.CloseIdleConnections()
+	})
+	return n
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+func (n *node) reaches(t *testing.T, version uint64) {
+	t.Helper()
+	eventually(t, func() bool { return n.store.Current() != nil && n.store.Version() >= version })
+	must.Eq(t, version, n.store.Version())
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(generous), wait.Gap(2*time.Millisecond)))
+}
+
+// operator derives the state from the log as an operator's tool does.
+type operator struct {
+	state *publication.State
+	serial
+}
+
+type serial struct{ n int }
+
+func (o *operator) publish(t *testing.T, log *fakeLog, teams int) {
+	t.Helper()
+	var all []objects.Object
+	for i := range teams {
+		all = append(all, &objects.Team{Name: fmt.Sprintf("team-%d", i)})
+	}
+	all = append(all, &objects.Service{Name: "desk", Type: objects.PlainService, DefaultCost: 1, MaxCost: 1},
+		&objects.Endpoint{Name: "desk-1", Service: "desk", Zone: "patan", Slots: 1, Fencing: objects.FencingIgnored})
+	o.n++
+	p := o.state.Propose(fmt.Sprintf("%032x", o.n), "mira", time.Now(), objects.NewSet(all...))
+	raw, err := p.Encode()
+	must.NoError(t, err)
+	// Other records may have been appended before this one.
+	offset := log.append(raw)
+	must.Eq(t, publication.Accepted, o.state.Apply(offset, raw).Outcome)
+}
+
+func newOperator() *operator { return &operator{state: publication.NewState()} }
+
+// Guards against routers that differ, and against missing lines in the trail of changes.
+func TestFollowsTheLog(t *testing.T) {
+	log := &fakeLog{}
+	a := startNode(t, log, nodeOptions{})
+	a.reaches(t, 0)
+	op := newOperator()
+	op.publish(t, log, 1)
+	log.append([]byte("junk"))
+	stale, err := publication.NewState().Propose(fmt.Sprintf("%032x", 77), "tess", time.Now(), objects.NewSet(&objects.Team{Name: "z"})).Encode()
+	must.NoError(t, err)
+	log.append(stale)
+	op.publish(t, log, 2)
+	b := startNode(t, log, nodeOptions{})
+	for _, n := range []*node{a, b} {
+		n.reaches(t, 2)
+		must.Eq(t, op.state.Hash, n.store.Current().Hash)
+		eventually(t, func() bool { return n.logs.count(`"verdict":"accepted"`) == 2 })
+		must.Eq(t, 1, n.logs.count(`"verdict":"refused"`))
+	}
+}
+
+// Guards against a router that needs the log to start or to advance, and
+// against applying a record twice after the configuration came from a peer.
+func TestTakesConfigurationFromPeers(t *testing.T) {
+	log := &fakeLog{}
+	op := newOperator()
+	op.publish(t, log, 1)
+	a := startNode(t, log, nodeOptions{})
+	a.reaches(t, 1)
+	b := startNode(t, log, nodeOptions{shut: true, peers: []*node{a}})
+	b.reaches(t, 1)
+	op.publish(t, log, 3)
+	op.publish(t, log, 2)
+	a.reaches(t, 3)
+	b.store.Observe(3)
+	b.reaches(t, 3)
+	must.Eq(t, op.state.Hash, b.store.Current().Hash)
+	b.gate.set(false)
+	op.publish(t, log, 5)
+	b.reaches(t, 4)
+	must.Eq(t, op.state.Hash, b.store.Current().Hash)
+	must.Eq(t, 0, b.logs.count(`"verdict":"refused"`))
+}
+
+// Guards against a snapshot that isn't written, and against readers that
+// can't start or continue after the records before it have expired.
+func TestSnapshotsReplaceExpiredRecords(t *testing.T) {
+	log := &fakeLog{}
+	op := newOperator()
+	cut := startNode(t, log, nodeOptions{})
+	cut.reaches(t, 0)
+	cut.gate.set(true)
+	duty := startNode(t, log, nodeOptions{duty: true, every: 3})
+	for i := range 3 {
+		op.publish(t, log, i+1)
+	}
+	duty.reaches(t, 3)
+	eventually(t, func() bool { return log.end() == 4 })
+	log.expire(3)
+	fresh := startNode(t, log, nodeOptions{})
+	fresh.reaches(t, 3)
+	must.Eq(t, op.state.Hash, fresh.store.Current().Hash)
+	cut.gate.set(false)
+	cut.reaches(t, 3)
+	op.publish(t, log, 7)
+	for _, n := range []*node{cut, duty, fresh} {
+		n.reaches(t, 4)
+		must.Eq(t, op.state.Hash, n.store.Current().Hash)
+	}
+}
+
+// Guards against a router that lost its place in the log and goes back to an
+// older version, or stays behind although a peer knows the way.
+func TestBehindWithoutSnapshot(t *testing.T) {
+	log := &fakeLog{}
+	op := newOperator()
+	op.publish(t, log, 1)
+	ahead := startNode(t, log, nodeOptions{})
+	cut := startNode(t, log, nodeOptions{peers: []*node{ahead}})
+	cut.reaches(t, 1)
+	cut.gate.set(true)
+	op.publish(t, log, 2)
+	ahead.reaches(t, 2)
+	log.expire(2)
+	cut.gate.set(false)
+	cut.reaches(t, 2)
+	op.publish(t, log, 3)
+	cut.reaches(t, 3)
+
+	// The log comes back empty, as if its content had been lost.
+	log.mu.Lock()
+	log.beginning, log.records = 500, nil
+	log.mu.Unlock()
+	eventually(t, func() bool { return cut.logs.count("can't be read") > 0 })
+	must.Eq(t, 3, cut.store.Version())
+}
+
+// Guards against taking a configuration that a peer can't prove, and against
+// serving another fleet.
+func TestRepliesAreVerified(t *testing.T) {
+	log := &fakeLog{}
+	op := newOperator()
+	op.publish(t, log, 1)
+	a := startNode(t, log, nodeOptions{})
+	a.reaches(t, 1)
+	base := publication.NewState()
+	fetch := func(version uint64, endpoint, fleet string) (*fleetpb.FetchConfigReply, error) {
+		sender := a.follower.options.Caller.Sender()
+		sender.Fleet = fleet
+		return a.FetchConfig(context.Background(), &fleetpb.FetchConfigRequest{Sender: sender, FromVersion: version, Endpoint: endpoint})
+	}
+	_, err := fetch(0, "", "other")
+	must.Error(t, err)
+	reply, err := fetch(0, "", "test")
+	must.NoError(t, err)
+	state, changes, err := stateFromReply(base, reply)
+	must.NoError(t, err)
+	must.Eq(t, op.state.Hash, state.Hash)
+	must.Len(t, 3, changes)
+	reply.SetHash = base.Hash[:]
+	_, _, err = stateFromReply(base, reply)
+	must.ErrorContains(t, err, "stated hash")
+	reply.Changes = nil
+	reply.Objects = []byte(`[{"kind":"Share","name":"x","team":"t","service":"s","weight":1}]`)
+	_, _, err = stateFromReply(base, reply)
+	must.ErrorContains(t, err, "faults")
+
+	reply, err = fetch(0, "desk-1", "test")
+	must.NoError(t, err)
+	slice, err := objects.Decode(reply.Objects)
+	must.NoError(t, err)
+	must.Eq(t, 2, slice.Size())
+	reply, err = fetch(1, "", "test")
+	must.NoError(t, err)
+	must.Eq(t, 0, len(reply.Objects)+len(reply.Changes))
+	must.Eq(t, 1, reply.NextOffset)
+}
+
+// Guards against differences that skip a version, and against unbounded memory.
+func TestHistoryIsContiguousAndBounded(t *testing.T) {
+	var h history
+	put := []objects.Change{{Op: objects.OpDelete, Kind: objects.KindTeam, Name: "a"}}
+	for v := range uint64(maxLists + 10) {
+		h.add(v, v+1, put)
+	}
+	must.Len(t, maxLists, h.lists)
+	_, ok := h.since(9)
+	must.False(t, ok)
+	changes, ok := h.since(10)
+	must.True(t, ok)
+	must.Len(t, maxLists, changes)
+	h.add(5000, 5001, put)
+	_, ok = h.since(10)
+	must.False(t, ok)
+	h.add(5001, 5002, []objects.Change{{Op: objects.OpPut, Object: make([]byte, maxListBytes)}})
+	must.Len(t, 0, h.lists)
+	must.Eq(t, 0, h.bytes)
+}
--- /dev/null
+++ b/router/configfollow/handler.go
@@ -0,0 +1,75 @@
+package configfollow
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/state/objects"
+)
+
+// maxWholeSets is the number of replies with a whole set that are made at the
+// same time. With 18,000 teams each takes several megabytes.
+const maxWholeSets = 4
+
+// FetchConfig answers another process with the configuration that this router
+// has derived: the endpoint's part if the request names an endpoint, otherwise
+// the changes since the caller's version, or the whole set if they aren't kept.
+func (f *Follower) FetchConfig(_ context.Context, req *fleetpb.FetchConfigRequest) (*fleetpb.FetchConfigReply, error) {
+	if err := f.options.Caller.Check(req.GetSender()); err != nil {
+		f.count("config.fetch_refused")
+		return nil, err
+	}
+	f.count("config.fetch_served")
+	reply, set, changes, contiguous := f.prepare(req.GetFromVersion())
+	if set == nil {
+		return nil, twirp.Unavailable.Error("no configuration yet")
+	}
+	switch {
+	case req.GetEndpoint() != "":
+		reply.RecentPublications = nil
+		reply.Objects = set.Slice(req.GetEndpoint()).Encode()
+	case req.GetFromVersion() >= reply.Version && reply.Version > 0:
+	case contiguous:
+		raw, err := json.Marshal(changes)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		reply.Changes = raw
+	default:
+		return f.withWholeSet(reply, set)
+	}
+	reply.Sender = f.options.Caller.Sender()
+	return reply, nil
+}
+
+func (f *Follower) prepare(from uint64) (*fleetpb.FetchConfigReply, *objects.Set, []objects.Change, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return nil, nil, nil, false
+	}
+	reply := &fleetpb.FetchConfigReply{
+		Version:            f.state.Version,
+		SetHash:            f.state.Hash[:],
+		NextOffset:         f.state.NextOffset,
+		RecentPublications: f.state.Recent(),
+	}
+	changes, contiguous := f.history.since(from)
+	return reply, f.state.Set, changes, contiguous
+}
+
+func (f *Follower) withWholeSet(reply *fleetpb.FetchConfigReply, set *objects.Set) (*fleetpb.FetchConfigReply, error) {
+	select {
+	case f.wholeSets <- struct{}{}:
+	default:
+		f.count("config.fetch_busy")
+		return nil, twirp.ResourceExhausted.Error("too many replies with a whole set at the same time")
+	}
+	defer func() { <-f.wholeSets }()
+	reply.Objects = set.Encode()
+	reply.Sender = f.options.Caller.Sender()
+	return reply, nil
+}
--- /dev/null
+++ b/router/configfollow/snapshot.go
@@ -0,0 +1,54 @@
+package configfollow
+
+import (
+	"context"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/publication"
+)
+
+// appendSnapshotIfDue runs when the end of the log has been reached.
+func (f *Follower) appendSnapshotIfDue(ctx context.Context) {
+	now := time.Now()
+	if !f.snapshotDue(now) || !f.options.SnapshotDuty() {
+		return
+	}
+	record, err := f.encodeSnapshot(now)
+	if err != nil {
+		f.options.Logger.Error("snapshot can't be encoded", "error", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	_, err = f.options.Log.Append(ctx, publication.Topic, record)
+	if err != nil {
+		// A snapshot that was appended all the same does no harm, so it is
+		// tried again at the next poll.
+		f.count("config.snapshot_errors")
+		if f.limiter.Allow(now, "log", "snapshot") {
+			f.options.Logger.Warn("snapshot not appended", "error", err.Error())
+		}
+		return
+	}
+	f.count("config.snapshots_appended")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sinceSnapshot = 0
+	f.lastSnapshot = now
+}
+
+func (f *Follower) snapshotDue(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil || f.state.NextOffset == 0 {
+		return false
+	}
+	return f.sinceSnapshot >= f.options.SnapshotEvery || now.Sub(f.lastSnapshot) >= f.options.SnapshotInterval
+}
+
+func (f *Follower) encodeSnapshot(now time.Time) ([]byte, error) {
+	f.mu.Lock()
+	state := publication.Restore(f.state.Version, f.state.Set, f.state.NextOffset, f.state.Recent())
+	f.mu.Unlock()
+	return state.Snapshot(now).Encode()
+}
--- a/transport/logclient/logclient.go
+++ b/transport/logclient/logclient.go
@@ -17,6 +17,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -28,6 +29,10 @@
 
 	// maxReplyBytes bounds the memory that one reply may take.
 	maxReplyBytes = 64 << 20
+	// rangeBatch is the number of records that ReadRange asks for at once.
+	rangeBatch = 256
+	// rangeTimeout bounds one call of ReadRange.
+	rangeTimeout = 10 * time.Second
 	// maxErrorBytes bounds how much of an error reply is kept.
 	maxErrorBytes = 4 << 10
 )
@@ -171,6 +176,37 @@
 	return records, nil
 }
 
+// ReadRange returns the records from one offset up to another. It asks for
+// fewer records at once after an error, because a reply with many large
+// records exceeds the limit of a reply.
+func (c *Client) ReadRange(ctx context.Context, topic string, from, to int64) ([]Record, error) {
+	var all []Record
+	batch := rangeBatch
+	for next := from; next < to; {
+		records, err := c.readWithin(ctx, topic, next, batch)
+		var expired *ExpiredError
+		if err != nil && (batch == 1 || ctx.Err() != nil || errors.As(err, &expired)) {
+			return nil, err
+		}
+		if err != nil {
+			batch /= 2
+			continue
+		}
+		if len(records) == 0 {
+			break
+		}
+		all = append(all, records...)
+		next = records[len(records)-1].Offset + 1
+	}
+	return all, nil
+}
+
+func (c *Client) readWithin(ctx context.Context, topic string, offset int64, count int) ([]Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
+	defer cancel()
+	return c.Read(ctx, topic, offset, count)
+}
+
 // Offsets returns the offset of the first retained record and the offset that
 // the next record will get.
 func (c *Client) Offsets(ctx context.Context, topic string) (beginning, end int64, err error) {
