Operators can check, compare and publish sets and see audit and status

The subcommands check, diff, publish, audit, status and version, with exit codes for faults, refusal and unknown outcome. A publication whose reply is lost is looked up in the log by its id, and -id repeats it safely. A set without objects needs -allow-empty, because publishing it ends all service. The log in memory that tests use moves to transport/logclient/logtest.

--- a/cmd/acaciaspar/main.go
+++ b/cmd/acaciaspar/main.go
@@ -1,4 +1,26 @@
 // Command acaciaspar is the router of the fleet and the operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+	"path"
+
+	"github.com/google/subcommands"
+
+	"github.com/acaciaspar/acaciaspar/operator"
+)
+
+func main() {
+	flags := flag.NewFlagSet(path.Base(os.Args[0]), flag.ExitOnError)
+	commander := subcommands.NewCommander(flags, flags.Name())
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(commander.CommandsCommand(), "")
+	operator.Register(commander, operator.NewApp())
+	// The router subcommand is registered here: commander.Register(router.Command(), "fleet").
+	// Parse ends the process with code 2 on a fault.
+	_ = flags.Parse(os.Args[1:])
+	os.Exit(int(commander.Execute(context.Background())))
+}
--- a/router/configfollow/follower_test.go
+++ b/router/configfollow/follower_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -26,80 +25,12 @@
 	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
 	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
 	"github.com/acaciaspar/acaciaspar/transport/logclient"
+	"github.com/acaciaspar/acaciaspar/transport/logclient/logtest"
 )
 
 // generous bounds the wait for a condition; no test measures time.
 const generous = 30 * time.Second
 
-// fakeLog is one partition in memory behind the log's HTTP interface.
-type fakeLog struct {
-	mu        sync.Mutex
-	beginning int64
-	records   []logclient.Record
-}
-
-func (l *fakeLog) append(value []byte) int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	offset := l.beginning + int64(len(l.records))
-	l.records = append(l.records, logclient.Record{Offset: offset, Value: value})
-	return offset
-}
-
-func (l *fakeLog) expire(beginning int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.records = l.records[beginning-l.beginning:]
-	l.beginning = beginning
-}
-
-func (l *fakeLog) end() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.beginning + int64(len(l.records))
-}
-
-func (l *fakeLog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case r.Method == http.MethodPost:
-		var in struct {
-			Records []struct {
-				Value []byte `json:"value"`
-			} `json:"records"`
-		}
-		_ = json.NewDecoder(r.Body).Decode(&in)
-		var offsets []map[string]any
-		for _, rec := range in.Records {
-			offsets = append(offsets, map[string]any{"partition": 0, "offset": l.append(rec.Value)})
-		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"offsets": offsets})
-	case strings.HasSuffix(r.URL.Path, "/offsets"):
-		end := l.end()
-		_ = json.NewEncoder(w).Encode(map[string]any{"beginning_offset": l.beginning, "end_offset": end})
-	default:
-		l.serveMessages(w, r)
-	}
-}
-
-func (l *fakeLog) serveMessages(w http.ResponseWriter, r *http.Request) {
-	var offset, count int64
-	_, _ = fmt.Sscan(r.URL.Query().Get("offset"), &offset)
-	_, _ = fmt.Sscan(r.URL.Query().Get("count"), &count)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if offset < l.beginning {
-		w.WriteHeader(http.StatusRequestedRangeNotSatisfiable)
-		return
-	}
-	out := []map[string]any{}
-	for _, rec := range l.records {
-		if rec.Offset >= offset && int64(len(out)) < count {
-			out = append(out, map[string]any{"offset": rec.Offset, "value": rec.Value})
-		}
-	}
-	_ = json.NewEncoder(w).Encode(out)
-}
-
 // gate passes requests to the log or fails them.
 type gate struct {
 	mu   sync.Mutex
@@ -163,7 +94,7 @@
 	fleet string
 }
 
-func startNode(t *testing.T, log *fakeLog, o nodeOptions) *node {
+func startNode(t *testing.T, log *logtest.Log, o nodeOptions) *node {
 	t.Helper()
 	n := &node{store: configstore.New(), logs: &lines{}, gate: &gate{log: log, shut: o.shut}}
 	if o.every == 0 {
@@ -233,7 +164,7 @@
 
 type serial struct{ n int }
 
-func (o *operator) publish(t *testing.T, log *fakeLog, teams int) {
+func (o *operator) publish(t *testing.T, log *logtest.Log, teams int) {
 	t.Helper()
 	var all []objects.Object
 	for i := range teams {
@@ -246,7 +177,7 @@
 	raw, err := p.Encode()
 	must.NoError(t, err)
 	// Other records may have been appended before this one.
-	offset := log.append(raw)
+	offset := log.Append(raw)
 	must.Eq(t, publication.Accepted, o.state.Apply(offset, raw).Outcome)
 }
 
@@ -254,15 +185,15 @@
 
 // Guards against routers that differ, and against missing lines in the trail of changes.
 func TestFollowsTheLog(t *testing.T) {
-	log := &fakeLog{}
+	log := &logtest.Log{}
 	a := startNode(t, log, nodeOptions{})
 	a.reaches(t, 0)
 	op := newOperator()
 	op.publish(t, log, 1)
-	log.append([]byte("junk"))
+	log.Append([]byte("junk"))
 	stale, err := publication.NewState().Propose(fmt.Sprintf("%032x", 77), "tess", time.Now(), objects.NewSet(&objects.Team{Name: "z"})).Encode()
 	must.NoError(t, err)
-	log.append(stale)
+	log.Append(stale)
 	op.publish(t, log, 2)
 	b := startNode(t, log, nodeOptions{})
 	for _, n := range []*node{a, b} {
@@ -276,7 +207,7 @@
 // Guards against a router that needs the log to start or to advance, and
 // against applying a record twice after the configuration came from a peer.
 func TestTakesConfigurationFromPeers(t *testing.T) {
-	log := &fakeLog{}
+	log := &logtest.Log{}
 	op := newOperator()
 	op.publish(t, log, 1)
 	a := startNode(t, log, nodeOptions{})
@@ -299,7 +230,7 @@
 // Guards against a snapshot that isn't written, and against readers that
 // can't start or continue after the records before it have expired.
 func TestSnapshotsReplaceExpiredRecords(t *testing.T) {
-	log := &fakeLog{}
+	log := &logtest.Log{}
 	op := newOperator()
 	cut := startNode(t, log, nodeOptions{})
 	cut.reaches(t, 0)
@@ -309,8 +240,8 @@
 		op.publish(t, log, i+1)
 	}
 	duty.reaches(t, 3)
-	eventually(t, func() bool { return log.end() == 4 })
-	log.expire(3)
+	eventually(t, func() bool { return log.End() == 4 })
+	log.Expire(3)
 	fresh := startNode(t, log, nodeOptions{})
 	fresh.reaches(t, 3)
 	must.Eq(t, op.state.Hash, fresh.store.Current().Hash)
@@ -326,7 +257,7 @@
 // Guards against a router that lost its place in the log and goes back to an
 // older version, or stays behind although a peer knows the way.
 func TestBehindWithoutSnapshot(t *testing.T) {
-	log := &fakeLog{}
+	log := &logtest.Log{}
 	op := newOperator()
 	op.publish(t, log, 1)
 	ahead := startNode(t, log, nodeOptions{})
@@ -335,16 +266,14 @@
 	cut.gate.set(true)
 	op.publish(t, log, 2)
 	ahead.reaches(t, 2)
-	log.expire(2)
+	log.Expire(2)
 	cut.gate.set(false)
 	cut.reaches(t, 2)
 	op.publish(t, log, 3)
 	cut.reaches(t, 3)
 
 	// The log comes back empty, as if its content had been lost.
-	log.mu.Lock()
-	log.beginning, log.records = 500, nil
-	log.mu.Unlock()
+	log.Replace(500)
 	eventually(t, func() bool { return cut.logs.count("can't be read") > 0 })
 	must.Eq(t, 3, cut.store.Version())
 }
@@ -352,7 +281,7 @@
 // Guards against taking a configuration that a peer can't prove, and against
 // serving another fleet.
 func TestRepliesAreVerified(t *testing.T) {
-	log := &fakeLog{}
+	log := &logtest.Log{}
 	op := newOperator()
 	op.publish(t, log, 1)
 	a := startNode(t, log, nodeOptions{})
