--- /dev/null
+++ b/coordination/fairqueue/grant.go
@@ -0,0 +1,278 @@
+package fairqueue
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+)
+
+// grantState tells how far a grant is.
+type grantState int
+
+const (
+	grantPending grantState = iota
+	grantAccepted
+	grantLost
+)
+
+// grant is a token that was given to a request and not settled by a report.
+type grant struct {
+	Grant
+	at    time.Time
+	state grantState
+	team  *team
+	in    *instance
+	// amount is the hint that is outstanding.
+	amount uint64
+	// open is set while the hint counts.
+	open bool
+}
+
+// Next grants a token to the ticket that the ordering selects. It returns
+// false if no ticket waits or no token may be granted. The tickets of a team
+// without weight are dropped.
+func (q *Queue) Next(now time.Time, weight func(team string) uint64) (Grant, bool) {
+	q.endRebuild(now)
+	for q.ready && len(q.offering) > 0 {
+		w := q.pick()
+		if w == nil {
+			return Grant{}, false
+		}
+		tm := q.teams[w.Team]
+		share := weight(w.Team)
+		if share == 0 {
+			q.dropTeamTickets(now, tm)
+			continue
+		}
+		in := q.place(now, w)
+		if in == nil {
+			return Grant{}, false
+		}
+		return q.grant(now, tm, w, in, share), true
+	}
+	return Grant{}, false
+}
+
+func (q *Queue) dropTeamTickets(now time.Time, tm *team) {
+	for tm.backlogged() {
+		q.remove(now, tm.tickets[0])
+	}
+}
+
+// pick returns the ticket to serve next, or nil if none waits.
+func (q *Queue) pick() *waiting {
+	if len(q.backlog.teams) == 0 {
+		return nil
+	}
+	if q.opts.Ordering == RouterFair {
+		return q.pickByRouter()
+	}
+	return q.backlog.teams[0].tickets[0]
+}
+
+// pickByRouter takes the next router with tickets, its team with the smallest
+// v and that team's oldest ticket. The variant is a baseline for measurement
+// and scans.
+func (q *Queue) pickByRouter() *waiting {
+	var after, first string
+	for address, r := range q.routers {
+		if len(r.tickets) == 0 {
+			continue
+		}
+		if first == "" || address < first {
+			first = address
+		}
+		if address > q.lastRouter && (after == "" || address < after) {
+			after = address
+		}
+	}
+	if after == "" {
+		after = first
+	}
+	q.lastRouter = after
+	var best *waiting
+	for _, w := range q.routers[after].tickets {
+		if best == nil || q.precedes(w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (q *Queue) precedes(a, b *waiting) bool {
+	if a.Team != b.Team {
+		return servedBefore(q.teams[a.Team], q.teams[b.Team])
+	}
+	return queuedBefore(a, b)
+}
+
+// place selects the endpoint for a ticket, or nil if no token may be granted.
+func (q *Queue) place(now time.Time, w *waiting) *instance {
+	for _, in := range q.offering {
+		if now.Sub(in.heard) > FreshFor {
+			q.withholdTokens(in)
+		}
+	}
+	if len(q.offering) == 0 {
+		return nil
+	}
+	if q.opts.Placement == Random {
+		return q.placeRandom()
+	}
+	key := w.Affinity
+	if key == "" {
+		key = w.Team
+	}
+	if in := q.offering[rendezvous.Choose(key, q.eligibleNames())]; in != nil {
+		return in
+	}
+	return q.placeNear(w.Zone)
+}
+
+func (q *Queue) placeRandom() *instance {
+	names := make([]string, 0, len(q.offering))
+	for name := range q.offering {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return q.offering[names[q.opts.Rand.IntN(len(names))]]
+}
+
+// placeNear prefers the zone, then the most free tokens, then the name.
+func (q *Queue) placeNear(zone string) *instance {
+	var best *instance
+	for _, in := range q.offering {
+		if best == nil || nearer(in, best, zone) {
+			best = in
+		}
+	}
+	return best
+}
+
+func nearer(a, b *instance, zone string) bool {
+	if inA, inB := a.zone == zone, b.zone == zone; inA != inB {
+		return inA
+	}
+	if len(a.free) != len(b.free) {
+		return len(a.free) > len(b.free)
+	}
+	return a.endpoint < b.endpoint
+}
+
+// eligibleNames lists the endpoints that take work, whether or not they have
+// a free token, so that a key stays at its endpoint.
+func (q *Queue) eligibleNames() []string {
+	if q.eligible != nil {
+		return q.eligible
+	}
+	q.eligible = make([]string, 0, len(q.agents))
+	for name, in := range q.agents {
+		if in.live && !in.draining && !q.known[name].Draining {
+			q.eligible = append(q.eligible, name)
+		}
+	}
+	slices.Sort(q.eligible)
+	return q.eligible
+}
+
+func (q *Queue) grant(now time.Time, tm *team, w *waiting, in *instance, weight uint64) Grant {
+	q.virtual = min(max(q.virtual, tm.v()), maxVirtual)
+	q.remove(now, w)
+	token := q.takeToken(in)
+	q.serial++
+	g := &grant{
+		Grant: Grant{
+			Ticket:       w.Ticket,
+			Endpoint:     in.endpoint,
+			Instance:     in.id,
+			AgentAddress: in.address,
+			Token:        token,
+			Weight:       weight,
+			Waited:       now.Sub(w.QueuedAt),
+			serial:       q.serial,
+		},
+		at:     now,
+		team:   tm,
+		in:     in,
+		amount: normalize(w.Hint, weight),
+		open:   true,
+	}
+	tm.outstanding += g.amount
+	tm.requests++
+	q.backlog.update(tm)
+	in.grants[token] = g
+	q.granted[w.Request] = g
+	return g.Grant
+}
+
+func (q *Queue) takeToken(in *instance) string {
+	last := len(in.free) - 1
+	token := in.free[last]
+	in.free = in.free[:last]
+	if last == 0 {
+		delete(q.offering, in.endpoint)
+	}
+	return token
+}
+
+// Resolve takes the result of a grant's dispatch. A grant that a report has
+// settled meanwhile stays settled.
+func (q *Queue) Resolve(now time.Time, granted Grant, result Resolution) {
+	in := q.instances[granted.Instance]
+	if in == nil {
+		return
+	}
+	g := in.grants[granted.Token]
+	if g == nil || g.serial != granted.serial || g.state != grantPending {
+		return
+	}
+	switch result {
+	case Accepted:
+		g.state = grantAccepted
+	case Gone:
+		q.endGrant(g)
+		delete(in.grants, g.Token)
+		q.offerAgain(in, g.Token)
+	case Lost:
+		g.state = grantLost
+		q.forgetRequest(g)
+	}
+}
+
+// offerAgain returns a token that was not used, if the latest report lists it.
+func (q *Queue) offerAgain(in *instance, token string) {
+	if q.agents[in.endpoint] != in || !in.live || !in.listed[token] {
+		return
+	}
+	if in.draining || q.known[in.endpoint].Draining {
+		return
+	}
+	in.free = append(in.free, token)
+	q.offering[in.endpoint] = in
+}
+
+// endGrant ends the charge of a grant. Its token is granted again only after
+// a report that lists it as free.
+func (q *Queue) endGrant(g *grant) {
+	q.endHint(g)
+	q.forgetRequest(g)
+	g.state = grantLost
+}
+
+func (q *Queue) endHint(g *grant) {
+	if !g.open {
+		return
+	}
+	g.open = false
+	g.team.outstanding -= g.amount
+	g.team.requests--
+	q.backlog.update(g.team)
+}
+
+func (q *Queue) forgetRequest(g *grant) {
+	if q.granted[g.Ticket.Request] == g {
+		delete(q.granted, g.Ticket.Request)
+	}
+}
