Serve the queues of owned services

A lost dispatch drops the other tickets of that router until its next sync, so that a silent router doesn't take the tokens.

--- a/coordination/fairqueue/expire.go
+++ b/coordination/fairqueue/expire.go
@@ -186,6 +186,7 @@
 			Running:       len(in.running),
 			Free:          len(in.free),
 			FencingNumber: in.fencing,
+			ConfigVersion: in.config,
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
--- a/coordination/fairqueue/grant.go
+++ b/coordination/fairqueue/grant.go
@@ -218,8 +218,13 @@
 }
 
 // Resolve takes the result of a grant's dispatch. A grant that a report has
-// settled meanwhile stays settled.
+// settled meanwhile stays settled. After a lost dispatch the other tickets of
+// the entry router are dropped as well until its next sync, so that a silent
+// router doesn't take all tokens.
 func (q *Queue) Resolve(now time.Time, granted Grant, result Resolution) {
+	if r := q.routers[granted.Ticket.Router]; result == Lost && r != nil && r.instance == granted.Ticket.RouterInstance {
+		q.dropTickets(now, r)
+	}
 	in := q.instances[granted.Instance]
 	if in == nil {
 		return
--- a/coordination/fairqueue/report.go
+++ b/coordination/fairqueue/report.go
@@ -19,6 +19,7 @@
 	draining bool
 	capacity uint32
 	fencing  uint64
+	config   uint64
 
 	counters map[string]Counter
 	// folded holds the normalized cost that has moved into the bases.
@@ -259,6 +260,7 @@
 	in.draining = r.Draining
 	in.capacity = r.Capacity
 	in.fencing = r.FencingNumber
+	in.config = r.ConfigVersion
 }
 
 func (q *Queue) replaceRunning(in *instance, running []Running) {
--- a/coordination/fairqueue/types.go
+++ b/coordination/fairqueue/types.go
@@ -157,6 +157,8 @@
 	Instance string
 	Address  string
 	Zone     string
+	// ConfigVersion is the agent's configuration version, for status.
+	ConfigVersion uint64
 	// StartedUnixMs orders the instances of an endpoint; the later one wins.
 	StartedUnixMs int64
 	Sequence      uint64
@@ -251,4 +253,5 @@
 	Running       int
 	Free          int
 	FencingNumber uint64
+	ConfigVersion uint64
 }
--- /dev/null
+++ b/router/owner/owner.go
@@ -0,0 +1,528 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
+	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/observability"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/state/configstore"
+	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
+)
+
+const (
+	// expireInterval is the time between two runs of the queues' expiry.
+	expireInterval = 250 * time.Millisecond
+	// dropAfter is the silence after which a queue is dropped that this router
+	// doesn't own any more.
+	dropAfter = 10 * time.Second
+	// maxRoutersNamed bounds the routers that FindOwner names.
+	maxRoutersNamed = 16
+	// maxAge bounds the age of a ticket that a sender states.
+	maxAge = time.Hour
+)
+
+// View is this router's view of the members.
+type View interface {
+	// Owner returns the address of the owner of a service's queue.
+	Owner(service string) string
+	// Live returns the addresses of the other live routers.
+	Live() []string
+}
+
+// Options of an Owner.
+type Options struct {
+	Caller *fleetrpc.Caller
+	Store  *configstore.Store
+	View   View
+	// Ordering and Placement select the variants. Default: fair and affinity.
+	Ordering  fairqueue.Ordering
+	Placement fairqueue.Placement
+	// CreditLimit is in cost units per weight. Default: no limit.
+	CreditLimit uint64
+	// MaxQueuedPerTeam bounds the waiting tickets of a team in one queue.
+	// Default: fairqueue.MaxTickets.
+	MaxQueuedPerTeam int
+	// Logger takes refused messages. Default: slog.Default().
+	Logger *slog.Logger
+	// Metrics is the registry. Default: a new one.
+	Metrics metrics.Registry
+	// Clock tells the time. Default: time.Now.
+	Clock func() time.Time
+}
+
+// Owner is safe for use by several goroutines.
+type Owner struct {
+	opts     Options
+	self     string
+	planner  planner
+	dispatch *dispatcher
+	limit    observability.Limiter
+
+	mu       sync.Mutex
+	services map[string]*service
+
+	grants  metrics.Counter
+	waiting metrics.Gauge
+	free    metrics.Gauge
+	refused metrics.Counter
+}
+
+// service is one queue with its mutex.
+type service struct {
+	name string
+
+	mu    sync.Mutex
+	queue *fairqueue.Queue
+	// plan is the one that the queue's endpoints are from.
+	plan *servicePlan
+	// heard is the time of the last message.
+	heard time.Time
+	// dropped is set once the service has left the table.
+	dropped bool
+}
+
+// New returns an Owner without queues.
+func New(opts Options) *Owner {
+	if opts.Logger == nil {
+		opts.Logger = slog.Default()
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewRegistry()
+	}
+	if opts.Clock == nil {
+		opts.Clock = time.Now
+	}
+	return &Owner{
+		opts:     opts,
+		self:     opts.Caller.Identity().Address,
+		planner:  planner{store: opts.Store},
+		dispatch: newDispatcher(),
+		services: map[string]*service{},
+		grants:   metrics.GetOrRegisterCounter("owner.grants", opts.Metrics),
+		waiting:  metrics.GetOrRegisterGauge("owner.waiting", opts.Metrics),
+		free:     metrics.GetOrRegisterGauge("owner.free_tokens", opts.Metrics),
+		refused:  metrics.GetOrRegisterCounter("owner.refused_messages", opts.Metrics),
+	}
+}
+
+// Run sends grants and expires what is silent until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	var tasks errgroup.Group
+	for range workers {
+		tasks.Go(func() error { o.work(ctx); return nil })
+	}
+	tick := time.NewTicker(expireInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return tasks.Wait()
+		case <-tick.C:
+			o.expire()
+		}
+	}
+}
+
+// Enqueue takes the tickets of an entry router.
+func (o *Owner) Enqueue(_ context.Context, r *fleetpb.EnqueueRequest) (*fleetpb.EnqueueReply, error) {
+	if err := o.check(r.Sender); err != nil {
+		return nil, err
+	}
+	p := o.planner.current()
+	s, err := o.plannedService(p, r.Sender, r.Service)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Tickets) > fairqueue.MaxTickets {
+		return nil, o.refuse(r.Sender, twirp.InvalidArgumentError("tickets", "are too many"))
+	}
+	now := o.opts.Clock()
+	tickets, refused := s.tickets(now, p, r)
+	o.use(r.Service, s, func(sv *service) {
+		sv.heard = now
+		id := r.Sender
+		refused = append(refused, sv.queue.Sync(now, id.Address, id.Instance, r.Sequence, tickets, r.FullSync)...)
+	})
+	return &fleetpb.EnqueueReply{
+		Sender:       o.opts.Caller.Sender(),
+		OwnerAddress: o.otherOwner(r.Service),
+		Refused:      refused,
+	}, nil
+}
+
+// tickets converts the tickets of a message. Those without a share or with an
+// unknown operation are refused. If the sender has a newer configuration they
+// are left out instead, and the sender's next sync brings them again.
+func (s *servicePlan) tickets(now time.Time, p *plan, r *fleetpb.EnqueueRequest) ([]fairqueue.Ticket, []string) {
+	tickets := make([]fairqueue.Ticket, 0, len(r.Tickets))
+	var refused []string
+	for _, t := range r.Tickets {
+		known := s.weights[t.GetTeam()] > 0 && s.operations[t.GetOperation()] && t.GetRequest() != ""
+		switch {
+		case known:
+			tickets = append(tickets, s.ticket(now, r.Sender, t))
+		case r.Sender.ConfigVersion <= p.version:
+			refused = append(refused, t.GetRequest())
+		}
+	}
+	return tickets, refused
+}
+
+func (s *servicePlan) ticket(now time.Time, from *fleetpb.Sender, t *fleetpb.Ticket) fairqueue.Ticket {
+	age := min(t.AgeMs, uint64(maxAge.Milliseconds()))
+	return fairqueue.Ticket{
+		Request:        t.Request,
+		Attempt:        t.Attempt,
+		Team:           t.Team,
+		Operation:      t.Operation,
+		Affinity:       t.Affinity,
+		Router:         from.Address,
+		RouterInstance: from.Instance,
+		Zone:           from.Zone,
+		Hint:           s.hint(t.Hint),
+		QueuedAt:       now.Add(-time.Duration(age) * time.Millisecond),
+	}
+}
+
+// Withdraw drops tickets of an entry router.
+func (o *Owner) Withdraw(_ context.Context, r *fleetpb.WithdrawRequest) (*fleetpb.WithdrawReply, error) {
+	if err := o.check(r.Sender); err != nil {
+		return nil, err
+	}
+	if s := o.planner.current().services[r.Service]; s != nil {
+		now := o.opts.Clock()
+		o.use(r.Service, s, func(sv *service) {
+			sv.heard = now
+			sv.queue.Withdraw(now, r.Sender.Address, r.Sender.Instance, r.Requests)
+		})
+	}
+	return &fleetpb.WithdrawReply{Sender: o.opts.Caller.Sender()}, nil
+}
+
+// Report takes the state of an agent.
+func (o *Owner) Report(_ context.Context, r *fleetpb.ReportRequest) (*fleetpb.ReportReply, error) {
+	if err := o.check(r.Sender); err != nil {
+		return nil, err
+	}
+	s, err := o.plannedService(o.planner.current(), r.Sender, r.Service)
+	if err != nil {
+		return nil, err
+	}
+	now := o.opts.Clock()
+	var result fairqueue.ReportResult
+	o.use(r.Service, s, func(sv *service) {
+		result = sv.queue.Report(now, reportOf(r))
+		if result.Refused == fairqueue.RefusedNone {
+			sv.heard = now
+		}
+	})
+	if result.Refused != fairqueue.RefusedNone {
+		return nil, o.refuse(r.Sender, twirp.InvalidArgumentError("report", string(result.Refused)))
+	}
+	return o.reportReply(r.Service, result), nil
+}
+
+func (o *Owner) reportReply(name string, result fairqueue.ReportResult) *fleetpb.ReportReply {
+	reply := &fleetpb.ReportReply{
+		Sender:       o.opts.Caller.Sender(),
+		OwnerAddress: o.otherOwner(name),
+		WantFull:     result.WantFull,
+		Superseded:   result.Superseded,
+		VirtualTime:  result.VirtualTime,
+	}
+	for _, b := range result.Bases {
+		reply.Bases = append(reply.Bases, &fleetpb.TeamBase{Team: b.Team, Base: b.Base})
+	}
+	return reply
+}
+
+// FindOwner names the owner of a service in this router's view, and other
+// routers. The selection differs between callers, so that they spread.
+func (o *Owner) FindOwner(_ context.Context, r *fleetpb.OwnerRequest) (*fleetpb.OwnerReply, error) {
+	if err := o.check(r.Sender); err != nil {
+		return nil, err
+	}
+	routers := rendezvous.Rank(r.Sender.Address, append(o.opts.View.Live(), o.self))
+	return &fleetpb.OwnerReply{
+		Sender:       o.opts.Caller.Sender(),
+		OwnerAddress: o.opts.View.Owner(r.Service),
+		Routers:      routers[:min(len(routers), maxRoutersNamed)],
+	}, nil
+}
+
+// check refuses messages of other fleets and those without an address or instance.
+func (o *Owner) check(s *fleetpb.Sender) error {
+	if err := o.opts.Caller.Check(s); err != nil {
+		return o.refuse(s, err)
+	}
+	if s.Address == "" || s.Instance == "" {
+		return o.refuse(s, twirp.InvalidArgumentError("sender", "has no address or no instance"))
+	}
+	return nil
+}
+
+// refuse counts a refused message and logs it once per source and minute.
+func (o *Owner) refuse(s *fleetpb.Sender, err error) error {
+	o.refused.Inc(1)
+	if o.limit.Allow(o.opts.Clock(), s.GetAddress(), err.Error()) {
+		o.opts.Logger.Warn("message refused", "source", s.GetAddress(), "error", err.Error())
+	}
+	return err
+}
+
+// plannedService returns the plan of a service. A sender with a newer
+// configuration is asked to send again.
+func (o *Owner) plannedService(p *plan, from *fleetpb.Sender, name string) (*servicePlan, error) {
+	if s := p.services[name]; s != nil {
+		return s, nil
+	}
+	if from.ConfigVersion > p.version {
+		return nil, twirp.NewError(twirp.Unavailable, "the configuration of this router is behind")
+	}
+	return nil, o.refuse(from, twirp.NotFoundError("unknown service"))
+}
+
+// otherOwner returns the owner's address if it isn't this router.
+func (o *Owner) otherOwner(name string) string {
+	if owner := o.opts.View.Owner(name); owner != o.self {
+		return owner
+	}
+	return ""
+}
+
+// use runs f on a service's queue and dispatches the grants that it allows.
+func (o *Owner) use(name string, p *servicePlan, f func(sv *service)) {
+	var grants []fairqueue.Grant
+	for done := false; !done; {
+		sv := o.service(name)
+		sv.mu.Lock()
+		if !sv.dropped {
+			sv.setPlan(p)
+			f(sv)
+			grants = sv.takeGrants(o.opts.Clock())
+			done = true
+		}
+		sv.mu.Unlock()
+	}
+	o.grants.Inc(int64(len(grants)))
+	o.send(name, grants)
+}
+
+// service returns a service's queue and makes it if there is none.
+func (o *Owner) service(name string) *service {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	sv := o.services[name]
+	if sv == nil {
+		now := o.opts.Clock()
+		sv = &service{name: name, heard: now, queue: fairqueue.New(now, o.queueOptions())}
+		o.services[name] = sv
+	}
+	return sv
+}
+
+func (o *Owner) queueOptions() fairqueue.Options {
+	return fairqueue.Options{
+		Ordering:         o.opts.Ordering,
+		Placement:        o.opts.Placement,
+		CreditLimit:      o.opts.CreditLimit,
+		MaxQueuedPerTeam: o.opts.MaxQueuedPerTeam,
+		Rand:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// setPlan puts a plan in use. The caller holds the mutex.
+func (sv *service) setPlan(p *servicePlan) {
+	if sv.plan != p {
+		sv.plan = p
+		sv.queue.SetEndpoints(p.endpoints)
+	}
+}
+
+// takeGrants returns all grants that are possible. The caller holds the mutex.
+func (sv *service) takeGrants(now time.Time) []fairqueue.Grant {
+	var grants []fairqueue.Grant
+	for {
+		g, ok := sv.queue.Next(now, sv.plan.weight)
+		if !ok {
+			return grants
+		}
+		grants = append(grants, g)
+	}
+}
+
+// expire runs the queues' expiry and drops those that aren't owned any more.
+func (o *Owner) expire() {
+	p := o.planner.current()
+	var waiting, free int
+	for _, sv := range o.list() {
+		s := p.services[sv.name]
+		if s == nil || o.idle(sv) {
+			o.drop(sv, s == nil)
+			continue
+		}
+		o.use(sv.name, s, func(sv *service) {
+			sv.queue.Expire(o.opts.Clock())
+			waiting += sv.queue.Waiting()
+			free += sv.queue.Free()
+		})
+	}
+	o.waiting.Update(int64(waiting))
+	o.free.Update(int64(free))
+}
+
+// list returns the services in order of name.
+func (o *Owner) list() []*service {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]*service, 0, len(o.services))
+	for _, sv := range o.services {
+		out = append(out, sv)
+	}
+	slices.SortFunc(out, func(a, b *service) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// idle reports whether a queue that this router doesn't own has been silent.
+func (o *Owner) idle(sv *service) bool {
+	if o.otherOwner(sv.name) == "" {
+		return false
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return o.opts.Clock().Sub(sv.heard) >= dropAfter
+}
+
+// drop takes a service out of the table, if it is still silent or removed is set.
+func (o *Owner) drop(sv *service, removed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if removed || o.opts.Clock().Sub(sv.heard) >= dropAfter {
+		sv.dropped = true
+		delete(o.services, sv.name)
+	}
+}
+
+// Services returns the names of the services whose queues are here.
+func (o *Owner) Services() []string {
+	var names []string
+	for _, sv := range o.list() {
+		names = append(names, sv.name)
+	}
+	return names
+}
+
+// Teams returns the state of the teams of all queues here.
+func (o *Owner) Teams() []*fleetpb.TeamStatus {
+	var out []*fleetpb.TeamStatus
+	for _, sv := range o.list() {
+		sv.mu.Lock()
+		teams, p := sv.queue.Teams(), sv.plan
+		sv.mu.Unlock()
+		for _, t := range teams {
+			status := &fleetpb.TeamStatus{
+				Service:    sv.name,
+				Team:       t.Team,
+				Waiting:    uint64(t.Waiting),
+				Running:    uint64(t.Running),
+				Cost:       t.Cost,
+				Normalized: t.Virtual,
+			}
+			if p != nil {
+				status.Weight = p.weight(t.Team)
+			}
+			out = append(out, status)
+		}
+	}
+	return out
+}
+
+// Endpoints returns the state of the endpoints that report to queues here.
+func (o *Owner) Endpoints() []*fleetpb.EndpointStatus {
+	var out []*fleetpb.EndpointStatus
+	for _, sv := range o.list() {
+		sv.mu.Lock()
+		endpoints := sv.queue.Endpoints()
+		sv.mu.Unlock()
+		for _, e := range endpoints {
+			out = append(out, endpointStatus(sv.name, e))
+		}
+	}
+	return out
+}
+
+func endpointStatus(name string, e fairqueue.EndpointState) *fleetpb.EndpointStatus {
+	state := "active"
+	if e.Draining {
+		state = "draining"
+	}
+	return &fleetpb.EndpointStatus{
+		Endpoint:      e.Endpoint,
+		Service:       name,
+		AgentAddress:  e.Address,
+		Instance:      e.Instance,
+		State:         state,
+		Capacity:      e.Capacity,
+		Running:       uint32(e.Running),
+		Free:          uint32(e.Free),
+		FencingNumber: e.FencingNumber,
+		ConfigVersion: e.ConfigVersion,
+	}
+}
+
+func reportOf(r *fleetpb.ReportRequest) fairqueue.Report {
+	out := fairqueue.Report{
+		Endpoint:      r.Endpoint,
+		Instance:      r.Sender.Instance,
+		Address:       r.Sender.Address,
+		Zone:          r.Sender.Zone,
+		ConfigVersion: r.Sender.ConfigVersion,
+		StartedUnixMs: r.StartedUnixMs,
+		Sequence:      r.Sequence,
+		FreeTokens:    r.FreeTokens,
+		Full:          r.Full,
+		Draining:      r.Draining,
+		Capacity:      r.Capacity,
+		FencingNumber: r.FencingNumber,
+		VirtualTime:   r.VirtualTime,
+	}
+	for _, run := range r.Running {
+		out.Running = append(out.Running, fairqueue.Running{
+			Request: run.GetRequest(),
+			Team:    run.GetTeam(),
+			Token:   run.GetSlotToken(),
+			Hint:    run.GetHint(),
+			Metered: run.GetMetered(),
+			Weight:  run.GetWeight(),
+		})
+	}
+	for _, c := range r.Counters {
+		out.Counters = append(out.Counters, fairqueue.Counter{
+			Team:       c.GetTeam(),
+			Cost:       c.GetCost(),
+			Normalized: c.GetNormalized(),
+			Base:       c.GetBase(),
+			Finished:   c.GetFinished(),
+			Failed:     c.GetFailed(),
+		})
+	}
+	return out
+}
