--- a/coordination/lifecycle/lifecycle.go
+++ b/coordination/lifecycle/lifecycle.go
@@ -10,6 +10,10 @@
 // refusals. It bounds the work that one request causes while agents restart.
 const MaxRequeues = 8
 
+// MaxRetries is how often a request is sent again after an unknown outcome, so
+// that a request that brings endpoints down doesn't visit many of them.
+const MaxRetries = 2
+
 // State is the state of one request at its entry router.
 type State uint8
 
@@ -136,6 +140,8 @@
 	forwarded bool
 	// refusals counts certain refusals.
 	refusals int
+	// retries counts sends after an unknown outcome.
+	retries int
 }
 
 // New returns a request that is queued.
@@ -166,6 +172,8 @@
 	switch s.event {
 	case AgentRefused:
 		r.refusals++
+	case Retried:
+		r.retries++
 	case Forwarded:
 		r.forwarded = true
 	}
@@ -178,7 +186,7 @@
 
 // MayResend reports whether the request may be sent again although it may have run.
 func (r *Request) MayResend() bool {
-	return r.state == Unknown && r.idempotent && !r.forwarded
+	return r.state == Unknown && r.idempotent && !r.forwarded && r.retries < MaxRetries
 }
 
 // RefusedTooOften reports whether the request has used up its requeues.
--- /dev/null
+++ b/router/entry/entry_test.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/idemkey"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+)
+
+// Guards against a path from caller to agent and back that loses the body, the
+// query, headers, status or trail of a request.
+func TestAnswerPassesThrough(t *testing.T) {
+	agent := newAgent(t, echo)
+	b := newBench(t, eachTo(agent.address))
+	got := b.post("/post-desk/label?size=a6", "harbour-token", "parcel", "X-Note", "n1", costHintHeader, "9000")
+	must.NoError(t, got.failure)
+	must.Eq(t, 201, got.status)
+	must.Eq(t, "harbour:parcel", got.body)
+	must.Eq(t, "press", got.header.Get("X-Endpoint"))
+	must.Eq(t, "", got.header.Get(outcome.Header))
+
+	sent := agent.first()
+	must.Eq(t, got.header.Get(outcome.RequestHeader), sent.Request)
+	must.Eq(t, "/label?size=a6", sent.URI)
+	must.Eq(t, "POST", sent.Method)
+	must.Eq(t, "n1", sent.Forwarded.Get("X-Note"))
+	must.Eq(t, "", sent.Forwarded.Get("Authorization"))
+	must.Eq(t, uint64(100), sent.Hint)
+	must.Eq(t, uint64(3), sent.Weight)
+
+	eventually(t, "the request has ended", func() bool { return b.counter("entry.outcome.finished") == 1 })
+	lines := b.trails.Lines(sent.Request)
+	must.SliceLen(t, 6, lines)
+	must.StrContains(t, lines[5], `"event":"finished"`)
+	must.StrContains(t, lines[5], `"cost":"7"`)
+}
+
+// Guards against an answer that reaches another caller, with many callers at
+// once, duplicated dispatches, refusals and cut attempts.
+func TestAnswersAreNotCrossed(t *testing.T) {
+	var calls atomic.Int64
+	agent := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		switch n := calls.Add(1); {
+		case n%5 == 0:
+			says(outcome.NotRun, 503)(w, r)
+		case n%97 == 0:
+			cut(w, r)
+		default:
+			echo(w, r)
+		}
+	})
+	b := newBench(t, eachTo(agent.address))
+	b.owner.set(func() { b.owner.copies = 2 })
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	for caller := range 40 {
+		team := []string{"harbour", "quarry"}[caller%2]
+		wg.Go(func() {
+			for n := range 10 {
+				body := strings.Repeat(fmt.Sprintf("%d.%d;", caller, n), 1+700*(n%2))
+				got := b.post("/post-desk/label", team+"-token", body)
+				if got.failure == nil && got.status == 201 {
+					test.Eq(t, team+":"+body, got.body)
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	must.Greater(t, 300, answered.Load())
+	must.Eq(t, b.counter("entry.requests"), answered.Load()+b.counter("entry.outcome.unknown")+b.counter("entry.outcome.not-run"))
+	eventually(t, "all requests are forgotten", func() bool { return len(b.server.Status()) == 0 })
+	must.MapEmpty(t, b.server.teams)
+	must.Zero(t, b.server.held)
+}
+
+// Guards against a request that is sent once per delivery of its dispatch.
+func TestDuplicateDispatch(t *testing.T) {
+	agent := newAgent(t, echo)
+	b := newBench(t, eachTo(agent.address))
+	b.owner.set(func() { b.owner.copies = 3 })
+	must.Eq(t, 201, b.post("/post-desk/label", "harbour-token", "x").status)
+	must.Eq(t, 1, agent.calls.Load())
+}
+
+// Guards against a second token for a request in progress, and against an
+// assignment for another service or attempt.
+func TestDispatchOfARequestThatDoesNotWait(t *testing.T) {
+	release := make(chan struct{})
+	agent := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		echo(w, r)
+	})
+	b := newBench(t, eachTo(agent.address))
+	done := make(chan reply, 1)
+	go func() { done <- b.post("/post-desk/label", "harbour-token", "x") }()
+	eventually(t, "the agent has the request", func() bool { return agent.calls.Load() == 1 })
+	must.Eq(t, []TeamCount{{Service: "post-desk", Team: "harbour", InProgress: 1}}, b.server.Status())
+	id := agent.first().Request
+	grant := func(request string, attempt uint32, token, address string) *fleetpb.Assignment {
+		return &fleetpb.Assignment{Request: request, Attempt: attempt, SlotToken: token, AgentAddress: address, Weight: 1}
+	}
+	in := &fleetpb.DispatchRequest{Sender: b.owner.caller.Sender(), Service: "post-desk", Assignments: []*fleetpb.Assignment{
+		grant(id, 1, "other", agent.address),
+		grant(id, 2, "other", agent.address),
+		grant("nobody", 1, "other", agent.address),
+		grant(id, 1, "token-1", agent.address),
+		grant(id, 1, "token-1", "no address"),
+	}}
+	got, err := b.server.Dispatch(context.Background(), in)
+	must.NoError(t, err)
+	gone, accepted := fleetpb.DispatchResult_DISPATCH_RESULT_GONE, fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED
+	must.Eq(t, []fleetpb.DispatchResult{gone, gone, gone, accepted, gone}, got.Results)
+	in.Sender.Fleet = "another"
+	_, err = b.server.Dispatch(context.Background(), in)
+	must.Error(t, err)
+	close(release)
+	must.Eq(t, 201, (<-done).status)
+	must.Eq(t, 1, agent.calls.Load())
+}
+
+// Guards against a request that is never dispatched because its ticket or its
+// dispatch was lost: the full sync brings the ticket back.
+func TestLostDispatch(t *testing.T) {
+	agent := newAgent(t, echo)
+	b := newBench(t, eachTo(agent.address))
+	lost := 0
+	b.owner.set(func() {
+		b.owner.pick = func(*fleetpb.Ticket) string {
+			lost++
+			if lost < 3 {
+				return ""
+			}
+			return agent.address
+		}
+	})
+	must.Eq(t, 201, b.post("/post-desk/label", "harbour-token", "x").status)
+	eventually(t, "the owner hears that nothing waits", func() bool {
+		b.owner.mu.Lock()
+		defer b.owner.mu.Unlock()
+		return b.owner.empties == 1
+	})
+	eventually(t, "the exchange stops", func() bool {
+		b.server.mu.Lock()
+		defer b.server.mu.Unlock()
+		return !b.server.links["post-desk"].running
+	})
+}
+
+// Guards against tickets that stay with an owner that is gone or wrong.
+func TestOwnerChange(t *testing.T) {
+	agent := newAgent(t, echo)
+	for _, how := range []string{"by the view", "by the reply"} {
+		t.Run(how, func(t *testing.T) {
+			b := newBench(t, nowhere, func(o *Options) {
+				if how == "by the view" {
+					// The periodic sync must not be what brings the ticket over.
+					o.Limits.SyncInterval = time.Hour
+				}
+			})
+			second := newOwner(t, b.owner.caller, b.owner.entry, eachTo(agent.address))
+			done := make(chan reply, 1)
+			go func() { done <- b.post("/post-desk/label", "harbour-token", "x") }()
+			eventually(t, "the first owner has the ticket", func() bool { return b.owner.waits() == 1 })
+			if how == "by the view" {
+				b.moveTo(second)
+			} else {
+				b.owner.set(func() { b.owner.named = second.address })
+			}
+			must.Eq(t, 201, (<-done).status)
+		})
+	}
+}
+
+// Guards against work that goes on after its caller is gone, waiting or running.
+func TestCallerGone(t *testing.T) {
+	t.Run("waiting", func(t *testing.T) {
+		keys := &fakeKeys{result: idemkey.Result{Verdict: idemkey.Won}}
+		b := newBench(t, nowhere, func(o *Options) {
+			o.Keys = keys
+			o.Limits.SyncInterval = time.Hour
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan reply, 1)
+		go func() {
+			done <- b.postContext(ctx, "/post-desk/label", "harbour-token", strings.NewReader("x"), keyHeader, "k")
+		}()
+		eventually(t, "the owner has the ticket", func() bool { return b.owner.waits() == 1 })
+		cancel()
+		must.Error(t, (<-done).failure)
+		eventually(t, "the ticket is withdrawn", func() bool {
+			b.owner.mu.Lock()
+			defer b.owner.mu.Unlock()
+			return len(b.owner.withdrawn) == 1
+		})
+		eventually(t, "the key is free", func() bool {
+			keys.mu.Lock()
+			defer keys.mu.Unlock()
+			return len(keys.released) == 1
+		})
+	})
+	for name, handler := range map[string]http.HandlerFunc{"sending": hang, "started": hangAfter} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			agent := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+				handler(w, r)
+				close(ended)
+			})
+			b := newBench(t, eachTo(agent.address))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan reply, 1)
+			go func() { done <- b.postContext(ctx, "/post-desk/stock", "harbour-token", strings.NewReader("x")) }()
+			eventually(t, "the agent has the request", func() bool { return agent.calls.Load() == 1 })
+			cancel()
+			must.Error(t, (<-done).failure)
+			<-ended
+			eventually(t, "the request is cancelled", func() bool { return b.counter("entry.outcome.cancelled") == 1 })
+			must.Eq(t, 1, agent.calls.Load())
+		})
+	}
+}
+
+// Guards against a shutdown that interrupts requests, takes new ones or never ends.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	agent := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		echo(w, r)
+	})
+	b := newBench(t, eachTo(agent.address))
+	done := make(chan reply, 1)
+	go func() { done <- b.post("/post-desk/label", "harbour-token", "x") }()
+	eventually(t, "the agent has the request", func() bool { return agent.calls.Load() == 1 })
+	drained := make(chan error, 1)
+	go func() { drained <- b.server.Drain(context.Background()) }()
+	eventually(t, "the router drains", b.server.Draining)
+	o := mustOutcome(t, b.post("/post-desk/label", "harbour-token", "x"), 503, outcome.NotRun)
+	must.Eq(t, 1, o.RetryAfterSeconds)
+	close(release)
+	must.NoError(t, <-drained)
+	must.Eq(t, 201, (<-done).status)
+}
+
+// Guards against a drain timeout that leaves callers without an outcome, and
+// against not-run for a request that may have run.
+func TestDrainTimeout(t *testing.T) {
+	agent := newAgent(t, hang)
+	b := newBench(t, func(ticket *fleetpb.Ticket) string {
+		if ticket.Operation == "label" {
+			return agent.address
+		}
+		return ""
+	})
+	label, stock := make(chan reply, 1), make(chan reply, 1)
+	go func() { label <- b.post("/post-desk/label", "harbour-token", "x") }()
+	go func() { stock <- b.post("/post-desk/stock", "harbour-token", "x") }()
+	eventually(t, "one request runs and one waits", func() bool {
+		return agent.calls.Load() == 1 && b.owner.waits() == 1
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	must.ErrorIs(t, b.server.Drain(ctx), context.Canceled)
+	mustOutcome(t, <-label, 502, outcome.Unknown)
+	mustOutcome(t, <-stock, 503, outcome.NotRun)
+}
+
+// Guards against a broken invariant that net/http would recover and hide.
+func TestBrokenInvariantIsFatal(t *testing.T) {
+	caught := make(chan any, 1)
+	b := newBench(t, nowhere, func(o *Options) {
+		o.Store = nil
+		o.Fatal = func(value any) { caught <- value }
+	})
+	b.post("/post-desk/stock", "harbour-token", "")
+	must.NotNil(t, <-caught)
+}
