Claim idempotency keys in the log

A reader remembers every claim, whatever its verdict: with only winning claims remembered, a router that started during a window could let a second request win while the first ran.

--- a/coordination/idemkey/result.go
+++ b/coordination/idemkey/result.go
@@ -10,6 +10,12 @@
 	Won Verdict = iota + 1
 	// Duplicate means that another request holds the key.
 	Duplicate
+	// Repeated means that the same request held the key already, so that the
+	// record is a second copy.
+	Repeated
+	// Undecided means that the table was too full to remember every claim of
+	// the last window. The request must not be dispatched.
+	Undecided
 )
 
 // Result is the decision on one claim and its limit.
