--- /dev/null
+++ b/testbed/standin/engine/engine.go
@@ -0,0 +1,240 @@
+// Package engine is a stand-in for a model engine. It follows the public
+// OpenAI completions interface, POST /v1/completions with and without
+// "stream": true, and the Prometheus text format with the metric names of vLLM
+// at GET /metrics. A stream ends with a chunk that carries the usage and with
+// "data: [DONE]".
+//
+// The engine batches continuously: one step produces one token for every
+// running sequence and takes a base time plus a part per sequence. A prompt is
+// prefilled in the step that admits it, at a cost per token that isn't in the
+// bounded prefix cache. Every request is admitted, there are no priorities,
+// sequences beyond the batch wait in order of arrival, and a caller that
+// disconnects cancels its sequence. A token is a word; the answer repeats the
+// prompt's words, so that a test can tell whose answer it got.
+//
+// The endpoints below /standin are no part of the published interface: GET
+// /standin/executions and GET /standin/busy.
+//
+// An Engine owns its sequences, its prefix cache and the list of executions.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// maxExecutions bounds the list of executions; the oldest are dropped.
+const maxExecutions = 100_000
+
+// Options are the settings of an Engine.
+type Options struct {
+	Model           string        `flag:"model" default:"stand-in" usage:"name of the model"`
+	MaxBatch        int           `flag:"max-batch" default:"16" usage:"sequences that run at the same time"`
+	StepBase        time.Duration `flag:"step-base" default:"5ms" usage:"time of one step without sequences"`
+	StepPerSequence time.Duration `flag:"step-per-sequence" default:"500us" usage:"time that each sequence adds to a step"`
+	PrefillPerToken time.Duration `flag:"prefill-per-token" default:"50us" usage:"time per prompt token that is not in the prefix cache"`
+	CacheTokens     int           `flag:"cache-tokens" default:"65536" usage:"size of the prefix cache in tokens"`
+	DefaultTokens   int           `flag:"default-tokens" default:"16" usage:"length of an answer without max_tokens"`
+	MaxTokens       int           `flag:"max-tokens" default:"8192" usage:"longest answer"`
+	MetricsLag      time.Duration `flag:"metrics-lag" default:"1s" usage:"largest age of the reported load"`
+	CheckFencing    bool          `flag:"check-fencing" usage:"refuse older fencing numbers"`
+}
+
+// Validate implements settings.Validator.
+func (o *Options) Validate() []error {
+	var faults []error
+	positive := func(name string, ok bool) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("%s must be positive", name))
+		}
+	}
+	positive("max-batch", o.MaxBatch > 0)
+	positive("step-base", o.StepBase > 0)
+	positive("default-tokens", o.DefaultTokens > 0)
+	positive("max-tokens", o.MaxTokens > 0)
+	if o.StepPerSequence < 0 || o.PrefillPerToken < 0 || o.CacheTokens < 0 || o.MetricsLag < 0 {
+		faults = append(faults, fmt.Errorf("times and sizes must not be negative"))
+	}
+	return faults
+}
+
+// Execution is one request that the engine admitted.
+type Execution struct {
+	Request string `json:"request"`
+	// Tokens is the number of tokens produced so far.
+	Tokens    int  `json:"tokens"`
+	Cancelled bool `json:"cancelled"`
+	Finished  bool `json:"finished"`
+}
+
+// Busy is the answer of GET /standin/busy.
+type Busy struct {
+	// BusySlotSeconds is the time of all steps, each multiplied by its running sequences.
+	BusySlotSeconds float64 `json:"busySlotSeconds"`
+	Running         int     `json:"running"`
+	Waiting         int     `json:"waiting"`
+}
+
+// sequence is one admitted request. The engine's mutex guards it.
+type sequence struct {
+	prompt    []string
+	want      int
+	cached    int
+	execution *Execution
+	// progress has room for one signal that execution.Tokens grew.
+	progress chan struct{}
+}
+
+// Engine is safe for use by several goroutines. Its mutex guards all fields
+// below it and is not held during a step or during I/O.
+type Engine struct {
+	options Options
+
+	mu         sync.Mutex
+	waiting    []*sequence
+	running    []*sequence
+	cache      *prefixCache
+	executions []*Execution
+	busy       time.Duration
+	// work has room for one signal that a sequence waits.
+	work chan struct{}
+}
+
+// New returns an idle engine; Run drives it.
+func New(options Options) *Engine {
+	return &Engine{
+		options: options,
+		cache:   newPrefixCache(options.CacheTokens),
+		work:    make(chan struct{}, 1),
+	}
+}
+
+// Run makes steps until ctx ends.
+func (e *Engine) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		duration := e.beginStep()
+		if duration == 0 {
+			select {
+			case <-e.work:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		time.Sleep(duration)
+		e.endStep(duration)
+	}
+}
+
+// beginStep fills the batch and returns the step's duration, 0 without work.
+func (e *Engine) beginStep() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running = withoutCancelled(e.running)
+	e.waiting = withoutCancelled(e.waiting)
+	prefill := 0
+	for len(e.waiting) > 0 && len(e.running) < e.options.MaxBatch {
+		s := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		s.cached = e.cache.use(s.prompt)
+		prefill += len(s.prompt) - s.cached
+		e.running = append(e.running, s)
+	}
+	if len(e.running) == 0 {
+		return 0
+	}
+	return e.options.StepBase +
+		time.Duration(len(e.running))*e.options.StepPerSequence +
+		time.Duration(prefill)*e.options.PrefillPerToken
+}
+
+func withoutCancelled(sequences []*sequence) []*sequence {
+	kept := sequences[:0]
+	for _, s := range sequences {
+		if !s.execution.Cancelled {
+			kept = append(kept, s)
+		}
+	}
+	clear(sequences[len(kept):])
+	return kept
+}
+
+func (e *Engine) endStep(duration time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy += duration * time.Duration(len(e.running))
+	kept := e.running[:0]
+	for _, s := range e.running {
+		if s.execution.Cancelled {
+			continue
+		}
+		s.execution.Tokens++
+		s.execution.Finished = s.execution.Tokens == s.want
+		signal(s.progress)
+		if !s.execution.Finished {
+			kept = append(kept, s)
+		}
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// admit queues a sequence.
+func (e *Engine) admit(request string, prompt []string, want int) *sequence {
+	s := &sequence{
+		prompt:    prompt,
+		want:      want,
+		execution: &Execution{Request: request},
+		progress:  make(chan struct{}, 1),
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.executions) >= maxExecutions {
+		e.executions = e.executions[1:]
+	}
+	e.executions = append(e.executions, s.execution)
+	e.waiting = append(e.waiting, s)
+	signal(e.work)
+	return s
+}
+
+func (e *Engine) cancel(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.execution.Finished {
+		s.execution.Cancelled = true
+	}
+}
+
+// progressOf returns the number of tokens produced and of cached prompt tokens.
+func (e *Engine) progressOf(s *sequence) (produced, cached int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.execution.Tokens, s.cached
+}
+
+// Busy returns the engine's load.
+func (e *Engine) Busy() Busy {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Busy{BusySlotSeconds: e.busy.Seconds(), Running: len(e.running), Waiting: len(e.waiting)}
+}
+
+// Executions returns the requests admitted, oldest first.
+func (e *Engine) Executions() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]Execution, 0, len(e.executions))
+	for _, x := range e.executions {
+		all = append(all, *x)
+	}
+	return all
+}
--- /dev/null
+++ b/testbed/standin/engine/prefixcache.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"container/list"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// blockTokens is the number of prompt tokens per cache block; only whole
+// blocks are cached, as in engines with paged prefix caches.
+const blockTokens = 16
+
+// prefixCache remembers the prompt prefixes seen last. A block is identified
+// by the hash of the whole prefix up to its end. The caller serializes access.
+type prefixCache struct {
+	capacity int
+	order    *list.List
+	blocks   map[uint64]*list.Element
+}
+
+func newPrefixCache(capacityTokens int) *prefixCache {
+	return &prefixCache{
+		capacity: capacityTokens / blockTokens,
+		order:    list.New(),
+		blocks:   map[uint64]*list.Element{},
+	}
+}
+
+// use returns the number of prompt tokens found in the cache and stores the
+// prompt's blocks, evicting those used longest ago.
+func (c *prefixCache) use(words []string) int {
+	hit := 0
+	missed := false
+	digest := xxhash.New()
+	for start := 0; start+blockTokens <= len(words); start += blockTokens {
+		_, _ = digest.WriteString(strings.Join(words[start:start+blockTokens], " "))
+		_, _ = digest.WriteString(" ")
+		if c.touch(digest.Sum64()) && !missed {
+			hit += blockTokens
+		} else {
+			missed = true
+		}
+	}
+	return hit
+}
+
+func (c *prefixCache) touch(block uint64) bool {
+	if element, ok := c.blocks[block]; ok {
+		c.order.MoveToFront(element)
+		return true
+	}
+	if c.capacity == 0 {
+		return false
+	}
+	if c.order.Len() >= c.capacity {
+		oldest := c.order.Back()
+		c.order.Remove(oldest)
+		delete(c.blocks, oldest.Value.(uint64))
+	}
+	c.blocks[block] = c.order.PushFront(block)
+	return false
+}
