--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,8 @@
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
 		--twirp_out=. --twirp_opt=paths=source_relative protocol/fleetpb/fleet.proto
 
+demo: build
+	scripts/demo.sh
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,155 @@
+#!/usr/bin/env bash
+# Runs both example deployments, one after the other, on the loopback
+# interface: stand-ins of the outside systems, two routers and three agents as
+# separate processes. It publishes the example objects, sends requests for two
+# teams, shows the status and stops every process with SIGTERM.
+#
+# The tokens below are made up for this demonstration; the example files hold
+# only their SHA-256 hashes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly READY_SECONDS=30
+work=$(mktemp -d)
+pids=()
+names=()
+
+# stop_all ends the processes in the order of their start, one at a time, and
+# fails if one doesn't exit with 0.
+stop_all() {
+  local failed=0 i code
+  for i in "${!pids[@]}"; do
+    code=0
+    kill -TERM "${pids[$i]}" 2>/dev/null || true
+    wait "${pids[$i]}" || code=$?
+    if [[ $code -ne 0 ]]; then
+      echo "${names[$i]} exited with $code; its log ends:" >&2
+      tail -n 5 "$work/${names[$i]}.log" >&2
+      failed=1
+    fi
+  done
+  pids=()
+  names=()
+  return $failed
+}
+
+finish() {
+  local code=$?
+  stop_all || code=1
+  rm -rf "$work"
+  exit $code
+}
+trap finish EXIT
+
+# start NAME COMMAND... runs a process and waits for its ready line.
+start() {
+  local name=$1
+  shift
+  "$@" 2>"$work/$name.log" >"$work/$name.out" &
+  pids+=($!)
+  names+=("$name")
+  local deadline=$((SECONDS + READY_SECONDS))
+  until grep -q '"msg":"ready"' "$work/$name.log"; do
+    if ! kill -0 "${pids[-1]}" 2>/dev/null || [[ $SECONDS -ge $deadline ]]; then
+      echo "$name did not get ready; its log:" >&2
+      cat "$work/$name.log" "$work/$name.out" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# address NAME FIELD prints an address from a ready line.
+address() {
+  sed -n '/"msg":"ready"/ s/.*"'"$2"'":"\([^"]*\)".*/\1/p' "$work/$1.log"
+}
+
+# checks_fencing ENDPOINT prints whether its object says "fencing: checked".
+checks_fencing() {
+  awk -v name="$1" '$1 == "name:" { current = $2 }
+    current == name && $1 == "fencing:" { found = ($2 == "checked") }
+    END { print found ? "true" : "false" }' "examples/$fleet/endpoints.yaml"
+}
+
+# call ROUTER TEAM PATH ARGS... sends one request and tries again while it certainly did not run.
+call() {
+  local router=$1 team=$2 path=$3
+  shift 3
+  printf '%s: ' "$team"
+  bin/acaciaspar-call -wait 30s -url "http://$(address "$router" callers)$path" -token "demo-$fleet-$team" "$@"
+}
+
+# deployment FLEET MODEL PLAIN ACTION TEAM1 TEAM2 ZONE... shows one deployment.
+deployment() {
+  fleet=$1
+  local model=$2 plain=$3 action=$4 team1=$5 team2=$6
+  shift 6
+  local zones=("$@")
+  local log hosts peers
+
+  echo "== $fleet: starting"
+  start log bin/acaciaspar-standin log
+  start hosts bin/acaciaspar-standin hosts
+  start model-1 bin/acaciaspar-standin engine -model "$model" -check-fencing="$(checks_fencing "$model-1")"
+  start model-2 bin/acaciaspar-standin engine -model "$model" -check-fencing="$(checks_fencing "$model-2")"
+  start plain-1 bin/acaciaspar-standin plain -check-fencing="$(checks_fencing "$plain-1")"
+  log=http://$(address log listen)
+  hosts=http://$(address hosts listen)/hosts
+
+  start router-1 bin/acaciaspar router -fleet "$fleet" -zone "${zones[0]}" -log-url "$log" -hosts-url "$hosts"
+  start router-2 bin/acaciaspar router -fleet "$fleet" -zone "${zones[1]}" -log-url "$log" -hosts-url "$hosts" \
+    -peers "$(address router-1 fleet)"
+  peers=$(address router-1 fleet),$(address router-2 fleet)
+
+  echo "== $fleet: publishing"
+  bin/acaciaspar check examples/"$fleet"/*.yaml
+  bin/acaciaspar publish -log-url "$log" examples/"$fleet"/*.yaml
+
+  start_agent agent-1 "$model-1" "${zones[0]}" model-1
+  start_agent agent-2 "$model-2" "${zones[1]}" model-2
+  start_agent agent-3 "$plain-1" "${zones[2]}" plain-1
+
+  echo "== $fleet: requests"
+  call router-1 "$team1" "/$model/v1/completions" -hint 24 \
+    -data '{"prompt":"undyed wool from the north shore","max_tokens":18,"stream":true}'
+  call router-2 "$team2" "/$model/v1/completions" -hint 24 \
+    -data '{"prompt":"paper lamps for the winter fair","max_tokens":12,"stream":true}'
+  call router-1 "$team2" "/$plain/stock?id=skein-41" -method GET
+  call router-2 "$team1" "/$plain/stock?id=lamp-7" -method GET
+  call router-1 "$team1" "/$plain$action" -key "$fleet-order-1" -data '{"id":"order-1"}'
+  call router-2 "$team2" "/$plain$action" -key "$fleet-order-2" -data '{"id":"order-2"}'
+
+  echo "== $fleet: a key that was used before, at the other router"
+  if call router-2 "$team1" "/$plain$action" -key "$fleet-order-1" -data '{"id":"order-1"}'; then
+    echo "the repeated request was not refused" >&2
+    return 1
+  fi
+
+  echo "== $fleet: status"
+  bin/acaciaspar status -routers "$peers"
+
+  echo "== $fleet: stopping"
+  reorder_for_stop
+  stop_all
+}
+
+# start_agent NAME ENDPOINT ZONE STANDIN runs the agent beside a stand-in.
+start_agent() {
+  start "$1" bin/acaciaspar-agent -fleet "$fleet" -zone "$3" -endpoint "$2" \
+    -endpoint-url "http://$(address "$4" listen)" -routers "$peers" -log-url "$log" -hosts-url "$hosts"
+}
+
+# reorder_for_stop puts agents before routers and routers before stand-ins.
+reorder_for_stop() {
+  local i ordered_pids=() ordered_names=()
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    ordered_pids+=("${pids[$i]}")
+    ordered_names+=("${names[$i]}")
+  done
+  pids=("${ordered_pids[@]}")
+  names=("${ordered_names[@]}")
+}
+
+deployment lakeshore strand-assist post-desk /labels superior-mills thimble-club duluth toledo kingston
+deployment kagaj batti-llm order-desk /bookings lokta-press night-market lalitpur patan kirtipur
+echo "== done"
