Fault-injecting TCP proxy for tests

A test can cut connections, silence open ones while new ones work, hold the traffic of one source, delay, lose a reply after its request has passed, and refuse new connections.

--- /dev/null
+++ b/testbed/faultproxy/faultproxy_test.go
@@ -0,0 +1,242 @@
+package faultproxy
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// patience bounds every wait; it never decides whether a test passes.
+const patience = 20 * time.Second
+
+// echoServer answers each line with the same line and counts the lines.
+type echoServer struct {
+	listener net.Listener
+	lines    atomic.Int64
+}
+
+func startEcho(t *testing.T) *echoServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &echoServer{listener: listener}
+	t.Cleanup(func() { must.NoError(t, listener.Close()) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.echo(conn)
+		}
+	}()
+	return s
+}
+
+func (s *echoServer) echo(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		s.lines.Add(1)
+		if _, err := io.WriteString(conn, line); err != nil {
+			return
+		}
+	}
+}
+
+func startProxy(t *testing.T, identify func(net.Addr) string) (*Proxy, *echoServer) {
+	t.Helper()
+	server := startEcho(t)
+	proxy, err := New(identify)
+	must.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	proxy.SetTarget(server.listener.Addr().String())
+	return proxy, server
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Address())
+	must.NoError(t, err)
+	must.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func ask(conn net.Conn, line string) (string, error) {
+	if _, err := io.WriteString(conn, line+"\n"); err != nil {
+		return "", err
+	}
+	answer := make([]byte, len(line)+1)
+	_, err := io.ReadFull(conn, answer)
+	return string(answer), err
+}
+
+func mustAsk(t *testing.T, conn net.Conn, line string) {
+	t.Helper()
+	answer, err := ask(conn, line)
+	must.NoError(t, err)
+	must.Eq(t, line+"\n", answer)
+}
+
+// mustBeSilent checks that nothing arrives for a moment. It can't fail on a
+// slow machine, only miss a fault there.
+func mustBeSilent(t *testing.T, conn net.Conn) {
+	t.Helper()
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err := conn.Read(make([]byte, 1))
+	var timeout net.Error
+	must.True(t, errors.As(err, &timeout) && timeout.Timeout())
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+}
+
+// Guards against a proxy that changes traffic without a fault, or hides the end of a stream.
+func TestPassesBytesAndEnd(t *testing.T) {
+	p, _ := startProxy(t, nil)
+	conn := dial(t, p)
+	mustAsk(t, conn, "one")
+	mustAsk(t, conn, "two")
+	must.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	_, err := conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a cut that looks like a regular end, or reaches new connections.
+func TestCut(t *testing.T) {
+	p, _ := startProxy(t, nil)
+	conn := dial(t, p)
+	mustAsk(t, conn, "one")
+	p.Cut()
+	_, err := conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+	mustAsk(t, dial(t, p), "two")
+}
+
+// Guards against silence that reaches new connections or ends with Heal.
+func TestHoldExisting(t *testing.T) {
+	p, server := startProxy(t, nil)
+	conn := dial(t, p)
+	mustAsk(t, conn, "one")
+	p.HoldExisting()
+	_, err := io.WriteString(conn, "held\n")
+	must.NoError(t, err)
+	mustAsk(t, dial(t, p), "two")
+	p.Heal()
+	mustBeSilent(t, conn)
+	must.Eq(t, 2, server.lines.Load())
+}
+
+// Guards against a direction that is held instead of the other one.
+func TestHoldExistingInOneDirection(t *testing.T) {
+	p, server := startProxy(t, nil)
+	conn := dial(t, p)
+	mustAsk(t, conn, "one")
+	p.HoldExisting(ToClient)
+	_, err := io.WriteString(conn, "two\n")
+	must.NoError(t, err)
+	waitFor(t, func() bool { return server.lines.Load() == 2 })
+	mustBeSilent(t, conn)
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(deadline), must.Sprint("the condition did not come true"))
+	}
+}
+
+// Guards against a partition that reaches other sources, lets traffic through or loses bytes.
+func TestHoldBySource(t *testing.T) {
+	var names atomic.Int64
+	p, server := startProxy(t, func(net.Addr) string {
+		return []string{"a", "b"}[names.Add(1)-1]
+	})
+	a := dial(t, p)
+	mustAsk(t, a, "one")
+	b := dial(t, p)
+	mustAsk(t, b, "two")
+	p.Hold(ToTarget, func(source string) bool { return source == "a" })
+	_, err := io.WriteString(a, "late\n")
+	must.NoError(t, err)
+	mustAsk(t, b, "three")
+	mustBeSilent(t, a)
+	must.Eq(t, 3, server.lines.Load())
+	p.Heal()
+	answer := make([]byte, len("late\n"))
+	_, err = io.ReadFull(a, answer)
+	must.NoError(t, err)
+	must.Eq(t, "late\n", string(answer))
+}
+
+// Guards against a delay that isn't applied or outlives Heal.
+func TestDelay(t *testing.T) {
+	const delay = 30 * time.Millisecond
+	p, _ := startProxy(t, nil)
+	conn := dial(t, p)
+	p.SetDelay(ToTarget, delay)
+	p.SetDelay(ToClient, delay)
+	begin := time.Now()
+	mustAsk(t, conn, "one")
+	must.GreaterEq(t, 2*delay, time.Since(begin))
+	p.Heal()
+	mustAsk(t, conn, "two")
+}
+
+// Guards against open connections that end, or new ones that stay blocked.
+func TestBlockNew(t *testing.T) {
+	p, _ := startProxy(t, nil)
+	conn := dial(t, p)
+	mustAsk(t, conn, "one")
+	p.BlockNew(true)
+	_, err := ask(dial(t, p), "refused")
+	must.Error(t, err)
+	mustAsk(t, conn, "two")
+	p.BlockNew(false)
+	mustAsk(t, dial(t, p), "three")
+}
+
+// Guards against a lost reply whose request didn't pass, or a loss that repeats.
+func TestLoseReply(t *testing.T) {
+	for name, linger := range map[string]time.Duration{"reset": time.Millisecond, "silent": 0} {
+		t.Run(name, func(t *testing.T) {
+			p, server := startProxy(t, nil)
+			conn := dial(t, p)
+			mustAsk(t, conn, "one")
+			p.LoseReply("book 7", linger)
+			mustAsk(t, conn, "two")
+			// The match spans two writes.
+			_, err := io.WriteString(conn, "please bo")
+			must.NoError(t, err)
+			_, err = io.WriteString(conn, "ok 7\n")
+			must.NoError(t, err)
+			waitFor(t, func() bool { return p.ReplyLost() && server.lines.Load() == 3 })
+			if linger > 0 {
+				_, err = conn.Read(make([]byte, 1))
+				must.ErrorIs(t, err, syscall.ECONNRESET)
+			} else {
+				mustBeSilent(t, conn)
+			}
+			mustAsk(t, dial(t, p), "book 7")
+		})
+	}
+}
+
+// Guards against connections that hang before the target is known.
+func TestWithoutTarget(t *testing.T) {
+	p, err := New(nil)
+	must.NoError(t, err)
+	t.Cleanup(p.Close)
+	_, err = ask(dial(t, p), "refused")
+	must.Error(t, err)
+}
