--- /dev/null
+++ b/testbed/fleet/tool.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+)
+
+// Result is the end of a run of the operators' tool.
+type Result struct {
+	Stdout string
+	Stderr string
+	Code   int
+}
+
+// Tool runs a subcommand of the operators' tool. It may be called from several goroutines.
+func (f *Fleet) Tool(args ...string) Result {
+	f.run.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), Patience)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, filepath.Join(f.bin, "acaciaspar"), args...)
+	cmd.Env = environment()
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout = &stdout
+	cmd.Stderr = &stderr
+	err := cmd.Run()
+	result := Result{Stdout: stdout.String(), Stderr: stderr.String(), Code: cmd.ProcessState.ExitCode()}
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		f.run.Errorf("run %v: %v", args, err)
+	}
+	return result
+}
+
+func (f *Fleet) status(address string) *fleetpb.StatusReply {
+	ctx, cancel := context.WithTimeout(context.Background(), Patience/10)
+	defer cancel()
+	reply, err := f.control.Control(address).Status(ctx, &fleetpb.StatusRequest{Sender: f.control.Sender()})
+	if err != nil {
+		return nil
+	}
+	return reply
+}
+
+// Owner returns the router that owns a service's queue in its own view, or nil
+// unless exactly one does.
+func (f *Fleet) Owner(service string, routers ...*Process) *Process {
+	var owner *Process
+	for _, p := range routers {
+		for _, owned := range f.Status(p).GetOwnedServices() {
+			if owned != service {
+				continue
+			}
+			if owner != nil {
+				return nil
+			}
+			owner = p
+		}
+	}
+	return owner
+}
+
+// FreeSlots returns the free and the running requests of an endpoint in the
+// view of the queue owners among routers; ok is false if none knows it.
+func (f *Fleet) FreeSlots(endpoint string, routers ...*Process) (free, running uint32, ok bool) {
+	for _, p := range routers {
+		for _, e := range f.Status(p).GetEndpoints() {
+			if e.GetEndpoint() == endpoint {
+				free, running, ok = e.GetFree(), e.GetRunning(), true
+			}
+		}
+	}
+	return free, running, ok
+}
