--- /dev/null
+++ b/testbed/e2e/fixture_test.go
@@ -0,0 +1,363 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/state/objects"
+	"github.com/acaciaspar/acaciaspar/testbed/fleet"
+	"github.com/acaciaspar/acaciaspar/testbed/standin/engine"
+	"github.com/acaciaspar/acaciaspar/testbed/standin/plainservice"
+)
+
+const (
+	modelService = "strand-assist"
+	plainService = "post-desk"
+	// modelSlots is the number of slots of each model endpoint.
+	modelSlots = 4
+	plainSlots = 4
+	// maxFleets bounds the fleets that run at the same time.
+	maxFleets = 4
+)
+
+var (
+	zones      = []string{"duluth", "toledo", "kingston"}
+	fleetSlots = make(chan struct{}, maxFleets)
+)
+
+// deployment is a fleet with two model endpoints and one plain endpoint.
+type deployment struct {
+	*fleet.Fleet
+	t       *testing.T
+	objects *fleet.Objects
+	routers []*fleet.Process
+	engines []*fleet.Process
+	plain   *fleet.Process
+	// modelAgents belong to engines in the same order.
+	modelAgents []*fleet.Process
+	plainAgent  *fleet.Process
+}
+
+type setup struct {
+	routers int
+	teams   int
+	// proxies puts a fault proxy in front of every router and agent.
+	proxies    bool
+	routerArgs []string
+	plainArgs  []string
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
+
+// deploy starts a fleet, publishes its objects and waits until it can serve.
+func deploy(t *testing.T, s setup) *deployment {
+	t.Helper()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	d := &deployment{Fleet: fleet.New(t, "e2e"), t: t, objects: testObjects(s.teams)}
+	for i := range s.routers {
+		d.routers = append(d.routers, d.Router(fleet.Member{
+			Name:  fmt.Sprintf("router-%d", i+1),
+			Zone:  zones[i%len(zones)],
+			Proxy: s.proxies,
+			Args:  s.routerArgs,
+		}))
+	}
+	d.Publish(d.objects)
+	for i := range 2 {
+		name := fmt.Sprintf("engine-%d", i+1)
+		e := d.Standin(name, "engine", "-step-base", "10ms", "-max-batch", fmt.Sprint(modelSlots))
+		d.engines = append(d.engines, e)
+		d.modelAgents = append(d.modelAgents, d.Agent(fleet.Member{
+			Name:  fmt.Sprintf("model-agent-%d", i+1),
+			Zone:  zones[i],
+			Proxy: s.proxies,
+		}, modelEndpoint(i), e.URL("listen")))
+	}
+	d.plain = d.Standin("plain", "plain", append([]string{"-check-fencing"}, s.plainArgs...)...)
+	d.plainAgent = d.Agent(fleet.Member{Name: "plain-agent", Zone: zones[2], Proxy: s.proxies}, plainService+"-1", d.plain.URL("listen"))
+	d.awaitSettled(1)
+	return d
+}
+
+func modelEndpoint(i int) string { return fmt.Sprintf("%s-%d", modelService, i+1) }
+
+func testObjects(teams int) *fleet.Objects {
+	o := &fleet.Objects{
+		Services: []objects.Service{
+			{
+				Name: modelService, Type: objects.ModelService, DefaultCost: 50, MaxCost: 4096,
+				Operations: []objects.Operation{{Name: "complete", Path: "/v1/completions", Idempotent: true}},
+			},
+			{
+				Name: plainService, Type: objects.PlainService, DefaultCost: 20, MaxCost: 5000,
+				Operations: []objects.Operation{
+					{Name: "look-up-stock", Path: "/stock", Idempotent: true},
+					{Name: "book-courier", Path: "/bookings"},
+				},
+			},
+		},
+		Endpoints: []objects.Endpoint{
+			testEndpoint(modelEndpoint(0), modelService, 0, modelSlots, objects.FencingIgnored),
+			testEndpoint(modelEndpoint(1), modelService, 1, modelSlots, objects.FencingIgnored),
+			testEndpoint(plainService+"-1", plainService, 2, plainSlots, objects.FencingChecked),
+		},
+	}
+	for i := range teams {
+		o.Team(teamName(i), 10, modelService, plainService)
+	}
+	return o
+}
+
+func testEndpoint(name, service string, zone int, slots uint32, fencing objects.Fencing) objects.Endpoint {
+	return objects.Endpoint{
+		Name: name, Service: service, Zone: zones[zone], Slots: slots,
+		Fencing: fencing, State: objects.EndpointActive,
+	}
+}
+
+// awaitSettled waits until all routers know each other, have version in force
+// and agree on the owners, and all slots of active endpoints are free.
+func (d *deployment) awaitSettled(version uint64) {
+	d.t.Helper()
+	d.Eventually("the fleet settles", func() bool {
+		for _, r := range d.routers {
+			status := d.Status(r)
+			if status.GetConfigVersion() < version || d.aliveIn(status, r) != len(d.routers) {
+				return false
+			}
+		}
+		return d.allFree()
+	})
+}
+
+// aliveIn counts the fleet's routers that are alive in the view of r.
+func (d *deployment) aliveIn(status *fleetpb.StatusReply, r *fleet.Process) int {
+	alive := map[string]bool{r.FleetAddress(): true}
+	for _, m := range status.GetMembers() {
+		if m.GetState() == fleetpb.MemberState_MEMBER_STATE_ALIVE {
+			alive[m.GetAddress()] = true
+		}
+	}
+	n := 0
+	for _, known := range d.routers {
+		if alive[known.FleetAddress()] {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *deployment) allFree() bool {
+	for _, e := range d.objects.Endpoints {
+		if e.State != objects.EndpointActive {
+			continue
+		}
+		owner := d.Owner(e.Service, d.routers...)
+		if owner == nil {
+			return false
+		}
+		if free, _, ok := d.FreeSlots(e.Name, owner); !ok || free != e.Slots {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitVersion waits until version is in force on the given processes.
+func (d *deployment) awaitVersion(version uint64, on ...*fleet.Process) {
+	d.t.Helper()
+	d.Eventually(fmt.Sprintf("version %d is in force", version), func() bool {
+		for _, p := range on {
+			if d.Status(p).GetConfigVersion() < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// others returns the routers without p.
+func (d *deployment) others(p *fleet.Process) []*fleet.Process {
+	var rest []*fleet.Process
+	for _, r := range d.routers {
+		if r != p {
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
+// completion asks for a streamed answer of n tokens that repeats the words of prompt.
+func completion(router *fleet.Process, team, prompt string, n int) fleet.Request {
+	return fleet.Request{
+		Router: router,
+		Team:   team,
+		Path:   "/" + modelService + "/v1/completions",
+		Body:   fmt.Sprintf(`{"prompt":%q,"max_tokens":%d,"stream":true}`, prompt, n),
+		Hint:   uint64(n),
+	}
+}
+
+func booking(router *fleet.Process, team, id string) fleet.Request {
+	return fleet.Request{
+		Router: router,
+		Team:   team,
+		Path:   "/" + plainService + "/bookings",
+		Body:   fmt.Sprintf(`{"id":%q}`, id),
+	}
+}
+
+func lookup(router *fleet.Process, team, id string) fleet.Request {
+	return fleet.Request{
+		Router: router,
+		Team:   team,
+		Path:   "/" + plainService + "/stock",
+		Body:   fmt.Sprintf(`{"id":%q}`, id),
+	}
+}
+
+// expectedText is the engine's answer to a prompt.
+func expectedText(prompt string, n int) string {
+	words := strings.Fields(prompt)
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(words[i%len(words)] + " ")
+	}
+	return text.String()
+}
+
+// checkStream checks that an answer is the caller's own, and complete unless
+// the caller was told otherwise.
+func checkStream(t *testing.T, prompt string, n int, a *fleet.Answer) {
+	t.Helper()
+	want := expectedText(prompt, n)
+	complete := strings.Contains(a.Body, "[DONE]")
+	must.True(t, strings.HasPrefix(want, a.Text()), must.Sprintf("got %q, want a prefix of %q", a.Text(), want))
+	must.Eq(t, a.Whole(), complete, must.Sprintf("status %d, outcome %+v, error %v", a.Status, a.Outcome, a.Err))
+	if complete {
+		must.Eq(t, want, a.Text())
+	}
+}
+
+// mustWhole checks a streamed answer that must not have been disturbed.
+func mustWhole(t *testing.T, prompt string, n int, a *fleet.Answer) {
+	t.Helper()
+	must.True(t, a.Whole(), must.Sprintf("status %d, outcome %+v, error %v", a.Status, a.Outcome, a.Err))
+	checkStream(t, prompt, n, a)
+}
+
+// stream is a completion in progress.
+type stream struct {
+	*fleet.Pending
+	prompt string
+	tokens int
+}
+
+// openStreams starts n completions at a router and waits until all have begun.
+func (d *deployment) openStreams(router *fleet.Process, n, tokens int) []*stream {
+	d.t.Helper()
+	var streams []*stream
+	for i := range n {
+		prompt := fmt.Sprintf("%s caller %d wool", router.Name, i)
+		r := completion(router, d.objects.Teams[i%len(d.objects.Teams)].Name, prompt, tokens)
+		streams = append(streams, &stream{Pending: d.Go(r), prompt: prompt, tokens: tokens})
+	}
+	d.Eventually("the streams begin", func() bool {
+		for _, s := range streams {
+			if !s.Begun() {
+				return false
+			}
+		}
+		return true
+	})
+	return streams
+}
+
+// callUntilRun repeats a request while it certainly did not run.
+func (d *deployment) callUntilRun(r fleet.Request) *fleet.Answer {
+	d.t.Helper()
+	var a *fleet.Answer
+	d.Eventually("a request runs", func() bool {
+		a = d.Call(r)
+		return a.Outcome.Kind != outcome.NotRun
+	})
+	return a
+}
+
+// bookings returns how often each booking ran.
+func (d *deployment) bookings() map[string]int {
+	d.t.Helper()
+	var x plainservice.Executions
+	d.Get(d.plain, "/standin/executions", &x)
+	return x.Counts["bookings"]
+}
+
+// checkBookings compares what callers were told with what ran.
+func (d *deployment) checkBookings(told map[string][]*fleet.Answer) {
+	d.t.Helper()
+	ran := d.bookings()
+	for id, answers := range told {
+		whole, maybe := 0, 0
+		for _, a := range answers {
+			switch {
+			case a.Whole():
+				must.StrContains(d.t, a.Body, fmt.Sprintf("%q", id))
+				whole++
+			case a.Outcome.Kind == outcome.NotRun:
+			default:
+				maybe++
+			}
+		}
+		must.GreaterEq(d.t, whole, ran[id], must.Sprintf("booking %s", id))
+		must.LessEq(d.t, whole+maybe, ran[id], must.Sprintf("booking %s", id))
+		must.LessEq(d.t, 1, ran[id], must.Sprintf("booking %s ran more than once", id))
+	}
+}
+
+// executions returns the requests that an engine admitted.
+func (d *deployment) executions(e *fleet.Process) []engine.Execution {
+	d.t.Helper()
+	var all []engine.Execution
+	d.Get(e, "/standin/executions", &all)
+	return all
+}
+
+// awaitIdleEngines waits until no engine works, so that cancelled work has ended.
+func (d *deployment) awaitIdleEngines() {
+	d.t.Helper()
+	d.Eventually("the engines are idle", func() bool {
+		for _, e := range d.engines {
+			var busy engine.Busy
+			d.Get(e, "/standin/busy", &busy)
+			if busy.Running+busy.Waiting > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// totalTokens returns the usage that the engine reported in an answer.
+func totalTokens(t *testing.T, a *fleet.Answer) uint64 {
+	t.Helper()
+	for line := range strings.Lines(a.Body) {
+		data, ok := strings.CutPrefix(line, "data: ")
+		var chunk struct {
+			Usage *struct {
+				Total uint64 `json:"total_tokens"`
+			} `json:"usage"`
+		}
+		if ok && json.Unmarshal([]byte(data), &chunk) == nil && chunk.Usage != nil {
+			return chunk.Usage.Total
+		}
+	}
+	t.Fatalf("the answer has no usage: %s", a.Body)
+	return 0
+}
