Run a router from its parts

The router subcommand composes entry, queue owner, membership, configuration follower and key claims, serves health and metrics, and drains on SIGTERM.

--- a/cmd/acaciaspar/main.go
+++ b/cmd/acaciaspar/main.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/acaciaspar/acaciaspar/operator"
+	"github.com/acaciaspar/acaciaspar/router"
 )
 
 func main() {
@@ -19,7 +20,7 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
 	operator.Register(commander, operator.NewApp())
-	// The router subcommand is registered here: commander.Register(router.Command(), "fleet").
+	commander.Register(router.Command(), "fleet")
 	// Parse ends the process with code 2 on a fault.
 	_ = flags.Parse(os.Args[1:])
 	os.Exit(int(commander.Execute(context.Background())))
--- a/router/gossip/convert.go
+++ b/router/gossip/convert.go
@@ -52,3 +52,6 @@
 	}
 	return out
 }
+
+// Updates returns the member table in the form of the protocol.
+func (g *Gossip) Updates() []*fleetpb.MemberUpdate { return toProto(g.Members()) }
--- /dev/null
+++ b/router/process.go
@@ -0,0 +1,380 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
+	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/observability"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/router/configfollow"
+	"github.com/acaciaspar/acaciaspar/router/entry"
+	"github.com/acaciaspar/acaciaspar/router/gossip"
+	"github.com/acaciaspar/acaciaspar/router/keyclaim"
+	"github.com/acaciaspar/acaciaspar/router/owner"
+	"github.com/acaciaspar/acaciaspar/state/audit"
+	"github.com/acaciaspar/acaciaspar/state/configstore"
+	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
+	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
+	"github.com/acaciaspar/acaciaspar/transport/hostlist"
+	"github.com/acaciaspar/acaciaspar/transport/logclient"
+	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
+)
+
+const (
+	// platformTimeout bounds one call of the log or of the host list.
+	platformTimeout = 3 * time.Second
+	// leaveTime is how long a drained router still answers other processes, so
+	// that they learn of its leaving before its listener is gone.
+	leaveTime = 2 * time.Second
+	// closeTimeout bounds the wait for the last connections at exit.
+	closeTimeout = 5 * time.Second
+
+	callerReadHeaderTimeout = 10 * time.Second
+	callerIdleTimeout       = 2 * time.Minute
+	callerMaxHeaderBytes    = 64 << 10
+	// callerMaxStreams bounds the requests in progress on one caller's HTTP/2 connection.
+	callerMaxStreams = 1_000
+
+	// snapshotDutyKey selects the router that appends snapshots.
+	snapshotDutyKey = "config-snapshot"
+)
+
+// ErrInterrupted says that work in progress was ended, either at the limit of
+// a drain or by a second signal.
+var ErrInterrupted = eris.New("requests in progress were ended")
+
+// process is one running router.
+type process struct {
+	settings *Settings
+	log      *slog.Logger
+	registry metrics.Registry
+	tls      *tlsconf.Source
+
+	store    *configstore.Store
+	caller   *fleetrpc.Caller
+	traffic  *fleethttp.Traffic
+	audit    *audit.Trails
+	gossip   *gossip.Gossip
+	follower *configfollow.Follower
+	owner    *owner.Owner
+	keys     *keyclaim.Claimer
+	entry    *entry.Server
+
+	callers  *http.Server
+	fleet    *http.Server
+	admin    *http.Server
+	draining atomic.Bool
+}
+
+type listeners struct {
+	callers, fleet, admin net.Listener
+}
+
+// Run runs a router until the first signal has been followed by a drain, or
+// until the second. It writes JSON log lines to out.
+func Run(ctx context.Context, s *Settings, out io.Writer, signals <-chan os.Signal) error {
+	level, err := s.logLevel()
+	if err != nil {
+		return eris.Wrap(err, "log level")
+	}
+	p := &process{
+		settings: s,
+		log:      observability.NewLogger(out, level, "router"),
+		registry: metrics.NewRegistry(),
+	}
+	if files := s.tlsFiles(); !files.Empty() {
+		if p.tls, err = tlsconf.Open(files); err != nil {
+			return err
+		}
+	}
+	ls, err := listen(s)
+	if err != nil {
+		return err
+	}
+	p.compose(ls)
+	return p.run(ctx, ls, signals)
+}
+
+func listen(s *Settings) (listeners, error) {
+	var ls listeners
+	for _, l := range []struct {
+		address string
+		made    *net.Listener
+	}{{s.Listen, &ls.callers}, {s.FleetListen, &ls.fleet}, {s.AdminListen, &ls.admin}} {
+		made, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return ls, eris.Wrap(err, "listen")
+		}
+		*l.made = made
+	}
+	return ls, nil
+}
+
+// compose builds the parts and the servers. It starts no goroutine.
+func (p *process) compose(ls listeners) {
+	s := p.settings
+	address := s.Advertise
+	if address == "" {
+		address = ls.fleet.Addr().String()
+	}
+	var clientTLS, fleetTLS, callerTLS *tls.Config
+	if p.tls != nil {
+		clientTLS, fleetTLS, callerTLS = p.tls.FleetClient(), p.tls.FleetServer(), p.tls.CallerServer()
+	}
+	p.traffic = fleethttp.NewTraffic(p.registry)
+	p.store = configstore.New()
+	identity := fleetrpc.Identity{Fleet: s.Fleet, Address: address, Instance: uuid.NewString(), Zone: s.Zone}
+	client := p.traffic.Client(fleethttp.NewClient(clientTLS))
+	p.caller = fleetrpc.NewCaller(identity, p.store, client, fleethttp.Scheme(clientTLS))
+	p.audit = audit.New(s.AuditTrails, p.log)
+	p.composeCoordination()
+	p.composeEntry()
+	p.composeServers(callerTLS, fleetTLS)
+}
+
+func (p *process) composeCoordination() {
+	s := p.settings
+	platform := &http.Client{Timeout: platformTimeout}
+	var hosts func(context.Context) ([]hostlist.Host, error)
+	if s.HostsURL != "" {
+		hosts = func(ctx context.Context) ([]hostlist.Host, error) {
+			return hostlist.Fetch(ctx, platform, s.HostsURL)
+		}
+	}
+	p.gossip = gossip.New(gossip.Options{
+		Caller:   p.caller,
+		Seeds:    s.peers(),
+		HostList: hosts,
+		Logger:   p.log,
+		Metrics:  p.registry,
+	})
+	var log *logclient.Client
+	if s.LogURL != "" {
+		log = logclient.New(s.LogURL, platform)
+	}
+	p.follower = configfollow.New(configfollow.Options{
+		Store:            p.store,
+		Log:              log,
+		Caller:           p.caller,
+		Peers:            p.gossip.Live,
+		SnapshotDuty:     p.hasSnapshotDuty,
+		SnapshotEvery:    s.SnapshotEvery,
+		SnapshotInterval: s.SnapshotInterval,
+		Logger:           p.log,
+		Metrics:          p.registry,
+	})
+	p.owner = owner.New(owner.Options{
+		Caller:      p.caller,
+		Store:       p.store,
+		View:        p.gossip,
+		Ordering:    orderings[s.Ordering],
+		Placement:   placements[s.Placement],
+		CreditLimit: s.CreditLimit,
+		Logger:      p.log,
+		Metrics:     p.registry,
+	})
+	if log != nil {
+		p.keys = keyclaim.New(keyclaim.Options{
+			Log:      log,
+			Instance: p.caller.Identity().Instance,
+			Window:   s.KeyWindow,
+			Timeout:  s.KeyTimeout,
+			Logger:   p.log,
+			Metrics:  p.registry,
+		})
+	}
+}
+
+var (
+	orderings = map[string]fairqueue.Ordering{
+		"fair":        fairqueue.Fair,
+		"fcfs":        fairqueue.FCFS,
+		"router-fair": fairqueue.RouterFair,
+	}
+	placements = map[string]fairqueue.Placement{
+		"affinity": fairqueue.Affinity,
+		"random":   fairqueue.Random,
+	}
+)
+
+func (p *process) hasSnapshotDuty() bool {
+	self := p.caller.Identity().Address
+	if p.gossip.Leaving() {
+		return false
+	}
+	return rendezvous.Choose(snapshotDutyKey, append(p.gossip.Live(), self)) == self
+}
+
+func (p *process) composeEntry() {
+	s := p.settings
+	limits := entry.DefaultLimits()
+	limits.MaxBody = s.MaxBody
+	limits.MaxHeldBody = s.MaxHeldBody
+	limits.TeamQueueCount = s.TeamQueueCount
+	limits.TeamQueueBytes = s.TeamQueueBytes
+	limits.QueueTimeout = s.QueueTimeout
+	limits.AnswerTimeout = s.AnswerTimeout
+	limits.IdleTimeout = s.IdleTimeout
+	limits.BodyTimeout = s.BodyTimeout
+	options := entry.Options{
+		Caller:       p.caller,
+		Store:        p.store,
+		Owner:        p.gossip.Owner,
+		OwnerChanged: p.gossip.Changed,
+		Audit:        p.audit,
+		Logger:       p.log,
+		Metrics:      p.registry,
+		Limits:       limits,
+	}
+	if p.keys != nil {
+		options.Keys = p.keys
+	}
+	p.entry = entry.New(options)
+}
+
+func (p *process) composeServers(callerTLS, fleetTLS *tls.Config) {
+	fleet := http.NewServeMux()
+	fleet.Handle(fleetpb.OwnerPathPrefix, fleetpb.NewOwnerServer(p.owner))
+	fleet.Handle(fleetpb.EntryPathPrefix, fleetpb.NewEntryServer(p.entry))
+	fleet.Handle(fleetpb.MembersPathPrefix, fleetpb.NewMembersServer(p.gossip))
+	fleet.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(&control{p}))
+	p.fleet = fleethttp.NewServer(p.traffic.Handler(fleet), fleetTLS)
+
+	callers := http.NewServeMux()
+	callers.HandleFunc("GET /healthz", p.serveHealth)
+	callers.Handle("/", p.entry)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(callerTLS != nil)
+	protocols.SetUnencryptedHTTP2(callerTLS == nil)
+	p.callers = &http.Server{
+		Handler:           callers,
+		TLSConfig:         callerTLS,
+		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: callerMaxStreams},
+		ReadHeaderTimeout: callerReadHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    callerMaxHeaderBytes,
+	}
+
+	admin := http.NewServeMux()
+	admin.Handle("GET /metrics", observability.Handler(p.registry))
+	admin.HandleFunc("GET /healthz", p.serveHealth)
+	p.admin = &http.Server{Handler: admin, ReadHeaderTimeout: callerReadHeaderTimeout}
+}
+
+// serveHealth answers 200 while this router should get new callers.
+func (p *process) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if p.draining.Load() || p.store.Current() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// run starts the parts and waits for signals.
+func (p *process) run(ctx context.Context, ls listeners, signals <-chan os.Signal) error {
+	work, stop := context.WithCancel(ctx)
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return serve(p.callers, ls.callers) })
+	group.Go(func() error { return serve(p.fleet, ls.fleet) })
+	group.Go(func() error { return serve(p.admin, ls.admin) })
+	group.Go(func() error { return ignoreCanceled(p.gossip.Run(work)) })
+	group.Go(func() error { return ignoreCanceled(p.follower.Run(work)) })
+	group.Go(func() error { return ignoreCanceled(p.owner.Run(work)) })
+	if p.keys != nil {
+		group.Go(func() error { return ignoreCanceled(p.keys.Run(work)) })
+	}
+	identity := p.caller.Identity()
+	p.log.Info("ready",
+		"callers", ls.callers.Addr().String(),
+		"fleet", ls.fleet.Addr().String(),
+		"admin", ls.admin.Addr().String(),
+		"advertise", identity.Address,
+		"instance", identity.Instance,
+		"zone", identity.Zone)
+
+	var outcome error
+	select {
+	case sig := <-signals:
+		p.log.Info("drain begins", "signal", sig.String())
+		outcome = p.drain(work, signals)
+	case <-work.Done():
+	}
+	p.close()
+	stop()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return outcome
+}
+
+// drain lets the requests of this router end. It returns ErrInterrupted if a
+// second signal or the limit came first.
+func (p *process) drain(ctx context.Context, signals <-chan os.Signal) error {
+	p.draining.Store(true)
+	p.gossip.Leave()
+	left := time.After(leaveTime)
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DrainTimeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- p.entry.Drain(ctx) }()
+	select {
+	case err := <-done:
+		if err != nil {
+			p.log.Warn("drain reached its limit", "limit", p.settings.DrainTimeout.String())
+			return ErrInterrupted
+		}
+	case sig := <-signals:
+		p.log.Warn("second signal", "signal", sig.String())
+		return ErrInterrupted
+	}
+	select {
+	case <-left:
+	case <-signals:
+	}
+	p.log.Info("drain ended")
+	return nil
+}
+
+// close ends the listeners, waiting a moment for answers that are being sent.
+func (p *process) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range []*http.Server{p.callers, p.fleet, p.admin} {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	err := fleethttp.Serve(s, l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serve")
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- a/router/settings.go
+++ b/router/settings.go
@@ -18,7 +18,7 @@
 	AdminListen string `flag:"admin-listen" default:"127.0.0.1:0" usage:"address of the listener for metrics and health checks"`
 	Advertise   string `flag:"advertise" usage:"address that other processes use to reach the fleet listener (default: its own address)"`
 	Zone        string `flag:"zone" usage:"availability zone of this host"`
-	Fleet       string `flag:"fleet" default:"default" usage:"name of the fleet"`
+	Fleet       string `flag:"fleet" default:"acaciaspar" usage:"name of the fleet"`
 	Peers       string `flag:"peers" usage:"fleet addresses of other routers, separated by commas"`
 	LogURL      string `flag:"log-url" usage:"base URL of the platform's log"`
 	HostsURL    string `flag:"hosts-url" usage:"URL of the platform's host list"`
