--- /dev/null
+++ b/coordination/slots/slots_test.go
@@ -0,0 +1,386 @@
+package slots
+
+import (
+	"errors"
+	"fmt"
+	"math/big"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const startTimeout = 10 * time.Second
+
+func newTable(slots, prefetch uint32) *Table {
+	t := New(Params{Instance: "i", StartTimeout: startTimeout})
+	t.Resize(slots, prefetch)
+	t.Resume(StopStarting)
+	return t
+}
+
+func reasonOf(err error) Reason {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Reason
+	}
+	return ""
+}
+
+func ask(token, request string) Ask {
+	return Ask{Token: token, Request: request, Attempt: 1, Team: "a", Weight: 1, Hint: 10}
+}
+
+// Guards against work that starts under a lease that passed while the process
+// was paused, also after the agent has reported again.
+func TestLapsedTokenStaysRefused(t *testing.T) {
+	table := newTable(1, 0)
+	old := table.BuildReport(epoch, "o", false).FreeTokens[0]
+	late := epoch.Add(Lease + 1)
+	must.Eq(t, LapsedToken, reasonOf(table.Accept(late, ask(old, "r"))))
+	renewed := table.BuildReport(late, "o", false).FreeTokens
+	must.SliceNotContains(t, renewed, old)
+	must.Eq(t, SpentToken, reasonOf(table.Accept(late, ask(old, "r"))))
+	must.NoError(t, table.Accept(late.Add(Lease), ask(renewed[0], "r")))
+}
+
+// Guards against a token that two owners can grant.
+func TestOwnerChangeCancelsTokens(t *testing.T) {
+	table := newTable(2, 0)
+	old := table.BuildReport(epoch, "o1", false).FreeTokens
+	second := table.BuildReport(epoch, "o2", false)
+	must.True(t, second.Full)
+	must.Eq(t, SpentToken, reasonOf(table.Accept(epoch, ask(old[0], "r"))))
+	must.NoError(t, table.Accept(epoch, ask(second.FreeTokens[0], "r")))
+}
+
+// Guards against the answer "not run" to a repeated message about a request that runs.
+func TestRefusals(t *testing.T) {
+	table := newTable(2, 1)
+	must.Eq(t, UnknownToken, reasonOf(table.Accept(epoch, ask("i-1", "r"))))
+	free := table.BuildReport(epoch, "o", false).FreeTokens
+	must.Len(t, 3, free)
+	must.Eq(t, UnknownToken, reasonOf(table.Accept(epoch, ask("other-1", "r"))))
+	must.NoError(t, table.Accept(epoch, ask(free[0], "r")))
+	must.Eq(t, SpentToken, reasonOf(table.Accept(epoch, ask(free[0], "s"))))
+	err := table.Accept(epoch, ask(free[0], "r"))
+	must.Eq(t, Duplicate, reasonOf(err))
+	must.True(t, err.(*Refusal).MayHaveRun())
+	retry := ask(free[1], "r")
+	retry.Attempt = 2
+	must.Eq(t, InProgress, reasonOf(table.Accept(epoch, retry)))
+	table.Finish("r", Finished)
+	must.Eq(t, Duplicate, reasonOf(table.Accept(epoch, ask(free[1], "r"))))
+	must.NoError(t, table.Accept(epoch, retry))
+	table.Drain(StopShutdown)
+	must.Eq(t, Draining, reasonOf(table.Accept(epoch, ask(free[2], "t"))))
+	must.SliceEmpty(t, table.BuildReport(epoch, "o", false).FreeTokens)
+	table.Resume(StopShutdown)
+	table.Drain(StopSuperseded)
+	must.Eq(t, Superseded, reasonOf(table.Accept(epoch, ask(free[2], "t"))))
+}
+
+// Guards against prefetched work that overtakes, starts without a slot, starts
+// too late or starts at an agent that drains.
+func TestPrefetchedWorkWaits(t *testing.T) {
+	table := newTable(1, 3)
+	for i, token := range table.BuildReport(epoch, "o", false).FreeTokens {
+		must.NoError(t, table.Accept(epoch, ask(token, fmt.Sprint(i))))
+	}
+	may := func(now time.Time, id string, want bool, reason Reason) {
+		t.Helper()
+		got, err := table.MayStart(now, id)
+		must.Eq(t, want, got)
+		must.Eq(t, reason, reasonOf(err))
+	}
+	may(epoch, "1", false, "")
+	may(epoch, "0", true, "")
+	may(epoch, "1", false, "")
+	table.Finish("0", Finished)
+	may(epoch, "2", false, "")
+	may(epoch.Add(startTimeout), "1", true, "")
+	table.Finish("1", Finished)
+	may(epoch.Add(startTimeout+1), "2", false, StartTimeout)
+	table.Drain(StopObject)
+	may(epoch, "3", false, Draining)
+	must.Zero(t, table.Held())
+}
+
+// Guards against counters that go down, or are lost, when the table is full.
+func TestFullTableFoldsSmallestIdleTeams(t *testing.T) {
+	table := New(Params{Instance: "i", StartTimeout: startTimeout, MaxTeams: 4})
+	table.Resize(8, 0)
+	table.Resume(StopStarting)
+	run := func(team string, cost uint64) error {
+		r := table.BuildReport(epoch, "o", false)
+		table.Acknowledge(r.Sequence)
+		a := ask(r.FreeTokens[0], fmt.Sprint(r.Sequence))
+		a.Team = team
+		if err := table.Accept(epoch, a); err != nil {
+			return err
+		}
+		table.Charge(a.Request, cost)
+		if team != "held" {
+			table.Finish(a.Request, Finished)
+		}
+		return nil
+	}
+	must.NoError(t, run("held", 1))
+	must.NoError(t, run("b", 30))
+	must.NoError(t, run("c", 20))
+	must.NoError(t, run("d", 40))
+	must.NoError(t, run("e", 5))
+	counters := map[string]*fleetpb.TeamCounter{}
+	for _, c := range table.BuildReport(epoch, "o", true).Counters {
+		counters[c.Team] = c
+	}
+	must.MapLen(t, 4, counters)
+	must.MapNotContainsKey(t, counters, "c")
+	must.Eq(t, 25, counters["e"].Cost)
+	must.Eq(t, 25*Millionths, counters["e"].Normalized)
+}
+
+// Guards against requests that are refused forever: an entry may be folded only
+// once the owner has its charge.
+func TestUnacknowledgedCountersAreNotFolded(t *testing.T) {
+	table := New(Params{Instance: "i", StartTimeout: startTimeout, MaxTeams: 1})
+	table.Resize(2, 0)
+	table.Resume(StopStarting)
+	r := table.BuildReport(epoch, "o", false)
+	must.NoError(t, table.Accept(epoch, ask(r.FreeTokens[0], "r")))
+	table.Finish("r", Finished)
+	other := ask(r.FreeTokens[1], "s")
+	other.Team = "b"
+	must.Eq(t, TooManyTeams, reasonOf(table.Accept(epoch, other)))
+	table.Acknowledge(table.BuildReport(epoch, "o", false).Sequence)
+	must.NoError(t, table.Accept(epoch, other))
+}
+
+// Guards against numbers from an endpoint that overflow a counter.
+func TestChargesAreCapped(t *testing.T) {
+	table := newTable(1, 0)
+	must.NoError(t, table.Accept(epoch, ask(table.BuildReport(epoch, "o", false).FreeTokens[0], "r")))
+	for range 3 {
+		table.Charge("r", 1<<63)
+	}
+	c := table.BuildReport(epoch, "o", false).Counters[0]
+	must.Eq(t, ^uint64(0), c.Cost)
+	must.Eq(t, ^uint64(0), c.Normalized)
+}
+
+// ownerView merges reports as a queue owner does.
+type ownerView struct {
+	sequence uint64
+	cost     map[string]uint64
+	norm     map[string]uint64
+}
+
+func newOwnerView() *ownerView {
+	return &ownerView{cost: map[string]uint64{}, norm: map[string]uint64{}}
+}
+
+func (o *ownerView) take(t *rapid.T, r *fleetpb.ReportRequest) {
+	if r.Sequence <= o.sequence {
+		return
+	}
+	o.sequence = r.Sequence
+	for _, c := range r.Counters {
+		if c.Cost < o.cost[c.Team] || c.Normalized < o.norm[c.Team] {
+			t.Fatalf("counter of %s went down", c.Team)
+		}
+		o.cost[c.Team], o.norm[c.Team] = c.Cost, c.Normalized
+	}
+}
+
+// machine drives a table with random calls, late and repeated messages, and
+// compares it with a plain model.
+type machine struct {
+	table    *Table
+	slots    int
+	now      time.Time
+	owners   map[string]*ownerView
+	sent     []sentReport
+	offered  map[string]time.Time
+	accepted map[string]bool
+	held     []string
+	started  map[string]bool
+	weights  map[string]uint64
+	charged  map[string]uint64
+	requests int
+}
+
+type sentReport struct {
+	owner  string
+	report *fleetpb.ReportRequest
+}
+
+func (m *machine) Advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) Report(t *rapid.T) {
+	owner := rapid.SampledFrom([]string{"o1", "o1", "o1", "o2"}).Draw(t, "owner")
+	r := m.table.BuildReport(m.now, owner, rapid.Bool().Draw(t, "full"))
+	for _, token := range r.FreeTokens {
+		m.offered[token] = m.now
+	}
+	if len(r.FreeTokens)+len(r.Running) > int(r.Capacity) && len(r.FreeTokens) > 0 {
+		t.Fatalf("%d tokens beside %d requests exceed the capacity", len(r.FreeTokens), len(r.Running))
+	}
+	m.sent = append(m.sent, sentReport{owner, r})
+	if rapid.Bool().Draw(t, "delivered") {
+		m.owners[owner].take(t, r)
+		if rapid.Bool().Draw(t, "reply arrives") {
+			m.table.Acknowledge(r.Sequence)
+		}
+	}
+}
+
+// Deliver hands an earlier report to its owner, late or once more.
+func (m *machine) Deliver(t *rapid.T) {
+	if len(m.sent) == 0 {
+		t.Skip()
+	}
+	s := rapid.SampledFrom(m.sent).Draw(t, "report")
+	m.owners[s.owner].take(t, s.report)
+}
+
+func (m *machine) Accept(t *rapid.T) {
+	if len(m.offered) == 0 {
+		t.Skip()
+	}
+	token := rapid.SampledFrom(sortedKeys(m.offered)).Draw(t, "token")
+	m.requests++
+	id := fmt.Sprint("r", m.requests)
+	team := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+	err := m.table.Accept(m.now, Ask{Token: token, Request: id, Attempt: 1, Team: team, Weight: m.weights[team], Hint: 5})
+	if err != nil {
+		return
+	}
+	if m.accepted[token] {
+		t.Fatalf("token %s was accepted twice", token)
+	}
+	if m.now.Sub(m.offered[token]) > Lease {
+		t.Fatalf("token %s was accepted after its lease", token)
+	}
+	m.accepted[token] = true
+	m.held = append(m.held, id+team)
+}
+
+func (m *machine) Start(t *rapid.T) {
+	if len(m.held) == 0 {
+		t.Skip()
+	}
+	key := rapid.SampledFrom(m.held).Draw(t, "request")
+	ok, err := m.table.MayStart(m.now, key[:len(key)-1])
+	if err != nil {
+		m.drop(key)
+		return
+	}
+	if ok {
+		m.started[key] = true
+	}
+	if len(m.started) > m.slots {
+		t.Fatalf("%d requests run on %d slots", len(m.started), m.slots)
+	}
+}
+
+func (m *machine) Charge(t *rapid.T) {
+	if len(m.started) == 0 {
+		t.Skip()
+	}
+	key := rapid.SampledFrom(sortedKeys(m.started)).Draw(t, "request")
+	units := rapid.Uint64Range(0, 1000).Draw(t, "units")
+	m.table.Charge(key[:len(key)-1], units)
+	m.charged[key[len(key)-1:]] += units
+}
+
+func (m *machine) Finish(t *rapid.T) {
+	if len(m.held) == 0 {
+		t.Skip()
+	}
+	key := rapid.SampledFrom(m.held).Draw(t, "request")
+	m.table.Finish(key[:len(key)-1], rapid.SampledFrom([]Result{NotRun, Finished, Failed}).Draw(t, "result"))
+	m.drop(key)
+}
+
+func (m *machine) drop(key string) {
+	delete(m.started, key)
+	for i, held := range m.held {
+		if held == key {
+			m.held = append(m.held[:i], m.held[i+1:]...)
+			return
+		}
+	}
+}
+
+func (m *machine) Stop(t *rapid.T) {
+	if rapid.Bool().Draw(t, "stop") {
+		m.table.Drain(StopHost)
+	} else {
+		m.table.Resume(StopHost)
+	}
+}
+
+// Check delivers one last full report and compares every counter with the model.
+func (m *machine) Check(t *rapid.T) {
+	if m.table.Started() != len(m.started) || m.table.Held() != len(m.held) {
+		t.Fatalf("table and model differ: %d of %d started, %d of %d held",
+			m.table.Started(), len(m.started), m.table.Held(), len(m.held))
+	}
+	totals := map[string]*team{}
+	for _, c := range m.table.counters.teams {
+		totals[c.name] = c
+	}
+	for name, units := range m.charged {
+		want := new(big.Int).Mul(new(big.Int).SetUint64(units), big.NewInt(Millionths))
+		want.Div(want, new(big.Int).SetUint64(m.weights[name]))
+		if totals[name].cost != units || totals[name].normalized != want.Uint64() {
+			t.Fatalf("team %s has cost %d and %d, charged were %d and %s",
+				name, totals[name].cost, totals[name].normalized, units, want)
+		}
+	}
+}
+
+// Guards against tokens that are used twice or late, more running requests than
+// slots, and charges that are lost or doubled with the messages that carry them.
+func TestTableProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		m := &machine{
+			table:    newTable(uint32(slots), uint32(rapid.IntRange(0, 2).Draw(t, "prefetch"))),
+			slots:    slots,
+			now:      epoch,
+			owners:   map[string]*ownerView{"o1": newOwnerView(), "o2": newOwnerView()},
+			offered:  map[string]time.Time{},
+			accepted: map[string]bool{},
+			started:  map[string]bool{},
+			weights:  map[string]uint64{"a": 1, "b": 7, "c": 999_983},
+			charged:  map[string]uint64{},
+		}
+		t.Repeat(rapid.StateMachineActions(m))
+		for name, owner := range m.owners {
+			owner.take(t, m.table.BuildReport(m.now, name, false))
+			for team, units := range m.charged {
+				if owner.cost[team] != units {
+					t.Fatalf("owner %s has cost %d of %s, charged were %d", name, owner.cost[team], team, units)
+				}
+			}
+		}
+	})
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
