Add the agent: offers slots, passes requests on, meters them and drains

The agent reports to the queue owner of its endpoint's service, takes requests on POST /fleet/v1/work, streams the endpoint's answer back and sends the cost as trailer. The work header now refuses an empty method and a URI with characters that would end the request target early.

--- /dev/null
+++ b/agent/harness_test.go
@@ -0,0 +1,328 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/slots"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/protocol/work"
+	"github.com/acaciaspar/acaciaspar/state/objects"
+	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
+	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
+)
+
+// patience bounds every wait of a test; it is never reached when all is well.
+const patience = 30 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not seen in time: %s", what)
+		}
+	}
+}
+
+// fakeRouter serves what an agent calls at routers.
+type fakeRouter struct {
+	fleetpb.Owner
+	fleetpb.Control
+	address string
+
+	mu      sync.Mutex
+	version uint64
+	objects []any
+	// owner is named in replies if it isn't empty.
+	owner   string
+	reply   fleetpb.ReportReply
+	reports []*fleetpb.ReportRequest
+	finds   int
+}
+
+func startRouter(t *testing.T) *fakeRouter {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	f := &fakeRouter{address: l.Addr().String()}
+	mux := http.NewServeMux()
+	mux.Handle(fleetpb.OwnerPathPrefix, fleetpb.NewOwnerServer(f))
+	mux.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(f))
+	s := fleethttp.NewServer(mux, nil)
+	go func() { _ = fleethttp.Serve(s, l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return f
+}
+
+func (f *fakeRouter) sender() *fleetpb.Sender {
+	return &fleetpb.Sender{Fleet: "test", Address: f.address, ConfigVersion: f.version, Protocol: fleetrpc.ProtocolVersion}
+}
+
+func (f *fakeRouter) Report(_ context.Context, r *fleetpb.ReportRequest) (*fleetpb.ReportReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = append(f.reports, r)
+	return &fleetpb.ReportReply{
+		Sender:       f.sender(),
+		OwnerAddress: f.owner,
+		Superseded:   f.reply.Superseded,
+		WantFull:     f.reply.WantFull,
+		Bases:        f.reply.Bases,
+		VirtualTime:  f.reply.VirtualTime,
+	}, nil
+}
+
+func (f *fakeRouter) FindOwner(context.Context, *fleetpb.OwnerRequest) (*fleetpb.OwnerReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finds++
+	owner := f.owner
+	if owner == "" {
+		owner = f.address
+	}
+	return &fleetpb.OwnerReply{Sender: f.sender(), OwnerAddress: owner}, nil
+}
+
+func (f *fakeRouter) FetchConfig(_ context.Context, r *fleetpb.FetchConfigRequest) (*fleetpb.FetchConfigReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	raw, err := json.Marshal(f.objects)
+	return &fleetpb.FetchConfigReply{Sender: f.sender(), Version: f.version, Objects: raw}, err
+}
+
+// publish puts the endpoint and its service in force at the router.
+func (f *fakeRouter) publish(e objects.Endpoint, service objects.ServiceType) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.objects = []any{
+		struct {
+			Kind objects.Kind `json:"kind"`
+			objects.Endpoint
+		}{objects.KindEndpoint, e},
+		struct {
+			Kind objects.Kind `json:"kind"`
+			objects.Service
+		}{objects.KindService, objects.Service{
+			Name: "svc", Type: service, MaxCost: 1000, Operations: []objects.Operation{{Name: "op", Path: "/op"}},
+		}},
+	}
+}
+
+func (f *fakeRouter) set(change func(*fakeRouter)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// last returns the latest report, or an empty one.
+func (f *fakeRouter) last() *fleetpb.ReportRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.reports) == 0 {
+		return &fleetpb.ReportRequest{}
+	}
+	return f.reports[len(f.reports)-1]
+}
+
+// fixture is one agent between a fake router and an endpoint.
+type fixture struct {
+	t        *testing.T
+	router   *fakeRouter
+	agent    *Agent
+	object   objects.Endpoint
+	stop     chan struct{}
+	done     chan error
+	client   *http.Client
+	requests int
+}
+
+type options struct {
+	handler  http.HandlerFunc
+	url      string
+	service  objects.ServiceType
+	prefetch uint32
+	fencing  objects.Fencing
+	change   func(*Settings)
+}
+
+func start(t *testing.T, o options) *fixture {
+	t.Helper()
+	if o.handler != nil {
+		endpoint := httptest.NewServer(o.handler)
+		t.Cleanup(endpoint.Close)
+		o.url = endpoint.URL
+	}
+	if o.service == "" {
+		o.service = objects.ModelService
+	}
+	f := &fixture{
+		t:      t,
+		router: startRouter(t),
+		object: objects.Endpoint{Name: "e1", Service: "svc", Slots: 1, Prefetch: o.prefetch, Fencing: objects.FencingIgnored},
+		stop:   make(chan struct{}),
+		done:   make(chan error, 1),
+		client: fleethttp.NewClient(nil),
+	}
+	if o.fencing != "" {
+		f.object.Fencing = o.fencing
+	}
+	f.router.publish(f.object, o.service)
+	s := Settings{
+		Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Fleet: "test", Endpoint: "e1", EndpointURL: o.url,
+		Routers: f.router.address, StartTimeout: patience, DrainTimeout: patience,
+	}
+	if o.change != nil {
+		o.change(&s)
+	}
+	var err error
+	f.agent, err = New(s, slog.New(slog.NewJSONHandler(t.Output(), nil)))
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { f.done <- f.agent.Run(ctx, f.stop) }()
+	t.Cleanup(func() {
+		cancel()
+		<-f.done
+		f.client.CloseIdleConnections()
+		eventually(t, "end of the agent's goroutines", func() bool { return !agentGoroutines() })
+	})
+	return f
+}
+
+// agentGoroutines reports whether a goroutine serves or runs a loop of an agent.
+func agentGoroutines() bool {
+	buf := make([]byte, 4<<20)
+	stacks := string(buf[:runtime.Stack(buf, true)])
+	for _, receiver := range []string{"Agent", "reporter", "job", "endpointClient"} {
+		if strings.Contains(stacks, "acaciaspar/agent.(*"+receiver+")") {
+			return true
+		}
+	}
+	return false
+}
+
+// token waits for a report with a free token.
+func (f *fixture) token() string {
+	f.t.Helper()
+	var token string
+	eventually(f.t, "a free token", func() bool {
+		if free := f.router.last().FreeTokens; len(free) > 0 {
+			token = free[0]
+		}
+		return token != ""
+	})
+	return token
+}
+
+func (f *fixture) header(token string) *work.Header {
+	f.requests++
+	return &work.Header{
+		Fleet: "test", Router: f.router.address, Request: fmt.Sprint("r", f.requests), Attempt: 1, Team: "a",
+		Service: "svc", Operation: "op", Endpoint: "e1", SlotToken: token, Weight: 4, Hint: 5,
+		Method: http.MethodPost, URI: "/op?x=1", Forwarded: http.Header{"X-Caller": {"c"}},
+	}
+}
+
+func (f *fixture) send(ctx context.Context, h *work.Header) (*http.Response, error) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+f.agent.FleetAddress()+work.Path, strings.NewReader("question"))
+	must.NoError(f.t, err)
+	h.Encode(req.Header)
+	return f.client.Do(req)
+}
+
+// exchange sends a request and reads its whole answer.
+func (f *fixture) exchange(h *work.Header) (*http.Response, string) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+	defer cancel()
+	resp, err := f.send(ctx, h)
+	must.NoError(f.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	return resp, string(body)
+}
+
+// mustRefuse sends a request and expects the outcome.
+func (f *fixture) mustRefuse(h *work.Header, kind outcome.Kind, status int) {
+	f.t.Helper()
+	resp, body := f.exchange(h)
+	must.Eq(f.t, string(kind), resp.Header.Get(outcome.Header), must.Sprint(body))
+	must.Eq(f.t, status, resp.StatusCode)
+}
+
+func (f *fixture) held() int {
+	held, _ := f.agent.pool.held()
+	return held
+}
+
+func (f *fixture) stopped() slots.Stop {
+	var stop slots.Stop
+	f.agent.pool.read(func(t *slots.Table) { stop = t.Stopped() })
+	return stop
+}
+
+func (f *fixture) counter(team string) *fleetpb.TeamCounter {
+	var found *fleetpb.TeamCounter
+	f.agent.pool.read(func(t *slots.Table) {
+		for _, c := range t.BuildReport(time.Now(), t.Owner(), true).Counters {
+			if c.Team == team {
+				found = c
+			}
+		}
+	})
+	return found
+}
+
+// gate is an endpoint handler that answers one event and then waits.
+type gate struct {
+	arrived chan *http.Request
+	gone    chan struct{}
+	open    chan struct{}
+}
+
+func newGate(t *testing.T) *gate {
+	g := &gate{arrived: make(chan *http.Request, 8), gone: make(chan struct{}, 8), open: make(chan struct{})}
+	t.Cleanup(func() { g.release() })
+	return g
+}
+
+func (g *gate) release() {
+	select {
+	case <-g.open:
+	default:
+		close(g.open)
+	}
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, "data: one\n\n")
+	_ = http.NewResponseController(w).Flush()
+	g.arrived <- r
+	select {
+	case <-g.open:
+		_, _ = io.WriteString(w, "data: two\n\ndata: [DONE]\n\n")
+	case <-r.Context().Done():
+		g.gone <- struct{}{}
+	}
+}
--- /dev/null
+++ b/agent/loops_test.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/slots"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/state/objects"
+)
+
+// startLog serves one append: the first attempt fails without a clear result,
+// the next gets offset.
+func startLog(t *testing.T, offset int) string {
+	var calls atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/topics/acaciaspar.keys/partitions/0" || calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		fmt.Fprintf(w, `{"offsets":[{"partition":0,"offset":%d}]}`, offset)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// Guards against a planned stop that interrupts running work, starts waiting
+// work or ends before the owner knows.
+func TestDrain(t *testing.T) {
+	g := newGate(t)
+	f := start(t, options{handler: g.ServeHTTP, prefetch: 1})
+	resp, err := f.send(t.Context(), f.header(f.token()))
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	<-g.arrived
+	waiting := make(chan string, 1)
+	eventually(t, "a token for prefetch", func() bool {
+		last := f.router.last()
+		return len(last.Running) == 1 && len(last.FreeTokens) == 1
+	})
+	h := f.header(f.token())
+	go func() {
+		resp, err := f.send(t.Context(), h)
+		if err != nil {
+			waiting <- err.Error()
+			return
+		}
+		_ = resp.Body.Close()
+		waiting <- resp.Header.Get(outcome.Header)
+	}()
+	eventually(t, "the prefetched request", func() bool { return f.held() == 2 })
+	close(f.stop)
+	must.Eq(t, string(outcome.NotRun), <-waiting)
+	f.mustRefuse(f.header("any"), outcome.NotRun, http.StatusServiceUnavailable)
+	g.release()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(body), "data: two")
+	must.NoError(t, <-f.done)
+	f.done <- nil
+	last := f.router.last()
+	must.True(t, last.Draining)
+	must.SliceEmpty(t, last.Running)
+	must.SliceEmpty(t, last.FreeTokens)
+}
+
+// Guards against a stop that never ends, or that hides that it cut work.
+func TestDrainTimeout(t *testing.T) {
+	g := newGate(t)
+	f := start(t, options{handler: g.ServeHTTP, change: func(s *Settings) { s.DrainTimeout = 50 * time.Millisecond }})
+	resp, err := f.send(t.Context(), f.header(f.token()))
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	close(f.stop)
+	_, err = io.ReadAll(resp.Body)
+	must.Error(t, err)
+	err = <-f.done
+	must.True(t, errors.Is(err, ErrDrainTimeout))
+	f.done <- nil
+	<-g.gone
+}
+
+// Guards against tokens of an endpoint whose object says draining, and against
+// an agent that doesn't come back.
+func TestObjectStateIsFollowed(t *testing.T) {
+	f := start(t, options{handler: func(http.ResponseWriter, *http.Request) {}})
+	token := f.token()
+	f.object.State = objects.EndpointDraining
+	f.router.publish(f.object, objects.ModelService)
+	eventually(t, "a draining report", func() bool { return f.router.last().Draining })
+	must.SliceEmpty(t, f.router.last().FreeTokens)
+	f.mustRefuse(f.header(token), outcome.NotRun, http.StatusServiceUnavailable)
+	f.object.State = objects.EndpointActive
+	f.object.Slots = 3
+	f.router.publish(f.object, objects.ModelService)
+	eventually(t, "the new capacity", func() bool { return len(f.router.last().FreeTokens) == 3 })
+	resp, _ := f.exchange(f.header(f.token()))
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+}
+
+// Guards against a configuration that goes back to an earlier version.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := start(t, options{handler: func(http.ResponseWriter, *http.Request) {}})
+	f.token()
+	f.router.publish(f.object, objects.ModelService)
+	eventually(t, "version 2", func() bool { return f.agent.config.Version() == 2 })
+	f.router.set(func(r *fakeRouter) { r.version, r.objects = 1, nil })
+	must.Error(t, f.agent.fetchConfig(t.Context()))
+	must.Eq(t, 2, f.agent.config.Version())
+	f.token()
+}
+
+// Guards against an agent that ignores that its host is being taken away.
+func TestHostListLeaving(t *testing.T) {
+	var state atomic.Value
+	state.Store("live")
+	var address atomic.Value
+	hosts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode([]map[string]any{{
+			"targets": []any{address.Load()},
+			"labels":  map[string]any{"role": "agent", "state": state.Load()},
+		}})
+	}))
+	t.Cleanup(hosts.Close)
+	address.Store("")
+	f := start(t, options{
+		handler: func(http.ResponseWriter, *http.Request) {},
+		change:  func(s *Settings) { s.HostsURL = hosts.URL },
+	})
+	address.Store(f.agent.FleetAddress())
+	f.token()
+	state.Store("leaving")
+	eventually(t, "a draining report", func() bool { return f.router.last().Draining })
+	resp, err := http.Get("http://" + f.agent.AdminAddress() + "/healthz")
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	state.Store("live")
+	eventually(t, "a token", func() bool { return len(f.router.last().FreeTokens) == 1 })
+}
+
+// Guards against an agent that works on beside its successor.
+func TestSupersededByReport(t *testing.T) {
+	f := start(t, options{handler: func(http.ResponseWriter, *http.Request) {}})
+	token := f.token()
+	f.router.set(func(r *fakeRouter) { r.reply.Superseded = true })
+	eventually(t, "the stop", func() bool { return f.stopped() == slots.StopSuperseded })
+	f.mustRefuse(f.header(token), outcome.NotRun, http.StatusServiceUnavailable)
+}
+
+// Guards against an agent that waits for a log that its endpoint doesn't need,
+// and against one that starts without the number that its endpoint checks.
+func TestFencingAndStart(t *testing.T) {
+	down := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(down.Close)
+	change := func(s *Settings) { s.LogURL = down.URL }
+	handler := func(http.ResponseWriter, *http.Request) {}
+	t.Run("ignored", func(t *testing.T) {
+		start(t, options{handler: handler, change: change}).token()
+	})
+	t.Run("checked", func(t *testing.T) {
+		f := start(t, options{handler: handler, change: change, fencing: objects.FencingChecked})
+		eventually(t, "a report", func() bool { return f.router.last().Capacity == 1 })
+		must.SliceEmpty(t, f.router.last().FreeTokens)
+		must.Eq(t, slots.StopStarting, f.stopped())
+	})
+}
+
+// Guards against an agent that stays with a router that is not, or no longer,
+// the queue owner.
+func TestOwnerChanges(t *testing.T) {
+	second := startRouter(t)
+	second.publish(objects.Endpoint{Name: "e1", Service: "svc", Slots: 1}, objects.ModelService)
+	f := start(t, options{
+		handler: func(http.ResponseWriter, *http.Request) {},
+		change: func(s *Settings) {
+			second.set(func(r *fakeRouter) { r.owner = s.Routers })
+			s.Routers += "," + second.address
+		},
+	})
+	f.token()
+	f.router.set(func(r *fakeRouter) {
+		r.owner = second.address
+		r.reply.Bases = []*fleetpb.TeamBase{{Team: "a", Base: 5}}
+	})
+	second.set(func(r *fakeRouter) { r.owner = "" })
+	eventually(t, "reports at the second owner", func() bool { return len(second.last().FreeTokens) == 1 })
+	second.set(func(r *fakeRouter) { must.True(t, r.reports[0].Full) })
+}
--- /dev/null
+++ b/agent/report.go
@@ -0,0 +1,187 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/slots"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+)
+
+const (
+	// reportInterval is the longest time between two reports.
+	reportInterval = 500 * time.Millisecond
+	// reportGap is the shortest time between two reports. It bounds the control
+	// traffic of an endpoint with many short requests.
+	reportGap = 5 * time.Millisecond
+	// maxRedirects bounds the replies in a row that name another owner.
+	maxRedirects = 3
+	// failuresBeforeSearch is the number of failed reports in a row after which
+	// another router is asked for the owner.
+	failuresBeforeSearch = 2
+)
+
+// reporter sends the agent's reports, one at a time. Its fields are used by
+// the goroutine of run only.
+type reporter struct {
+	agent  *Agent
+	kicked chan struct{}
+	// flushes asks for a report at once; the channel is closed after it.
+	flushes chan chan struct{}
+
+	owner    string
+	failures int
+	wantFull bool
+}
+
+func newReporter(a *Agent) *reporter {
+	return &reporter{agent: a, kicked: make(chan struct{}, 1), flushes: make(chan chan struct{})}
+}
+
+// kick has a report sent soon. Several kicks before that lead to one report.
+func (r *reporter) kick() {
+	select {
+	case r.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// flush sends a report and returns when its reply has come or its time has passed.
+func (r *reporter) flush(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case r.flushes <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (r *reporter) run(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case done := <-r.flushes:
+			r.round(ctx)
+			close(done)
+		case <-r.kicked:
+			r.round(ctx)
+		case <-ticker.C:
+			r.round(ctx)
+		}
+		sleep(ctx, reportGap)
+	}
+}
+
+// round brings one report to the owner, following replies that name another.
+func (r *reporter) round(ctx context.Context) {
+	endpoint, _ := r.agent.objects()
+	if endpoint == nil {
+		return
+	}
+	if r.owner == "" || r.failures >= failuresBeforeSearch {
+		r.findOwner(ctx, endpoint.Service)
+	}
+	for range maxRedirects {
+		if r.owner == "" || !r.send(ctx, endpoint.Service) {
+			return
+		}
+	}
+}
+
+// send makes one report. It returns true if the reply named another owner.
+func (r *reporter) send(ctx context.Context, service string) bool {
+	a := r.agent
+	report := r.build(service)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := a.caller.Owner(r.owner).Report(ctx, report)
+	if err == nil {
+		err = a.checkSender(reply.Sender, r.owner)
+	}
+	a.counts.reports.Inc(1)
+	if err != nil {
+		r.failed(err)
+		return false
+	}
+	r.failures = 0
+	if reply.Superseded {
+		a.supersede("a later instance has reported to the queue owner")
+	}
+	if reply.OwnerAddress != "" && reply.OwnerAddress != r.owner {
+		r.owner = reply.OwnerAddress
+		return true
+	}
+	a.pool.read(func(t *slots.Table) {
+		t.Acknowledge(report.Sequence)
+		t.Merge(reply.Bases, reply.VirtualTime)
+	})
+	if reply.WantFull && !report.Full {
+		r.kick()
+	}
+	r.wantFull = reply.WantFull
+	return false
+}
+
+func (r *reporter) build(service string) *fleetpb.ReportRequest {
+	a := r.agent
+	var report *fleetpb.ReportRequest
+	a.pool.read(func(t *slots.Table) { report = t.BuildReport(time.Now(), r.owner, r.wantFull) })
+	report.Sender = a.caller.Sender()
+	report.Endpoint = a.settings.Endpoint
+	report.Service = service
+	report.StartedUnixMs = a.started.UnixMilli()
+	report.FencingNumber, _ = a.fencing.get()
+	return report
+}
+
+func (r *reporter) failed(err error) {
+	r.failures++
+	r.agent.counts.reportFailures.Inc(1)
+	if r.agent.limiter.Allow(time.Now(), r.owner, "report") {
+		r.agent.log.Warn("report failed", "owner", r.owner, "error", err)
+	}
+}
+
+// findOwner asks another router than the current owner.
+func (r *reporter) findOwner(ctx context.Context, service string) {
+	a := r.agent
+	contact := a.contacts.pick(r.owner)
+	if contact == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := a.caller.Owner(contact).FindOwner(ctx, &fleetpb.OwnerRequest{
+		Sender:  a.caller.Sender(),
+		Service: service,
+	})
+	if err == nil {
+		err = a.checkSender(reply.Sender, contact)
+	}
+	if err != nil {
+		if a.limiter.Allow(time.Now(), contact, "find-owner") {
+			a.log.Warn("router could not be asked for the queue owner", "router", contact, "error", err)
+		}
+		return
+	}
+	a.contacts.learn(reply.Routers)
+	if reply.OwnerAddress != "" {
+		r.owner = reply.OwnerAddress
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
+)
+
+// Settings are the agent's settings. The tags give flag, default and help.
+type Settings struct {
+	Listen      string `flag:"listen" default:"127.0.0.1:0" usage:"address of the listener for routers"`
+	AdminListen string `flag:"admin-listen" default:"127.0.0.1:0" usage:"address of the listener for metrics, status and health checks"`
+	Advertise   string `flag:"advertise" usage:"address that routers use to reach the listener (default: its own address)"`
+	Zone        string `flag:"zone" usage:"availability zone of this host"`
+	Fleet       string `flag:"fleet" default:"default" usage:"name of the fleet"`
+	Endpoint    string `flag:"endpoint" usage:"name of the endpoint's object"`
+	EndpointURL string `flag:"endpoint-url" usage:"base URL of the endpoint"`
+	Routers     string `flag:"routers" usage:"fleet addresses of routers, separated by commas"`
+	HostsURL    string `flag:"hosts-url" usage:"URL of the platform's host list"`
+	LogURL      string `flag:"log-url" usage:"base URL of the platform's log, which gives out fencing numbers"`
+
+	StartTimeout time.Duration `flag:"start-timeout" default:"10s" usage:"longest time from accepting a request to passing it to the endpoint"`
+	DrainTimeout time.Duration `flag:"drain-timeout" default:"15m" usage:"longest time from SIGTERM to exit"`
+
+	TLSCert  string `flag:"tls-cert" usage:"certificate file (PEM)"`
+	TLSKey   string `flag:"tls-key" usage:"key file (PEM)"`
+	TLSCA    string `flag:"tls-ca" usage:"file with the CA of the fleet's certificates (PEM)"`
+	LogLevel string `flag:"log-level" default:"info" usage:"debug, info, warn or error"`
+
+	PrintSettings bool `flag:"print-settings" usage:"print the settings in force and exit"`
+	Version       bool `flag:"version" usage:"print the version and exit"`
+}
+
+// Validate reports every fault of the settings.
+func (s *Settings) Validate() []error {
+	if s.Version {
+		return nil
+	}
+	var faults []error
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	for _, a := range s.addresses() {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			fault("%s: %w", a.name, err)
+		}
+	}
+	for _, u := range []named{{"endpoint-url", s.EndpointURL}, {"hosts-url", s.HostsURL}, {"log-url", s.LogURL}} {
+		if u.value != "" && !isHTTPURL(u.value) {
+			fault("%s: %q is not an HTTP URL", u.name, u.value)
+		}
+	}
+	for _, r := range []named{{"fleet", s.Fleet}, {"endpoint", s.Endpoint}, {"endpoint-url", s.EndpointURL}} {
+		if r.value == "" {
+			fault("%s must be set", r.name)
+		}
+	}
+	if len(s.routers()) == 0 && s.HostsURL == "" {
+		fault("routers or hosts-url must be set, or the agent finds no router")
+	}
+	if s.StartTimeout <= 0 || s.DrainTimeout <= 0 {
+		fault("start-timeout and drain-timeout must be positive")
+	}
+	files := s.tlsFiles()
+	if !files.Empty() && (files.Certificate == "" || files.Key == "" || files.CA == "") {
+		fault("tls-cert, tls-key and tls-ca must be set together")
+	}
+	if _, err := s.logLevel(); err != nil {
+		fault("log-level: %w", err)
+	}
+	return faults
+}
+
+type named struct{ name, value string }
+
+func (s *Settings) addresses() []named {
+	all := []named{{"listen", s.Listen}, {"admin-listen", s.AdminListen}}
+	if s.Advertise != "" {
+		all = append(all, named{"advertise", s.Advertise})
+	}
+	for _, router := range s.routers() {
+		all = append(all, named{"routers", router})
+	}
+	return all
+}
+
+func isHTTPURL(raw string) bool {
+	u, err := url.Parse(raw)
+	return err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
+}
+
+func (s *Settings) routers() []string {
+	var routers []string
+	for router := range strings.SplitSeq(s.Routers, ",") {
+		if router = strings.TrimSpace(router); router != "" {
+			routers = append(routers, router)
+		}
+	}
+	return routers
+}
+
+func (s *Settings) tlsFiles() tlsconf.Files {
+	return tlsconf.Files{Certificate: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}
+}
+
+func (s *Settings) logLevel() (slog.Level, error) {
+	var level slog.Level
+	err := level.UnmarshalText([]byte(s.LogLevel))
+	return level, err
+}
--- a/cmd/acaciaspar-agent/main.go
+++ b/cmd/acaciaspar-agent/main.go
@@ -1,4 +1,13 @@
 // Command acaciaspar-agent runs beside one endpoint and gives it work.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/acaciaspar/acaciaspar/agent"
+	"github.com/acaciaspar/acaciaspar/settings"
+)
+
+func main() {
+	os.Exit(agent.Main(os.Args[1:], settings.Environ(), os.Stdout, os.Stderr))
+}
--- a/protocol/work/work.go
+++ b/protocol/work/work.go
@@ -131,6 +131,13 @@
 	if w.Attempt == 0 || w.Weight == 0 {
 		return fmt.Errorf("attempt and weight must be positive")
 	}
+	if w.Method == "" {
+		return fmt.Errorf("method must be set")
+	}
+	// Such bytes would end the target early in the request line or in the URL.
+	if strings.ContainsFunc(w.URI, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '#' }) {
+		return fmt.Errorf("uri %q has a character that must be escaped", w.URI)
+	}
 	u, err := url.ParseRequestURI(w.URI)
 	if err != nil {
 		return fmt.Errorf("uri: %w", err)
