Meter cost exactly, cap it and decode the agent's configuration as published

An event with usage and no choices is no token. Costs and hints stay within what queue owners accept, so that a wrong number from an endpoint can't have every later report refused. An agent named superseded offers again once no reply has said so for 5 s, because the start times behind that decision may be wrong after a clock step; a refused fencing number stays final.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -230,19 +230,6 @@
 // kick has a report sent soon.
 func (a *Agent) kick() { a.reporter.kick() }
 
-// supersede stops offering slots for the rest of the process's life.
-func (a *Agent) supersede(reason string) {
-	var before slots.Stop
-	a.pool.update(func(t *slots.Table) {
-		before = t.Stopped()
-		t.Drain(slots.StopSuperseded)
-	})
-	if before&slots.StopSuperseded == 0 {
-		a.log.Warn("superseded by a later instance of the endpoint's agent; no more work is taken", "reason", reason)
-		a.kick()
-	}
-}
-
 // setStop adds or removes a reason to offer nothing and logs the change.
 func (a *Agent) setStop(why slots.Stop, on bool, cause string) {
 	var before slots.Stop
--- a/agent/config.go
+++ b/agent/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -92,7 +91,7 @@
 }
 
 func (a *Agent) takeConfig(reply *fleetpb.FetchConfigReply) error {
-	set, err := decodeSlice(reply.Objects)
+	set, err := objects.Decode(reply.Objects)
 	if err != nil {
 		return err
 	}
@@ -106,46 +105,6 @@
 	return nil
 }
 
-// decodeSlice parses a JSON array of objects with a field "kind". Kinds that
-// the agent doesn't need are passed over.
-func decodeSlice(raw []byte) (*objects.Set, error) {
-	var documents []json.RawMessage
-	if err := json.Unmarshal(raw, &documents); err != nil {
-		return nil, eris.Wrap(err, "decode configuration")
-	}
-	set := objects.NewSet()
-	for _, d := range documents {
-		if err := decodeObject(set, d); err != nil {
-			return nil, eris.Wrap(err, "decode object")
-		}
-	}
-	return set, nil
-}
-
-func decodeObject(set *objects.Set, raw json.RawMessage) error {
-	var head struct {
-		Kind objects.Kind `json:"kind"`
-	}
-	if err := json.Unmarshal(raw, &head); err != nil {
-		return err
-	}
-	switch head.Kind {
-	case objects.KindEndpoint:
-		var e objects.Endpoint
-		if err := json.Unmarshal(raw, &e); err != nil {
-			return err
-		}
-		set.Endpoints[e.Name] = &e
-	case objects.KindService:
-		var s objects.Service
-		if err := json.Unmarshal(raw, &s); err != nil {
-			return err
-		}
-		set.Services[s.Name] = &s
-	}
-	return nil
-}
-
 // applyConfig brings the table of slots in line with the configuration in
 // force and with the fencing number. It is called when either changes; the
 // mutex keeps an earlier configuration from being applied after a later one.
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -47,7 +46,7 @@
 
 	mu      sync.Mutex
 	version uint64
-	objects []any
+	objects *objects.Set
 	// owner is named in replies if it isn't empty.
 	owner   string
 	reply   fleetpb.ReportReply
@@ -101,8 +100,9 @@
 func (f *fakeRouter) FetchConfig(_ context.Context, r *fleetpb.FetchConfigRequest) (*fleetpb.FetchConfigReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	raw, err := json.Marshal(f.objects)
-	return &fleetpb.FetchConfigReply{Sender: f.sender(), Version: f.version, Objects: raw}, err
+	return &fleetpb.FetchConfigReply{
+		Sender: f.sender(), Version: f.version, Objects: f.objects.Slice(r.Endpoint).Encode(),
+	}, nil
 }
 
 // publish puts the endpoint and its service in force at the router.
@@ -110,18 +110,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	f.objects = []any{
-		struct {
-			Kind objects.Kind `json:"kind"`
-			objects.Endpoint
-		}{objects.KindEndpoint, e},
-		struct {
-			Kind objects.Kind `json:"kind"`
-			objects.Service
-		}{objects.KindService, objects.Service{
-			Name: "svc", Type: service, MaxCost: 1000, Operations: []objects.Operation{{Name: "op", Path: "/op"}},
-		}},
-	}
+	f.objects = objects.NewSet(&e, &objects.Service{
+		Name: "svc", Type: service, MaxCost: 1000, Operations: []objects.Operation{{Name: "op", Path: "/op"}},
+	})
 }
 
 func (f *fakeRouter) set(change func(*fakeRouter)) {
--- a/agent/loops_test.go
+++ b/agent/loops_test.go
@@ -114,7 +114,7 @@
 	f.token()
 	f.router.publish(f.object, objects.ModelService)
 	eventually(t, "version 2", func() bool { return f.agent.config.Version() == 2 })
-	f.router.set(func(r *fakeRouter) { r.version, r.objects = 1, nil })
+	f.router.set(func(r *fakeRouter) { r.version, r.objects = 1, objects.NewSet() })
 	must.Error(t, f.agent.fetchConfig(t.Context()))
 	must.Eq(t, 2, f.agent.config.Version())
 	f.token()
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -56,13 +56,15 @@
 	Completion uint64 `json:"completion_tokens"`
 }
 
-// merge keeps the largest values that are believable.
-func (u *usage) merge(data []byte) {
+// merge keeps the largest values that are believable. It reports whether data
+// holds usage and nothing generated.
+func (u *usage) merge(data []byte) (only bool) {
 	var found struct {
-		Usage *usage `json:"usage"`
+		Usage   *usage            `json:"usage"`
+		Choices []json.RawMessage `json:"choices"`
 	}
 	if json.Unmarshal(data, &found) != nil || found.Usage == nil {
-		return
+		return false
 	}
 	if found.Usage.Prompt <= maxUsageTokens {
 		u.Prompt = max(u.Prompt, found.Usage.Prompt)
@@ -70,6 +72,7 @@
 	if found.Usage.Completion <= maxUsageTokens {
 		u.Completion = max(u.Completion, found.Usage.Completion)
 	}
+	return len(found.Choices) == 0
 }
 
 // eventMeter counts server-sent events with data, one cost unit each, and adds
@@ -156,15 +159,18 @@
 }
 
 func (m *eventMeter) eventEnd() {
-	if m.hasData && string(bytes.TrimSpace(m.data)) != "[DONE]" {
+	if m.hasData && string(bytes.TrimSpace(m.data)) != "[DONE]" && !m.onlyUsage() {
 		m.events++
-		if !m.tooLong && bytes.Contains(m.data, []byte(`"usage"`)) {
-			m.usage.merge(m.data)
-		}
 	}
 	m.data, m.hasData, m.tooLong = m.data[:0], false, false
 }
 
+// onlyUsage takes the usage of an event. An event with usage and no choices
+// carries no token.
+func (m *eventMeter) onlyUsage() bool {
+	return !m.tooLong && bytes.Contains(m.data, []byte(`"usage"`)) && m.usage.merge(m.data)
+}
+
 // end counts an event that was cut before its empty line: the engine made it.
 func (m *eventMeter) end() {
 	if m.lineLen > 0 {
--- a/agent/report.go
+++ b/agent/report.go
@@ -19,6 +19,12 @@
 	// failuresBeforeSearch is the number of failed reports in a row after which
 	// another router is asked for the owner.
 	failuresBeforeSearch = 2
+	// supersededFor is the time for which an agent offers nothing after the
+	// last reply that named it superseded. It is above the 3 s after which an
+	// owner drops a silent agent, so that two instances don't take turns. The
+	// state isn't final, because the start times that decide which instance is
+	// the later one are wrong after a step of the host's clock.
+	supersededFor = 5 * time.Second
 )
 
 // reporter sends the agent's reports, one at a time. Its fields are used by
@@ -32,6 +38,8 @@
 	owner    string
 	failures int
 	wantFull bool
+	// superseded is the time of the last reply that said so.
+	superseded time.Time
 }
 
 func newReporter(a *Agent) *reporter {
@@ -111,9 +119,7 @@
 		return false
 	}
 	r.failures = 0
-	if reply.Superseded {
-		a.supersede("a later instance has reported to the queue owner")
-	}
+	r.noteSuperseded(reply.Superseded)
 	if reply.OwnerAddress != "" && reply.OwnerAddress != r.owner {
 		r.owner = reply.OwnerAddress
 		return true
@@ -141,6 +147,18 @@
 	return report
 }
 
+func (r *reporter) noteSuperseded(superseded bool) {
+	now := time.Now()
+	switch {
+	case superseded:
+		r.superseded = now
+		r.agent.setStop(slots.StopSuperseded, true, "superseded by a later instance")
+	case !r.superseded.IsZero() && now.Sub(r.superseded) >= supersededFor:
+		r.superseded = time.Time{}
+		r.agent.setStop(slots.StopSuperseded, false, "superseded by a later instance")
+	}
+}
+
 func (r *reporter) failed(err error) {
 	r.failures++
 	r.agent.counts.reportFailures.Inc(1)
--- a/agent/work.go
+++ b/agent/work.go
@@ -214,7 +214,7 @@
 // given it a larger fencing number.
 func (j *job) fenced(w http.ResponseWriter, r *http.Request) {
 	j.result = slots.NotRun
-	j.agent.supersede("the endpoint refused the fencing number")
+	j.agent.setStop(slots.StopFenced, true, "fencing number refused by the endpoint")
 	j.agent.refuse(w, r, j.header.Request, "fencing", http.StatusServiceUnavailable,
 		"the endpoint refused the agent's fencing number")
 }
--- a/agent/work_test.go
+++ b/agent/work_test.go
@@ -135,7 +135,7 @@
 	f.mustRefuse(f.header(f.token()), outcome.NotRun, http.StatusServiceUnavailable)
 	must.Eq(t, "7", number.Load().(string))
 	must.Eq(t, 7, f.router.last().FencingNumber)
-	must.Eq(t, slots.StopSuperseded, f.stopped()&slots.StopSuperseded)
+	must.Eq(t, slots.StopFenced, f.stopped())
 	eventually(t, "a report without tokens", func() bool {
 		last := f.router.last()
 		return last.Draining && len(last.FreeTokens) == 0 && len(last.Running) == 0
--- a/coordination/slots/counters.go
+++ b/coordination/slots/counters.go
@@ -2,14 +2,17 @@
 
 import (
 	"container/list"
-	"math"
 	"math/bits"
 	"slices"
 )
 
 const (
-	// MaxTeams bounds the counters of one agent, in teams.
-	MaxTeams = 65_536
+	// MaxTeams bounds the counters of one agent: twice the 18,000 teams of the
+	// target, and below the 54,000 teams that a queue owner takes.
+	MaxTeams = 36_000
+	// MaxCost is the largest value of a counter, a hint or the cost of a
+	// request, in cost units. Queue owners refuse reports with a larger one.
+	MaxCost = 1_000_000_000_000
 	// Millionths is the number of normalized units in one cost unit at weight 1.
 	Millionths = 1_000_000
 	// foldShare is the part of the table that is folded at once, so that the
@@ -119,22 +122,22 @@
 	return 1
 }
 
+// charge adds units to the team's cost. normalized stays at or below cost times
+// Millionths, also where cost has reached its bound.
 func (c *counters) charge(t *team, weight, units uint64) {
 	c.touch(t)
-	t.cost = addCapped(t.cost, units)
 	if t.weight != weight {
 		t.remainder = rescale(t.remainder, t.weight, weight)
 		t.weight = weight
 	}
+	units = min(units, MaxCost-t.cost)
+	t.cost += units
+	// Neither this product nor the sum overflows, because units is at most
+	// MaxCost and remainder is below weight.
 	high, low := bits.Mul64(units, Millionths)
 	low, carry := bits.Add64(low, t.remainder, 0)
-	high += carry
-	if high >= weight {
-		t.normalized = math.MaxUint64
-		return
-	}
-	quotient, remainder := bits.Div64(high, low, weight)
-	t.normalized = addCapped(t.normalized, quotient)
+	quotient, remainder := bits.Div64(high+carry, low, weight)
+	t.normalized += quotient
 	t.remainder = remainder
 }
 
@@ -162,10 +165,4 @@
 	c.touch(t)
 }
 
-func addCapped(a, b uint64) uint64 {
-	sum, carry := bits.Add64(a, b, 0)
-	if carry != 0 {
-		return math.MaxUint64
-	}
-	return sum
-}
+func addCost(a, b uint64) uint64 { return a + min(b, MaxCost-a) }
--- a/coordination/slots/slots_test.go
+++ b/coordination/slots/slots_test.go
@@ -82,7 +82,7 @@
 	must.Eq(t, Draining, reasonOf(table.Accept(epoch, ask(free[2], "t"))))
 	must.SliceEmpty(t, table.BuildReport(epoch, "o", false).FreeTokens)
 	table.Resume(StopShutdown)
-	table.Drain(StopSuperseded)
+	table.Drain(StopFenced)
 	must.Eq(t, Superseded, reasonOf(table.Accept(epoch, ask(free[2], "t"))))
 }
 
@@ -162,16 +162,17 @@
 	must.NoError(t, table.Accept(epoch, other))
 }
 
-// Guards against numbers from an endpoint that overflow a counter.
+// Guards against numbers from an endpoint that make owners refuse every report.
 func TestChargesAreCapped(t *testing.T) {
 	table := newTable(1, 0)
 	must.NoError(t, table.Accept(epoch, ask(table.BuildReport(epoch, "o", false).FreeTokens[0], "r")))
 	for range 3 {
 		table.Charge("r", 1<<63)
 	}
-	c := table.BuildReport(epoch, "o", false).Counters[0]
-	must.Eq(t, ^uint64(0), c.Cost)
-	must.Eq(t, ^uint64(0), c.Normalized)
+	r := table.BuildReport(epoch, "o", false)
+	must.Eq(t, MaxCost, r.Running[0].Metered)
+	must.Eq(t, MaxCost, r.Counters[0].Cost)
+	must.Eq(t, MaxCost*Millionths, r.Counters[0].Normalized)
 }
 
 // ownerView merges reports as a queue owner does.
--- a/coordination/slots/table.go
+++ b/coordination/slots/table.go
@@ -11,8 +11,9 @@
 const (
 	// Lease is the time for which a token is valid after the latest report that listed it.
 	Lease = 2 * time.Second
-	// MaxSlots bounds the slots and the prefetch of an endpoint.
-	MaxSlots = 65_536
+	// MaxSlots bounds the slots, and also the prefetch, of an endpoint. Queue
+	// owners take at most 4,096 tokens and requests in one report.
+	MaxSlots = 2_048
 	// MaxSeen bounds the remembered requests. At 1,000 requests per second it
 	// covers 16 s, longer than a duplicate of a message can be under way.
 	MaxSeen = 16_384
@@ -31,11 +32,16 @@
 	StopObject
 	// StopHost is set while the host list says leaving.
 	StopHost
-	// StopSuperseded is set when a later instance is known.
+	// StopSuperseded is set while a queue owner knows a later instance.
 	StopSuperseded
+	// StopFenced is set once the endpoint has refused the fencing number.
+	StopFenced
 )
 
-const stopDraining = StopShutdown | StopObject | StopHost
+const (
+	stopDraining   = StopShutdown | StopObject | StopHost
+	stopSuperseded = StopSuperseded | StopFenced
+)
 
 // token is a free token. offered is zero until a report lists it.
 type token struct {
@@ -149,7 +155,7 @@
 
 // Draining reports whether the agent takes no new work because it is leaving
 // or has been replaced.
-func (t *Table) Draining() bool { return t.stop&(stopDraining|StopSuperseded) != 0 }
+func (t *Table) Draining() bool { return t.stop&(stopDraining|stopSuperseded) != 0 }
 
 // Held returns the number of accepted requests that have not ended.
 func (t *Table) Held() int { return len(t.held) }
@@ -209,7 +215,7 @@
 		token:    a.Token,
 		team:     counter,
 		weight:   max(a.Weight, 1),
-		hint:     a.Hint,
+		hint:     min(a.Hint, MaxCost),
 		accepted: now,
 	}
 	t.held[r.id] = r
@@ -235,7 +241,7 @@
 
 func (t *Table) stopReason() Reason {
 	switch {
-	case t.stop&StopSuperseded != 0:
+	case t.stop&stopSuperseded != 0:
 		return Superseded
 	case t.stop&stopDraining != 0:
 		return Draining
@@ -338,7 +344,7 @@
 	if !ok || units == 0 {
 		return
 	}
-	r.metered = addCapped(r.metered, units)
+	r.metered = addCost(r.metered, units)
 	t.counters.charge(r.team, r.weight, units)
 }
 
