--- a/agent/settings.go
+++ b/agent/settings.go
@@ -17,7 +17,7 @@
 	AdminListen string `flag:"admin-listen" default:"127.0.0.1:0" usage:"address of the listener for metrics, status and health checks"`
 	Advertise   string `flag:"advertise" usage:"address that routers use to reach the listener (default: its own address)"`
 	Zone        string `flag:"zone" usage:"availability zone of this host"`
-	Fleet       string `flag:"fleet" default:"default" usage:"name of the fleet"`
+	Fleet       string `flag:"fleet" default:"acaciaspar" usage:"name of the fleet"`
 	Endpoint    string `flag:"endpoint" usage:"name of the endpoint's object"`
 	EndpointURL string `flag:"endpoint-url" usage:"base URL of the endpoint"`
 	Routers     string `flag:"routers" usage:"fleet addresses of routers, separated by commas"`
