--- a/coordination/publication/record.go
+++ b/coordination/publication/record.go
@@ -25,6 +25,8 @@
 	MaxRecordBytes = objects.MaxInputBytes + 1<<20
 	// MaxOperatorBytes bounds the name of an operator.
 	MaxOperatorBytes = 256
+	// compressFrom is the size in bytes from which a publication is compressed.
+	compressFrom = 64 << 10
 	// RecentIDs is the number of accepted publication ids that a reader remembers.
 	RecentIDs = 1024
 )
@@ -34,7 +36,10 @@
 	typeSnapshot    = "snapshot"
 )
 
-var idPattern = regexp.MustCompile(`^[0-9a-f]{32}$`)
+var (
+	idPattern = regexp.MustCompile(`^[0-9a-f]{32}$`)
+	gzipMagic = []byte{0x1f, 0x8b}
+)
 
 // Publication asks for a change of the configuration.
 type Publication struct {
@@ -62,85 +67,133 @@
 	Hash string `json:"hash"`
 	// Recent lists the ids of recently accepted publications, oldest first.
 	Recent []string `json:"recent"`
-	// Objects is the encoded set.
-	Objects json.RawMessage `json:"objects"`
+
+	// packed is the compressed encoding of the set. It is unpacked only by
+	// readers that start from the snapshot.
+	packed []byte
 }
 
-// record is the encoded form; exactly one of the parts is set.
-type record struct {
+// head is the JSON part of a record; exactly one of the parts is set.
+type head struct {
 	Format      int          `json:"format"`
 	Type        string       `json:"type"`
 	Publication *Publication `json:"publication,omitempty"`
 	Snapshot    *Snapshot    `json:"snapshot,omitempty"`
 }
 
-// Encode returns the record of a publication.
+// Encode returns the record of a publication: JSON, compressed if it is large.
 func (p *Publication) Encode() ([]byte, error) {
-	raw, err := json.Marshal(record{Format: Format, Type: typePublication, Publication: p})
-	return raw, eris.Wrap(err, "encode publication")
+	raw, err := json.Marshal(head{Format: Format, Type: typePublication, Publication: p})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode publication")
+	}
+	if len(raw) < compressFrom {
+		return raw, nil
+	}
+	return compress(raw)
 }
 
-// Encode returns the record of a snapshot. It is compressed, because every
-// router reads every snapshot and most of the text repeats.
+// Encode returns the record of a snapshot: two gzip members, the JSON without
+// the set and the set. Every router reads every snapshot, but only those that
+// start from it need the set.
 func (s *Snapshot) Encode() ([]byte, error) {
-	raw, err := json.Marshal(record{Format: Format, Type: typeSnapshot, Snapshot: s})
+	raw, err := json.Marshal(head{Format: Format, Type: typeSnapshot, Snapshot: s})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode snapshot")
 	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(raw); err != nil {
-		return nil, eris.Wrap(err, "compress snapshot")
-	}
-	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "compress snapshot")
+	first, err := compress(raw)
+	if err != nil {
+		return nil, err
 	}
-	return b.Bytes(), nil
+	return append(first, s.packed...), nil
 }
 
 // Decode parses a record. Exactly one of the results is not nil.
 func Decode(data []byte) (*Publication, *Snapshot, error) {
-	plain, err := decompress(data)
+	raw, rest, err := split(data)
 	if err != nil {
 		return nil, nil, err
 	}
-	var r record
-	dec := json.NewDecoder(bytes.NewReader(plain))
+	var h head
+	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&r); err != nil {
+	if err := dec.Decode(&h); err != nil {
 		return nil, nil, eris.Wrap(err, "decode record")
 	}
-	if r.Format != Format {
-		return nil, nil, eris.Errorf("unknown format %d", r.Format)
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, nil, eris.New("decode record: more than one value")
 	}
-	switch {
-	case r.Type == typePublication && r.Publication != nil && r.Snapshot == nil:
-		return r.Publication, nil, r.Publication.validate()
-	case r.Type == typeSnapshot && r.Snapshot != nil && r.Publication == nil:
-		return nil, r.Snapshot, r.Snapshot.validate()
+	if h.Format != Format {
+		return nil, nil, eris.Errorf("unknown format %d", h.Format)
 	}
-	return nil, nil, eris.Errorf("record of type %q doesn't have this content", r.Type)
+	switch {
+	case h.Type == typePublication && h.Publication != nil && h.Snapshot == nil && len(rest) == 0:
+		if err := h.Publication.validate(); err != nil {
+			return nil, nil, err
+		}
+		return h.Publication, nil, nil
+	case h.Type == typeSnapshot && h.Snapshot != nil && h.Publication == nil:
+		h.Snapshot.packed = rest
+		if err := h.Snapshot.validate(); err != nil {
+			return nil, nil, err
+		}
+		return nil, h.Snapshot, nil
+	}
+	return nil, nil, eris.Errorf("record of type %q doesn't have this content", h.Type)
 }
 
-func decompress(data []byte) ([]byte, error) {
+// split returns the JSON part of a record and what follows it.
+func split(data []byte) (raw, rest []byte, err error) {
 	if len(data) > MaxRecordBytes {
-		return nil, eris.Errorf("record has more than %d bytes", MaxRecordBytes)
+		return nil, nil, eris.Errorf("record has more than %d bytes", MaxRecordBytes)
+	}
+	if !bytes.HasPrefix(data, gzipMagic) {
+		return data, nil, nil
 	}
-	if !bytes.HasPrefix(data, []byte{0x1f, 0x8b}) {
-		return data, nil
+	return decompress(data)
+}
+
+func compress(raw []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(raw); err != nil {
+		return nil, eris.Wrap(err, "compress record")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress record")
 	}
-	r, err := gzip.NewReader(bytes.NewReader(data))
+	return b.Bytes(), nil
+}
+
+// decompress returns the content of the first gzip member and the bytes after it.
+func decompress(data []byte) (plain, rest []byte, err error) {
+	// The gzip reader reads no further than the member from an io.ByteReader.
+	source := bytes.NewReader(data)
+	r, err := gzip.NewReader(source)
 	if err != nil {
-		return nil, eris.Wrap(err, "decompress record")
+		return nil, nil, eris.Wrap(err, "decompress record")
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, MaxRecordBytes+1))
+	r.Multistream(false)
+	plain, err = io.ReadAll(io.LimitReader(r, MaxRecordBytes+1))
 	if err != nil {
-		return nil, eris.Wrap(err, "decompress record")
+		return nil, nil, eris.Wrap(err, "decompress record")
 	}
 	if len(plain) > MaxRecordBytes {
-		return nil, eris.Errorf("record has more than %d bytes", MaxRecordBytes)
+		return nil, nil, eris.Errorf("record has more than %d bytes", MaxRecordBytes)
+	}
+	return plain, data[len(data)-source.Len():], nil
+}
+
+// unpack returns the set that the snapshot holds.
+func (s *Snapshot) unpack() (*objects.Set, error) {
+	raw, rest, err := decompress(s.packed)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, eris.New("bytes follow the set")
 	}
-	return plain, nil
+	return objects.Decode(raw)
 }
 
 func (p *Publication) validate() error {
--- a/coordination/publication/recover.go
+++ b/coordination/publication/recover.go
@@ -20,7 +20,11 @@
 // is the last snapshot whose next offset is still retained, otherwise offset 0.
 func Recover(beginning int64, records []Record) (*State, error) {
 	for i := len(records) - 1; i >= 0; i-- {
-		if s := usable(beginning, records[i]); s != nil {
+		snapshot := candidate(beginning, records[i])
+		if snapshot == nil {
+			continue
+		}
+		if s, err := FromSnapshot(snapshot); err == nil {
 			return s, nil
 		}
 	}
@@ -35,8 +39,11 @@
 	}
 	var first *State
 	for _, r := range records {
-		s := usable(beginning, r)
-		if s != nil && (first == nil || s.NextOffset < first.NextOffset) {
+		snapshot := candidate(beginning, r)
+		if snapshot == nil || (first != nil && snapshot.NextOffset >= first.NextOffset) {
+			continue
+		}
+		if s, err := FromSnapshot(snapshot); err == nil {
 			first = s
 		}
 	}
@@ -53,8 +60,9 @@
 	return NewState(), nil
 }
 
-// usable returns the state of a record that is a snapshot to start from, or nil.
-func usable(beginning int64, r Record) *State {
+// candidate returns the snapshot in a record if a reader could continue from
+// it, or nil. Its set isn't verified yet.
+func candidate(beginning int64, r Record) *Snapshot {
 	_, snapshot, err := Decode(r.Value)
 	if err != nil || snapshot == nil {
 		return nil
@@ -63,9 +71,5 @@
 	if snapshot.NextOffset < beginning || snapshot.NextOffset > r.Offset {
 		return nil
 	}
-	s, err := FromSnapshot(snapshot)
-	if err != nil {
-		return nil
-	}
-	return s
+	return snapshot
 }
--- a/coordination/publication/state.go
+++ b/coordination/publication/state.go
@@ -22,8 +22,10 @@
 	Duplicate Outcome = "duplicate"
 	// SnapshotConfirmed snapshots equal the reader's state.
 	SnapshotConfirmed Outcome = "snapshot"
-	// SnapshotRefused snapshots are of another version or content. A snapshot
-	// that a publication has overtaken is refused by readers with state.
+	// SnapshotOld snapshots were overtaken by a publication. Readers without
+	// state can start from them all the same.
+	SnapshotOld Outcome = "snapshot-old"
+	// SnapshotRefused snapshots contradict the reader's state.
 	SnapshotRefused Outcome = "snapshot-refused"
 	// Malformed records can't be decoded.
 	Malformed Outcome = "malformed"
@@ -77,7 +79,7 @@
 // FromSnapshot returns the state that a snapshot holds, or an error if the
 // snapshot contradicts itself.
 func FromSnapshot(snapshot *Snapshot) (*State, error) {
-	set, err := objects.Decode(snapshot.Objects)
+	set, err := snapshot.unpack()
 	if err != nil {
 		return nil, err
 	}
@@ -92,15 +94,19 @@
 }
 
 // Snapshot returns a snapshot of the state.
-func (s *State) Snapshot(now time.Time) *Snapshot {
+func (s *State) Snapshot(now time.Time) (*Snapshot, error) {
+	packed, err := compress(s.Set.Encode())
+	if err != nil {
+		return nil, err
+	}
 	return &Snapshot{
 		Version:    s.Version,
 		NextOffset: s.NextOffset,
 		Time:       now.UTC(),
 		Hash:       hashText(s.Hash),
 		Recent:     s.Recent(),
-		Objects:    s.Set.Encode(),
-	}
+		packed:     packed,
+	}, nil
 }
 
 // Recent returns the ids of recently accepted publications, oldest first.
@@ -172,7 +178,10 @@
 }
 
 func (s *State) judgeSnapshot(snapshot *Snapshot) (Outcome, string) {
-	if snapshot.Version != s.Version {
+	if snapshot.Version < s.Version {
+		return SnapshotOld, ""
+	}
+	if snapshot.Version > s.Version {
 		return SnapshotRefused, fmt.Sprintf("it has version %d while version %d is in force", snapshot.Version, s.Version)
 	}
 	if snapshot.Hash != hashText(s.Hash) {
--- a/router/configfollow/follower.go
+++ b/router/configfollow/follower.go
@@ -24,7 +24,12 @@
 	DefaultPollInterval = 250 * time.Millisecond
 	// maxBackoff is the longest time between two attempts while the log or the peers fail.
 	maxBackoff = 2 * time.Second
-	// logTimeout bounds one call of the log.
+	// randomization is the part by which the time between two attempts varies.
+	randomization = 0.25
+	// minReadTimeout bounds the first read after a successful one. A connection
+	// to the log that went silent must not use up the 4 s of promise P8.
+	minReadTimeout = 1500 * time.Millisecond
+	// logTimeout bounds appends, and reads after others have run out of time.
 	logTimeout = 10 * time.Second
 	// maxBatch is the number of records asked for at once. It is halved after
 	// an error, because one reply with many large records exceeds the client's limit.
@@ -72,6 +77,8 @@
 	history history
 	// behind is set while records are missing between state and the log.
 	behind bool
+	// atEnd is set while the last read reached the end of the log.
+	atEnd bool
 	// logAnswered is the time of the last successful read.
 	logAnswered time.Time
 	// sinceSnapshot counts accepted publications after the last snapshot.
@@ -100,13 +107,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.followLog(ctx) })
 	group.Go(func() error { return f.followPeers(ctx) })
+	group.Go(func() error { return f.followSnapshots(ctx) })
 	return group.Wait()
 }
 
 func newBackOff(initial time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initial
-	b.MaxInterval = maxBackoff
+	b.RandomizationFactor = randomization
+	b.MaxInterval = time.Duration(float64(maxBackoff) / (1 + randomization))
 	b.Reset()
 	return b
 }
@@ -125,25 +134,24 @@
 
 func (f *Follower) followLog(ctx context.Context) error {
 	failures := newBackOff(f.options.PollInterval)
-	batch := maxBatch
+	batch, limit := maxBatch, minReadTimeout
 	for {
 		pause := f.options.PollInterval
-		more, err := f.readOnce(ctx, batch)
+		more, err := f.readOnce(ctx, batch, limit)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case err != nil:
 			f.logFailed(err)
-			batch = max(1, batch/2)
+			batch, limit = max(1, batch/2), min(logTimeout, 2*limit)
 			pause = failures.NextBackOff()
 		case more:
-			batch = min(maxBatch, 2*batch)
+			batch, limit = min(maxBatch, 2*batch), minReadTimeout
 			failures.Reset()
 			pause = 0
 		default:
-			batch = min(maxBatch, 2*batch)
+			batch, limit = min(maxBatch, 2*batch), minReadTimeout
 			failures.Reset()
-			f.appendSnapshotIfDue(ctx)
 		}
 		if err := sleep(ctx, pause); err != nil {
 			return err
@@ -159,12 +167,12 @@
 }
 
 // readOnce applies the next records and reports whether there may be more.
-func (f *Follower) readOnce(ctx context.Context, batch int) (more bool, err error) {
+func (f *Follower) readOnce(ctx context.Context, batch int, limit time.Duration) (more bool, err error) {
 	next, ok := f.nextOffset()
 	if !ok {
 		return true, f.recover(ctx)
 	}
-	records, err := f.read(ctx, next, batch)
+	records, err := f.read(ctx, next, batch, limit)
 	var expired *logclient.ExpiredError
 	if errors.As(err, &expired) {
 		return true, f.recover(ctx)
@@ -181,7 +189,7 @@
 			return true, f.recover(ctx)
 		}
 	}
-	f.answered()
+	f.answered(len(records) == 0)
 	for _, r := range records {
 		f.apply(r)
 	}
@@ -197,15 +205,16 @@
 	return f.state.NextOffset, true
 }
 
-func (f *Follower) answered() {
+func (f *Follower) answered(atEnd bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.atEnd = atEnd
 	f.logAnswered = time.Now()
 	f.behind = false
 }
 
-func (f *Follower) read(ctx context.Context, offset int64, count int) ([]logclient.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+func (f *Follower) read(ctx context.Context, offset int64, count int, limit time.Duration) ([]logclient.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return f.options.Log.Read(ctx, publication.Topic, offset, count)
 }
--- a/router/configfollow/snapshot.go
+++ b/router/configfollow/snapshot.go
@@ -7,7 +7,17 @@
 	"github.com/acaciaspar/acaciaspar/coordination/publication"
 )
 
-// appendSnapshotIfDue runs when the end of the log has been reached.
+// followSnapshots appends snapshots. It doesn't share a loop with the reads,
+// because an append may take long.
+func (f *Follower) followSnapshots(ctx context.Context) error {
+	for {
+		if err := sleep(ctx, f.options.PollInterval); err != nil {
+			return err
+		}
+		f.appendSnapshotIfDue(ctx)
+	}
+}
+
 func (f *Follower) appendSnapshotIfDue(ctx context.Context) {
 	now := time.Now()
 	if !f.snapshotDue(now) || !f.options.SnapshotDuty() {
@@ -40,7 +50,7 @@
 func (f *Follower) snapshotDue(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state == nil || f.state.NextOffset == 0 {
+	if f.state == nil || f.state.NextOffset == 0 || !f.atEnd {
 		return false
 	}
 	return f.sinceSnapshot >= f.options.SnapshotEvery || now.Sub(f.lastSnapshot) >= f.options.SnapshotInterval
@@ -50,5 +60,9 @@
 	f.mu.Lock()
 	state := publication.Restore(f.state.Version, f.state.Set, f.state.NextOffset, f.state.Recent())
 	f.mu.Unlock()
-	return state.Snapshot(now).Encode()
+	snapshot, err := state.Snapshot(now)
+	if err != nil {
+		return nil, err
+	}
+	return snapshot.Encode()
 }
--- a/state/objects/objects_test.go
+++ b/state/objects/objects_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -298,3 +299,16 @@
 		must.Eq(t, set.Hash(), decoded.Hash())
 	})
 }
+
+// Guards against documentation whose example no longer passes the check.
+func TestDocumentedExample(t *testing.T) {
+	text, err := os.ReadFile("../../docs/objects.md")
+	must.NoError(t, err)
+	_, rest, found := strings.Cut(string(text), "```yaml\n")
+	must.True(t, found)
+	example, _, found := strings.Cut(rest, "```")
+	must.True(t, found)
+	set, faults := Load(Source{"objects.md", []byte(example)})
+	must.SliceEmpty(t, faults)
+	must.Eq(t, 10, set.Size())
+}
