--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -103,7 +103,7 @@
 
   echo "== $fleet: publishing"
   bin/acaciaspar check examples/"$fleet"/*.yaml
-  bin/acaciaspar publish -log-url "$log" examples/"$fleet"/*.yaml
+  bin/acaciaspar publish -operator demo -log-url "$log" examples/"$fleet"/*.yaml
 
   start_agent agent-1 "$model-1" "${zones[0]}" model-1
   start_agent agent-2 "$model-2" "${zones[1]}" model-2
@@ -126,7 +126,7 @@
   fi
 
   echo "== $fleet: status"
-  bin/acaciaspar status -routers "$peers"
+  bin/acaciaspar status -fleet "$fleet" -routers "$peers"
 
   echo "== $fleet: stopping"
   reorder_for_stop
--- a/testbed/e2e/network_test.go
+++ b/testbed/e2e/network_test.go
@@ -91,7 +91,7 @@
 	must.Eq(t, "not-run", string(a.Outcome.Kind))
 	must.Eq(t, 0, d.bookings()["keyed"])
 	d.objects.Shares[0].Weight = 77
-	result := d.Tool("publish", "-log-url", d.Log.URL("listen"), d.Write(d.objects))
+	result := d.ToolPublish(d.Write(d.objects))
 	must.NotEq(t, 0, result.Code)
 
 	d.Put(d.Log, "/standin/faults", logservice.Faults{DelayMS: 500})
--- a/testbed/e2e/operate_test.go
+++ b/testbed/e2e/operate_test.go
@@ -33,7 +33,7 @@
 	results := make([]fleet.Result, len(files))
 	var running sync.WaitGroup
 	for i, file := range files {
-		running.Go(func() { results[i] = d.Tool("publish", "-log-url", d.Log.URL("listen"), file) })
+		running.Go(func() { results[i] = d.ToolPublish(file) })
 	}
 	running.Wait()
 	accepted := 0
--- a/testbed/fleet/objects.go
+++ b/testbed/fleet/objects.go
@@ -88,7 +88,7 @@
 // Publish publishes the objects with the operators' tool and fails unless they are accepted.
 func (f *Fleet) Publish(o *Objects) {
 	f.run.Helper()
-	result := f.Tool("publish", "-log-url", f.Log.URL("listen"), f.Write(o))
+	result := f.ToolPublish(f.Write(o))
 	if result.Code != 0 {
 		f.run.Fatalf("publish exited with %d: %s%s", result.Code, result.Stdout, result.Stderr)
 	}
--- a/testbed/fleet/tool.go
+++ b/testbed/fleet/tool.go
@@ -36,6 +36,12 @@
 	return result
 }
 
+// ToolPublish runs the subcommand publish. It may be called from several goroutines.
+func (f *Fleet) ToolPublish(files ...string) Result {
+	f.run.Helper()
+	return f.Tool(append([]string{"publish", "-operator", "harness", "-log-url", f.Log.URL("listen")}, files...)...)
+}
+
 func (f *Fleet) status(address string) *fleetpb.StatusReply {
 	ctx, cancel := context.WithTimeout(context.Background(), Patience/10)
 	defer cancel()
