--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -262,10 +262,15 @@
 	}
 }
 
-// Get reads JSON from a control endpoint of a stand-in.
+// Get reads JSON from a control endpoint of a stand-in or from the admin
+// listener of a router or agent.
 func (f *Fleet) Get(p *Process, path string, v any) {
 	f.run.Helper()
-	resp, err := f.callers.Get(p.URL("listen") + path)
+	listener := "listen"
+	if p.expect == "fleet" {
+		listener = "admin"
+	}
+	resp, err := f.callers.Get(p.URL(listener) + path)
 	if err != nil {
 		f.run.Fatalf("get %s: %v", path, err)
 	}
@@ -292,7 +297,7 @@
 	}
 }
 
-// Status asks a router or agent for its status; it returns nil if the process can't be reached.
+// Status asks a router for its status; it returns nil if the router can't be reached.
 func (f *Fleet) Status(p *Process) *fleetpb.StatusReply {
 	return f.status(p.directAddress())
 }
--- a/testbed/fleet/tool.go
+++ b/testbed/fleet/tool.go
@@ -52,6 +52,22 @@
 	return reply
 }
 
+// AgentStatus is the part of an agent's own status that tests use.
+type AgentStatus struct {
+	ConfigVersion uint64 `json:"configVersion"`
+	Draining      bool   `json:"draining"`
+	Running       int    `json:"running"`
+	Free          int    `json:"free"`
+}
+
+// AgentStatus asks an agent for its status.
+func (f *Fleet) AgentStatus(p *Process) AgentStatus {
+	f.run.Helper()
+	var s AgentStatus
+	f.Get(p, "/status", &s)
+	return s
+}
+
 // Owner returns the router that owns a service's queue in its own view, or nil
 // unless exactly one does.
 func (f *Fleet) Owner(service string, routers ...*Process) *Process {
