--- a/testbed/fleet/tool.go
+++ b/testbed/fleet/tool.go
@@ -36,6 +36,12 @@
 	return result
 }
 
+// ToolPublish runs the subcommand publish. It may be called from several goroutines.
+func (f *Fleet) ToolPublish(files ...string) Result {
+	f.run.Helper()
+	return f.Tool(append([]string{"publish", "-operator", "harness", "-log-url", f.Log.URL("listen")}, files...)...)
+}
+
 func (f *Fleet) status(address string) *fleetpb.StatusReply {
 	ctx, cancel := context.WithTimeout(context.Background(), Patience/10)
 	defer cancel()
@@ -46,6 +52,22 @@
 	return reply
 }
 
+// AgentStatus is the part of an agent's own status that tests use.
+type AgentStatus struct {
+	ConfigVersion uint64 `json:"configVersion"`
+	Draining      bool   `json:"draining"`
+	Running       int    `json:"running"`
+	Free          int    `json:"free"`
+}
+
+// AgentStatus asks an agent for its status.
+func (f *Fleet) AgentStatus(p *Process) AgentStatus {
+	f.run.Helper()
+	var s AgentStatus
+	f.Get(p, "/status", &s)
+	return s
+}
+
 // Owner returns the router that owns a service's queue in its own view, or nil
 // unless exactly one does.
 func (f *Fleet) Owner(service string, routers ...*Process) *Process {
