--- a/operator/app.go
+++ b/operator/app.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/user"
 	"strings"
 	"time"
 
@@ -79,7 +80,7 @@
 // Settings apply to all subcommands; each uses some of them.
 type Settings struct {
 	LogURL   string        `flag:"log-url" usage:"base URL of the platform's log"`
-	Operator string        `flag:"operator" usage:"name of the person who publishes (default: the variable USER)"`
+	Operator string        `flag:"operator" usage:"name of the person who publishes (default: the variable USER, else the account)"`
 	Routers  string        `flag:"routers" usage:"fleet addresses of routers, comma-separated"`
 	Fleet    string        `flag:"fleet" default:"acaciaspar" usage:"name of the fleet"`
 	Timeout  time.Duration `flag:"timeout" default:"20s" usage:"time limit of the command"`
@@ -188,6 +189,10 @@
 			return value
 		}
 	}
+	// Without USER, as under cron or in a container, the account's name is recorded.
+	if account, err := user.Current(); err == nil {
+		return account.Username
+	}
 	return ""
 }
 
