Bound requests without a body and requeue streams that an agent did not take

Every request counts for 16 KiB of held memory, because requests without a body were bounded by the teams' counts only. A stream that an agent refused or left out of its GOAWAY was certainly not processed, so it returns to the queue instead of ending as unknown while an agent shuts down.

--- a/router/entry/dispatch.go
+++ b/router/entry/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"time"
@@ -11,10 +12,13 @@
 	"github.com/acaciaspar/acaciaspar/state/audit"
 )
 
+var errMalformed = errors.New("request, slot token, weight and agent address must be set")
+
 // Dispatch implements fleetpb.Entry.
 func (s *Server) Dispatch(_ context.Context, in *fleetpb.DispatchRequest) (*fleetpb.DispatchReply, error) {
 	defer s.guard()
 	if err := s.o.Caller.Check(in.Sender); err != nil {
+		s.m.badCalls.Inc(1)
 		s.warn(in.GetSender().GetAddress(), "dispatch refused", err)
 		return nil, err
 	}
@@ -29,6 +33,8 @@
 // delivered twice is accepted twice, because its token is in use.
 func (s *Server) assign(owner, service string, a *fleetpb.Assignment) fleetpb.DispatchResult {
 	if !wellFormed(a) {
+		s.m.badCalls.Inc(1)
+		s.warn(owner, "malformed assignment refused", errMalformed)
 		return fleetpb.DispatchResult_DISPATCH_RESULT_GONE
 	}
 	now := time.Now()
--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/idemkey"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
 )
 
 // Guards against a path from caller to agent and back that loses the body, the
@@ -158,6 +160,49 @@
 	})
 }
 
+// Guards against one message per request during a burst: requests that arrive
+// while a message is in flight share the next one.
+func TestBurstSharesMessages(t *testing.T) {
+	agent := newAgent(t, echo)
+	b := newBench(t, eachTo(agent.address), func(o *Options) { o.Limits.SyncInterval = time.Hour })
+	hold := make(chan struct{})
+	b.owner.set(func() { b.owner.hold = hold })
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() { test.Eq(t, 201, b.post("/post-desk/label", "harbour-token", "x").status) })
+	}
+	eventually(t, "all requests wait", func() bool {
+		status := b.server.Status()
+		return len(status) == 1 && status[0].Waiting == 100
+	})
+	close(hold)
+	wg.Wait()
+	b.owner.set(func() { must.LessEq(t, 3, b.owner.messages) })
+}
+
+// Guards against behaviour that holds for callers with HTTP/1.1 only.
+func TestCallersWithHTTP2(t *testing.T) {
+	agent := newAgent(t, echo, cutAfter("text/html", "<p>"), hang)
+	b := newBench(t, eachTo(agent.address), func(o *Options) { o.Limits.BodyTimeout = time.Second })
+	b.client = fleethttp.NewClient(nil)
+	got := b.post("/post-desk/label", "harbour-token", "x")
+	must.NoError(t, got.failure)
+	must.Eq(t, "harbour:x", got.body)
+	must.Error(t, b.post("/post-desk/label", "harbour-token", "x").failure)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan reply, 1)
+	go func() { done <- b.postContext(ctx, "/post-desk/label", "harbour-token", strings.NewReader("x")) }()
+	eventually(t, "the agent has the request", func() bool { return agent.calls.Load() == 3 })
+	cancel()
+	must.Error(t, (<-done).failure)
+	eventually(t, "the request is cancelled", func() bool { return b.counter("entry.outcome.cancelled") == 1 })
+
+	never, writer := io.Pipe()
+	defer writer.Close()
+	mustOutcome(t, b.postContext(context.Background(), "/post-desk/label", "harbour-token", never), 408, outcome.NotRun)
+}
+
 // Guards against tickets that stay with an owner that is gone or wrong.
 func TestOwnerChange(t *testing.T) {
 	agent := newAgent(t, echo)
--- a/router/entry/fake_test.go
+++ b/router/entry/fake_test.go
@@ -142,18 +142,26 @@
 	tokens    int
 	// empties counts full syncs without a ticket.
 	empties int
-	syncs   int
-	results []fleetpb.DispatchResult
+	// messages counts calls of Enqueue; hold, if set, delays them.
+	messages int
+	hold     chan struct{}
+	results  []fleetpb.DispatchResult
 	// copies is how often every dispatch is delivered.
 	copies int
 }
 
 func (o *fakeOwner) Enqueue(_ context.Context, in *fleetpb.EnqueueRequest) (*fleetpb.EnqueueReply, error) {
+	o.mu.Lock()
+	o.messages++
+	hold := o.hold
+	o.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	reply := &fleetpb.EnqueueReply{Sender: o.caller.Sender(), OwnerAddress: o.named}
 	if in.FullSync {
-		o.syncs++
 		clear(o.waiting)
 		if len(in.Tickets) == 0 {
 			o.empties++
@@ -237,6 +245,8 @@
 	server *Server
 	owner  *fakeOwner
 	front  *httptest.Server
+	// client speaks HTTP/1.1 unless a test replaces it.
+	client *http.Client
 	trails *audit.Trails
 
 	mu      sync.Mutex
@@ -297,7 +307,12 @@
 	entryHandler = fleetpb.NewEntryServer(b.server)
 	b.owner = newOwner(t, options.Caller, entryAddress, pick)
 	b.moveTo(b.owner)
-	b.front = httptest.NewServer(b.server)
+	b.front = httptest.NewUnstartedServer(b.server)
+	b.front.Config.Protocols = new(http.Protocols)
+	b.front.Config.Protocols.SetHTTP1(true)
+	b.front.Config.Protocols.SetUnencryptedHTTP2(true)
+	b.front.Start()
+	b.client = b.front.Client()
 	t.Cleanup(b.front.Close)
 	return b
 }
@@ -334,7 +349,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := b.front.Client().Do(req)
+	resp, err := b.client.Do(req)
 	if err != nil {
 		return reply{failure: err}
 	}
--- a/router/entry/meters.go
+++ b/router/entry/meters.go
@@ -16,6 +16,7 @@
 type meters struct {
 	requests   metrics.Counter
 	retries    metrics.Counter
+	badCalls   metrics.Counter
 	requeues   metrics.Counter
 	waiting    metrics.Gauge
 	inProgress metrics.Gauge
@@ -29,6 +30,7 @@
 	m := &meters{
 		requests:   metrics.GetOrRegisterCounter("entry.requests", r),
 		retries:    metrics.GetOrRegisterCounter("entry.retries", r),
+		badCalls:   metrics.GetOrRegisterCounter("entry.refused_messages", r),
 		requeues:   metrics.GetOrRegisterCounter("entry.requeues", r),
 		waiting:    metrics.GetOrRegisterGauge("entry.waiting", r),
 		inProgress: metrics.GetOrRegisterGauge("entry.in_progress", r),
--- a/router/entry/options.go
+++ b/router/entry/options.go
@@ -27,7 +27,8 @@
 type Limits struct {
 	// MaxBody is the largest body in bytes. Default: 16 MiB.
 	MaxBody int64
-	// MaxHeldBody bounds all bodies in memory, in bytes. Default: 512 MiB.
+	// MaxHeldBody bounds all bodies in memory, in bytes. Every request counts
+	// for 16 KiB beside its body. Default: 512 MiB.
 	MaxHeldBody int64
 	// TeamQueueCount bounds the waiting requests of a team. Default: 256.
 	TeamQueueCount int
--- a/router/entry/outcome_test.go
+++ b/router/entry/outcome_test.go
@@ -214,6 +214,70 @@
 	mustOutcome(t, b.post("/post-desk/label", "harbour-token", "x"), 502, outcome.Unknown)
 }
 
+// Guards against unknown for a request that the agent certainly did not
+// process because it was shutting down, and against not-run for other ends of
+// the stream. The agent is a listener that answers each stream with one frame.
+func TestStreamNotProcessed(t *testing.T) {
+	const reset, goAway = 3, 7
+	cases := []struct {
+		name    string
+		kind    byte
+		payload []byte
+		status  int
+		told    outcome.Kind
+	}{
+		{"refused stream", reset, []byte{0, 0, 0, 7}, 503, outcome.NotRun},
+		{"GOAWAY before the stream", goAway, make([]byte, 8), 503, outcome.NotRun},
+		{"protocol error", reset, []byte{0, 0, 0, 1}, 502, outcome.Unknown},
+		{"internal error", reset, []byte{0, 0, 0, 2}, 502, outcome.Unknown},
+		{"cancelled stream", reset, []byte{0, 0, 0, 8}, 502, outcome.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer l.Close()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go answerStreams(conn, c.kind, c.payload)
+				}
+			}()
+			b := newBench(t, eachTo(l.Addr().String()))
+			mustOutcome(t, b.post("/post-desk/label", "harbour-token", "x"), c.status, c.told)
+		})
+	}
+}
+
+// answerStreams answers every stream of a connection with one frame; GOAWAY
+// belongs to the connection and has stream 0.
+func answerStreams(conn net.Conn, kind byte, payload []byte) {
+	const preface, headers, settings, goAway = 24, 1, 4, 7
+	defer conn.Close()
+	frame := func(kind, stream byte, payload []byte) {
+		_, _ = conn.Write(append([]byte{0, 0, byte(len(payload)), kind, 0, 0, 0, 0, stream}, payload...))
+	}
+	_, _ = io.CopyN(io.Discard, conn, preface)
+	frame(settings, 0, nil)
+	for {
+		var head [9]byte
+		if _, err := io.ReadFull(conn, head[:]); err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, conn, int64(head[0])<<16|int64(head[1])<<8|int64(head[2]))
+		switch {
+		case head[3] != headers:
+		case kind == goAway:
+			frame(kind, 0, payload)
+		default:
+			frame(kind, head[8], payload)
+		}
+	}
+}
+
 // Guards against an event stream that ends without saying that it was cut.
 func TestCutEventStream(t *testing.T) {
 	agent := newAgent(t, cutAfter("text/event-stream; charset=utf-8", "data: one\n\n"))
@@ -282,13 +346,14 @@
 	}
 	flood := func(b *bench, token, body string, n int) {
 		ctx, cancel := context.WithCancel(context.Background())
+		before := b.owner.waits()
 		var wg sync.WaitGroup
 		for range n {
 			wg.Go(func() { b.postContext(ctx, "/post-desk/stock", token, strings.NewReader(body)) })
 		}
 		b.t.Cleanup(wg.Wait)
 		b.t.Cleanup(cancel)
-		eventually(b.t, "the flood waits", func() bool { return b.owner.waits() >= n })
+		eventually(b.t, "the flood waits", func() bool { return b.owner.waits() >= before+n })
 	}
 	t.Run("count", func(t *testing.T) {
 		b := newBench(t, nowhere, limits)
@@ -305,6 +370,12 @@
 		mustOutcome(t, b.post("/post-desk/stock", "harbour-token", strings.Repeat("x", 60<<10)), 429, outcome.NotRun)
 		mustOutcome(t, b.post("/post-desk/stock", "quarry-token", strings.Repeat("x", 99<<10)), 503, outcome.NotRun)
 	})
+	t.Run("requests without a body", func(t *testing.T) {
+		b := newBench(t, nowhere, limits, func(o *Options) { o.Limits.MaxHeldBody = 4*requestOverhead + 100 })
+		flood(b, "harbour-token", "", 3)
+		flood(b, "quarry-token", "", 1)
+		mustOutcome(t, b.post("/post-desk/stock", "quarry-token", ""), 503, outcome.NotRun)
+	})
 	t.Run("queue owner", func(t *testing.T) {
 		b := newBench(t, nowhere)
 		b.owner.set(func() { b.owner.refuse = true })
--- a/router/entry/room.go
+++ b/router/entry/room.go
@@ -10,6 +10,11 @@
 // retryAfter is the time after which a refused caller may find room again.
 const retryAfter = time.Second
 
+// requestOverhead is the memory that a request takes beside its body, in
+// bytes: two goroutines' stacks, buffers and headers. It counts as held memory,
+// so that requests without a body are bounded as well.
+const requestOverhead = 16 << 10
+
 // enter counts a handler and reports false while the server drains.
 func (s *Server) enter() bool {
 	s.mu.Lock()
@@ -44,13 +49,18 @@
 		return teamFull(q.id)
 	}
 	s.count(q)
-	return nil
+	return s.take(q, requestOverhead)
 }
 
 // reserve takes memory for n more bytes of the request's body, if there is room.
 func (s *Server) reserve(q *request, n int64) *outcome.Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.take(q, n)
+}
+
+// take does the work of reserve. The caller holds s.mu.
+func (s *Server) take(q *request, n int64) *outcome.Outcome {
 	if s.teams[q.team].bytes+n > s.o.Limits.TeamQueueBytes {
 		return teamFull(q.id)
 	}
@@ -98,12 +108,17 @@
 
 // freeBody gives the memory of the body back. The caller holds s.mu.
 func (s *Server) freeBody(q *request) {
+	q.body = nil
+	s.giveBack(q, max(q.reserved-requestOverhead, 0))
+}
+
+// giveBack gives n bytes back. The caller holds s.mu.
+func (s *Server) giveBack(q *request, n int64) {
 	if q.counted {
-		s.teams[q.team].bytes -= q.reserved
+		s.teams[q.team].bytes -= n
 	}
-	s.held -= q.reserved
-	q.reserved = 0
-	q.body = nil
+	q.reserved -= n
+	s.held -= n
 	s.updateGauges()
 }
 
@@ -111,7 +126,7 @@
 func (s *Server) forget(q *request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.freeBody(q)
+	s.giveBack(q, q.reserved)
 	s.uncount(q)
 	delete(s.requests, q.id)
 }
--- a/router/entry/send.go
+++ b/router/entry/send.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -123,10 +124,26 @@
 		return d.callerGone()
 	case !d.left.Load():
 		return d.refused("the agent can't be reached: " + err.Error())
+	case unprocessed(err):
+		return d.refused("the agent closed the connection before it took the request")
 	}
 	return d.lost(err)
 }
 
+// unprocessed reports whether the agent certainly did not process the request:
+// it refused the stream, or its GOAWAY names an earlier stream as the last one
+// that it takes (RFC 9113, section 8.7). An agent that shuts down does so.
+// net/http gives these errors only as text; if the text changes, the outcome
+// is unknown instead of not-run, and a test fails.
+func unprocessed(err error) bool {
+	cause, ok := strings.CutPrefix(err.Error(), "http2: Transport: cannot retry err [")
+	if !ok {
+		return false
+	}
+	return strings.HasPrefix(cause, "http2: Transport received Server's graceful shutdown GOAWAY]") ||
+		strings.HasPrefix(cause, "stream error: ") && strings.Contains(cause, "; REFUSED_STREAM")
+}
+
 // answer handles the headers of an answer.
 func (d *delivery) answer(resp *http.Response) bool {
 	switch kind := outcome.Kind(resp.Header.Get(outcome.Header)); kind {
--- a/router/entry/server.go
+++ b/router/entry/server.go
@@ -34,7 +34,7 @@
 	links    map[string]*link
 	teams    map[string]*teamUse
 	budget   retry.Budget
-	// held is the sum of all bodies in memory, in bytes.
+	// held is the memory that all requests take, in bytes.
 	held       int64
 	waiting    int64
 	inProgress int64
@@ -88,7 +88,7 @@
 	// claimEnds is the time after which it must not be dispatched.
 	claimed   bool
 	claimEnds time.Time
-	// reserved is the memory taken by the body, in bytes.
+	// reserved is the memory that the request takes, in bytes.
 	reserved int64
 	// counted is set while the request counts in its team's queue.
 	counted bool
