Check the order under random schedules of lost, doubled and late messages

A simulation of entry routers and agents checks at every step the fairness bound, starvation, that no token is granted twice and that none stays free while a ticket waits; with wrong hints, a late and a pausing team, a new owner and a restarted agent. The schedules found that the token of a refused attempt could be granted again while its dispatch was on its way; it now stays with its grant. Bases start above 0, so that a new owner recognises a team whose base it lacks. The bound of 2*D*C is reached by TestBoundIsTight.

--- /dev/null
+++ b/coordination/fairqueue/property_test.go
@@ -0,0 +1,121 @@
+package fairqueue
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// rapidSeed is the seed unless the command line names another.
+const rapidSeed = "20260"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set(rapidSeed)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func drawOptions(r *rapid.T) simOptions {
+	return simOptions{
+		seed:      rapid.Uint64().Draw(r, "seed"),
+		endpoints: rapid.IntRange(1, 4).Draw(r, "endpoints"),
+		slots:     rapid.IntRange(1, 4).Draw(r, "slots"),
+		routers:   rapid.IntRange(2, 3).Draw(r, "routers"),
+		weights:   rapid.SliceOfN(rapid.Uint64Range(1, 5), 2, 5).Draw(r, "weights"),
+		late:      rapid.IntRange(0, 200).Draw(r, "late"),
+		loss:      rapid.IntRange(0, 30).Draw(r, "loss"),
+		steps:     500,
+	}
+}
+
+// check runs one schedule and lets every team finish some work.
+func check(r *rapid.T, o simOptions) {
+	s := newSim(r, o)
+	s.run()
+	for team := range s.weights {
+		if s.finished[team] == 0 {
+			r.Fatalf("%s finished nothing", team)
+		}
+	}
+	if testing.Verbose() {
+		r.Logf("largest gap is %.2f of the bound", s.widest)
+	}
+}
+
+// Guards against a gap above the bound, starvation, a token that is granted
+// twice and a token that stays free while a ticket waits, with wrong hints, a
+// late team, a team that pauses, and messages that are lost, doubled and
+// reordered.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		o := drawOptions(r)
+		o.pause = rapid.IntRange(o.late+50, 300).Draw(r, "pause")
+		check(r, o)
+	})
+}
+
+// Guards against the same faults when a new owner takes over in mid-run.
+func TestSchedulesWithNewOwner(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		o := drawOptions(r)
+		o.late = min(o.late, 150)
+		o.replace = rapid.IntRange(o.late+50, 350).Draw(r, "replace")
+		check(r, o)
+	})
+}
+
+// Guards against the same faults when an agent restarts.
+func TestSchedulesWithRestartedAgent(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		o := drawOptions(r)
+		o.restart = rapid.IntRange(20, 350).Draw(r, "restart")
+		check(r, o)
+	})
+}
+
+// Guards against a change of the bound: with hints of zero and tokens that
+// become free together, two backlogged teams are 2*D*C apart.
+func TestBoundIsTight(t *testing.T) {
+	const tokens, cost = 8, 100
+	q := newQueue(Options{}, "e")
+	enqueue := func(team string, ms int) {
+		for i := range 4 * tokens {
+			must.True(t, q.Enqueue(at(ms), ticket(fmt.Sprint(team, i), team, 0, ms)))
+		}
+	}
+	service := map[string]uint64{}
+	seq := uint64(0)
+	round := func(ms int) map[string]int {
+		seq++
+		r := report("e", seq)
+		for i := range tokens {
+			r.FreeTokens = append(r.FreeTokens, fmt.Sprint(seq, "-", i))
+		}
+		for team, s := range service {
+			r.Counters = append(r.Counters, Counter{Team: team, Cost: s, Normalized: s * millionths})
+		}
+		must.Eq(t, RefusedNone, q.Report(at(ms), r).Refused)
+		got := map[string]int{}
+		for _, g := range grantAll(q, at(ms), one) {
+			got[g.Ticket.Team]++
+			service[g.Ticket.Team] += cost
+		}
+		return got
+	}
+	enqueue("j", 1)
+	must.Eq(t, map[string]int{"j": tokens}, round(2))
+	enqueue("i", 3)
+	before := service["j"]
+	must.Eq(t, map[string]int{"i": tokens}, round(4))
+	must.Eq(t, map[string]int{"i": tokens}, round(5))
+	must.Eq(t, before, service["j"])
+	must.Eq(t, uint64(2*tokens*cost), service["i"])
+	must.Eq(t, map[string]int{"j": tokens}, round(6))
+}
--- a/coordination/fairqueue/queue.go
+++ b/coordination/fairqueue/queue.go
@@ -70,6 +70,7 @@
 		offering:  map[string]*instance{},
 		granted:   map[string]*grant{},
 		refreshed: now,
+		virtual:   1,
 	}
 }
 
@@ -180,8 +181,10 @@
 		if t.Attempt <= g.Ticket.Attempt {
 			return true
 		}
-		// A later attempt shows that the agent refused the earlier one.
-		q.endGrant(g)
+		// A later attempt shows that the agent refused the earlier one. The
+		// token stays with the grant until its dispatch and lease have ended.
+		q.endHint(g)
+		q.forgetRequest(g)
 	}
 	if w := q.tickets[t.Request]; w != nil {
 		if t.Attempt <= w.Attempt || w.Router != t.Router {
@@ -227,9 +230,9 @@
 }
 
 // applyRaise brings v to the virtual time after an idle period, and for a team
-// of which no account is known.
+// whose base isn't known.
 func (q *Queue) applyRaise(tm *team) {
-	unknown := !tm.known() && tm.idleSince.IsZero()
+	unknown := !tm.known()
 	if !tm.raise && !unknown {
 		return
 	}
@@ -238,7 +241,7 @@
 	if v >= q.virtual {
 		return
 	}
-	if unknown {
+	if unknown && !q.complete() {
 		tm.unproven = q.virtual - v
 	}
 	q.setBase(tm, tm.base+q.virtual-v)
--- a/coordination/fairqueue/queue_test.go
+++ b/coordination/fairqueue/queue_test.go
@@ -228,3 +228,290 @@
 		})
 	}
 }
+
+func virtualOf(q *Queue, team string) uint64 {
+	for _, t := range q.Teams() {
+		if t.Team == team {
+			return t.Virtual
+		}
+	}
+	return 0
+}
+
+// rebuilt returns a new owner's queue at 10 s with the given counters in the
+// full report of its only endpoint.
+func rebuilt(counters ...Counter) *Queue {
+	q := New(at(10_000), Options{})
+	q.SetEndpoints([]Endpoint{{Name: "e"}})
+	r := report("e", 1)
+	r.Counters, r.VirtualTime = counters, 1000
+	q.Report(at(10_001), r)
+	return q
+}
+
+// Guards against a new owner that loses what the old one knew: counters, bases
+// and virtual time count, a team that waited all along keeps its place, and
+// one that waited nowhere or isn't known starts at the virtual time.
+func TestNewOwnerRestoresAccounts(t *testing.T) {
+	cases := map[string]struct {
+		known    []Counter
+		queuedMs int
+		want     uint64
+	}{
+		"waited all along":     {[]Counter{{Team: "a", Cost: 5, Normalized: 300, Base: 400}}, 9_000, 700},
+		"was idle":             {[]Counter{{Team: "a", Cost: 5, Normalized: 300, Base: 400}}, 10_002, 1000},
+		"above virtual time":   {[]Counter{{Team: "a", Cost: 5, Normalized: 900, Base: 400}}, 10_002, 1300},
+		"unknown":              {nil, 9_000, 1000},
+		"base not known":       {[]Counter{{Team: "a", Cost: 5, Normalized: 300}}, 9_000, 1000},
+		"unknown and was idle": {nil, 10_002, 1000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := rebuilt(c.known...)
+			q.Enqueue(at(10_003), ticket("r", "a", 1, c.queuedMs))
+			must.Eq(t, c.want, virtualOf(q, "a"))
+		})
+	}
+}
+
+// Guards against counting charges twice: a raise stands for counters that the
+// new owner hasn't seen, and gives way when they arrive.
+func TestRaiseGivesWayToUnseenCounters(t *testing.T) {
+	q := New(at(10_000), Options{})
+	q.SetEndpoints([]Endpoint{{Name: "e"}, {Name: "late"}})
+	r := report("e", 1)
+	r.VirtualTime = 1000
+	q.Report(at(10_001), r)
+	q.Enqueue(at(10_002), ticket("r", "a", 1, 9_000))
+	q.Expire(at(11_500))
+	must.Eq(t, 1000, virtualOf(q, "a"))
+	r = report("late", 1)
+	r.Counters = []Counter{{Team: "a", Cost: 5, Normalized: 700}}
+	q.Report(at(11_501), r)
+	must.Eq(t, 1000, virtualOf(q, "a"))
+	r.Sequence, r.Counters = 2, []Counter{{Team: "a", Cost: 6, Normalized: 800}}
+	q.Report(at(11_502), r)
+	must.Eq(t, 1100, virtualOf(q, "a"))
+}
+
+// Guards against grants by an owner that lacks counters, and against waiting
+// forever for an endpoint that is down.
+func TestNewOwnerWaitsForFullReports(t *testing.T) {
+	q := newQueue(Options{}, "e", "f")
+	q.Enqueue(at(0), ticket("a", "a", 1, 0))
+	q.Report(at(0), report("e", 1, "t"))
+	_, ok := q.Next(at(100), one)
+	must.False(t, ok)
+	q.Report(at(900), report("e", 2, "t"))
+	_, ok = q.Next(at(1000), one)
+	must.True(t, ok)
+
+	q = newQueue(Options{}, "e", "f")
+	q.Enqueue(at(0), ticket("a", "a", 1, 0))
+	q.Report(at(0), report("e", 1, "t"))
+	q.Report(at(0), report("f", 1))
+	_, ok = q.Next(at(1), one)
+	must.True(t, ok)
+}
+
+// Guards against a team that pays or gains when a message about its ticket is
+// lost: it waited all along.
+func TestTicketThatComesBackKeepsItsPlace(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	q.Report(at(0), report("e", 1))
+	q.Enqueue(at(1), ticket("a1", "a", 10, 0))
+	for i := range 9 {
+		q.Enqueue(at(1), ticket(fmt.Sprint("b", i), "b", 10, 0))
+	}
+	q.Sync(at(2), "r1", "ri1", 1, nil, true)
+	before := virtualOf(q, "a")
+	q.Enqueue(at(3), ticket("b0", "b", 10, 0))
+	q.Report(at(3), report("e", 2, "t1"))
+	grantAll(q, at(3), one)
+	q.Enqueue(at(4), ticket("b1", "b", 10, 4))
+	q.Report(at(4), report("e", 3, "t1", "t2"))
+	grantAll(q, at(4), one)
+	must.Greater(t, before, q.virtual)
+	q.Sync(at(5), "r1", "ri1", 2, []Ticket{ticket("a1", "a", 10, 0)}, true)
+	must.Eq(t, before, virtualOf(q, "a"))
+}
+
+// Guards against messages of entry routers that undo later ones, and against
+// duplicates.
+func TestSync(t *testing.T) {
+	a, b := ticket("a", "t", 1, 0), ticket("b", "t", 1, 0)
+	again := a
+	again.Attempt = 2
+	type message struct {
+		instance string
+		sequence uint64
+		tickets  []Ticket
+		full     bool
+	}
+	cases := map[string]struct {
+		messages []message
+		want     int
+	}{
+		"partial messages add up":  {[]message{{"i", 2, []Ticket{b}, false}, {"i", 1, []Ticket{a}, false}}, 2},
+		"duplicates":               {[]message{{"i", 1, []Ticket{a}, false}, {"i", 2, []Ticket{a, a}, false}}, 1},
+		"full drops the rest":      {[]message{{"i", 1, []Ticket{a}, false}, {"i", 2, []Ticket{b}, true}}, 1},
+		"overtaken full":           {[]message{{"i", 2, []Ticket{a}, false}, {"i", 1, nil, true}}, 1},
+		"overtaken by full":        {[]message{{"i", 2, nil, true}, {"i", 1, []Ticket{a}, false}}, 0},
+		"full twice":               {[]message{{"i", 1, []Ticket{a}, true}, {"i", 1, nil, true}}, 1},
+		"later attempt replaces":   {[]message{{"i", 1, []Ticket{a}, false}, {"i", 2, []Ticket{again}, false}}, 1},
+		"restart drops":            {[]message{{"i", 5, []Ticket{a}, true}, {"j", 1, nil, false}}, 0},
+		"message of old instance":  {[]message{{"i", 5, nil, true}, {"j", 1, nil, true}, {"i", 6, []Ticket{a}, true}}, 0},
+		"restart begins its count": {[]message{{"i", 5, nil, true}, {"j", 1, []Ticket{a, b}, true}}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := newQueue(Options{}, "e")
+			for _, m := range c.messages {
+				must.SliceEmpty(t, q.Sync(at(1), "r", m.instance, m.sequence, m.tickets, m.full))
+			}
+			must.Eq(t, c.want, q.Waiting())
+		})
+	}
+}
+
+// Guards against a later attempt that is taken for a duplicate of one that the
+// agent refused, and against the opposite while a grant is on its way.
+func TestAttemptsOfGrantedRequests(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	first := ticket("a", "t", 10, 0)
+	q.Enqueue(at(1), first)
+	q.Report(at(1), report("e", 1, "t1"))
+	must.Len(t, 1, grantAll(q, at(1), one))
+	q.Enqueue(at(2), first)
+	must.Eq(t, 0, q.Waiting())
+	second := first
+	second.Attempt = 2
+	q.Enqueue(at(2), second)
+	must.Eq(t, 1, q.Waiting())
+	must.Eq(t, 0, q.Teams()[0].Running)
+	q.Enqueue(at(2), first)
+	must.Eq(t, 2, q.tickets["a"].Attempt)
+}
+
+// Guards against queues without bounds.
+func TestFullQueueRefuses(t *testing.T) {
+	q := newQueue(Options{MaxQueuedPerTeam: 1}, "e")
+	tickets := []Ticket{ticket("a", "t", 1, 0), ticket("b", "t", 1, 0), ticket("c", "u", 1, 0)}
+	must.Eq(t, []string{"b"}, q.Sync(at(1), "r", "i", 1, tickets, true))
+	q.Withdraw(at(2), "r", "i", []string{"a"})
+	must.SliceEmpty(t, q.Sync(at(3), "r", "i", 2, tickets[1:], true))
+}
+
+// Guards against hints that are charged with what was metered, or not at all.
+func TestOutstandingHints(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	q.Enqueue(at(1), ticket("a", "t", 100, 0))
+	base := virtualOf(q, "t")
+	q.Report(at(1), report("e", 1, "t1"))
+	g := grantAll(q, at(1), one)[0]
+	must.Eq(t, 100*millionths+1, virtualOf(q, "t"))
+	for sequence, metered := range []uint64{0, 30, 100, 150} {
+		r := report("e", uint64(sequence)+2)
+		r.Running = []Running{{Request: "a", Team: "t", Token: "t1", Hint: 100, Metered: metered, Weight: 1}}
+		r.Counters = []Counter{{Team: "t", Cost: metered, Normalized: metered * millionths}}
+		q.Report(at(2), r)
+		must.Eq(t, base+1+max(100, metered)*millionths, virtualOf(q, "t"))
+	}
+	q.Resolve(at(3), g, Gone)
+	must.Eq(t, base+1+150*millionths, virtualOf(q, "t"))
+}
+
+// Guards against a silent entry router that takes all tokens.
+func TestLostDispatchDropsTheRoutersTickets(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	q.Enqueue(at(1), ticket("a", "t", 1, 0))
+	q.Enqueue(at(1), ticket("b", "t", 1, 0))
+	other := ticket("c", "t", 1, 0)
+	other.Router = "r2"
+	q.Enqueue(at(1), other)
+	q.Report(at(1), report("e", 1, "t1"))
+	q.Resolve(at(2), grantAll(q, at(1), one)[0], Lost)
+	must.Eq(t, 1, q.Waiting())
+}
+
+// Guards against tickets and tokens of silent processes, and against counters
+// that are lost or counted twice when an agent is silent for long and returns.
+func TestSilence(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	q.Enqueue(at(1), ticket("a", "t", 1, 0))
+	r := report("e", 1, "t1")
+	r.Counters = []Counter{{Team: "t", Cost: 9, Normalized: 500}}
+	r.Running = []Running{{Team: "t", Token: "x", Hint: 1, Weight: 1}}
+	q.Report(at(1), r)
+	q.Expire(at(3_002))
+	must.Eq(t, 0, q.Waiting())
+	must.SliceEmpty(t, q.Endpoints())
+	must.Eq(t, 0, q.Teams()[0].Running)
+	v := virtualOf(q, "t")
+	q.Expire(at(60_002))
+	must.Eq(t, v, virtualOf(q, "t"))
+	must.Eq(t, v, q.teams["t"].base)
+	r.Sequence, r.Running, r.Counters[0].Normalized = 2, nil, 600
+	must.False(t, q.Report(at(70_000), r).WantFull)
+	must.Eq(t, v+100, virtualOf(q, "t"))
+}
+
+// Guards against credit without limit after counters were lost.
+func TestCreditLimit(t *testing.T) {
+	q := newQueue(Options{CreditLimit: 50}, "e")
+	r := report("e", 1)
+	r.Counters = []Counter{{Team: "high", Cost: 100, Normalized: 100 * millionths}}
+	q.Report(at(1), r)
+	q.Enqueue(at(1), ticket("a", "high", 1, 0))
+	q.Enqueue(at(1), ticket("b", "low", 1, 0))
+	q.Expire(at(2))
+	must.Eq(t, virtualOf(q, "high")-50*millionths, virtualOf(q, "low"))
+}
+
+// Guards against bases that no agent keeps, and against sending them forever.
+func TestBasesAreSentSeveralTimes(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	q.Report(at(0), report("e", 1))
+	q.Enqueue(at(1), ticket("a", "t", 1, 1))
+	for i := range baseCopies {
+		must.Eq(t, []TeamBase{{Team: "t", Base: 1}}, q.Report(at(2), report("e", uint64(i+2))).Bases)
+	}
+	must.SliceEmpty(t, q.Report(at(3), report("e", 100)).Bases)
+	q.Expire(at(60_001))
+	must.Len(t, 1, q.Report(at(60_002), report("e", 101)).Bases)
+}
+
+// Guards against placement that ignores the affinity key, the zone or the load.
+func TestPlacement(t *testing.T) {
+	q := newQueue(Options{}, "e", "f", "g")
+	place := func(affinity, zone string) string {
+		tk := ticket("r", "t", 1, 0)
+		tk.Affinity, tk.Zone = affinity, zone
+		q.Enqueue(at(1), tk)
+		g, ok := q.Next(at(1), one)
+		must.True(t, ok)
+		q.Resolve(at(1), g, Gone)
+		return g.Endpoint
+	}
+	for _, e := range []string{"e", "f", "g"} {
+		q.Report(at(1), report(e, 1, "t1", "t2"))
+	}
+	seen := map[string]bool{}
+	for i := range 20 {
+		key := fmt.Sprint("key", i)
+		seen[place(key, "z-e")] = true
+		must.Eq(t, place(key, "z-e"), place(key, "z-f"))
+	}
+	must.MapLen(t, 3, seen)
+	first := place("key", "z-e")
+	q.Report(at(1), report(first, 2))
+	tokens := []string{"t1", "t2"}
+	for _, e := range []string{"e", "f", "g"} {
+		if e != first {
+			must.Eq(t, e, place("key", "z-"+e))
+			tokens = append(tokens, "t"+e)
+			q.Report(at(1), report(e, 2, tokens...))
+			must.Eq(t, e, place("key", "none"))
+		}
+	}
+}
--- a/coordination/fairqueue/team.go
+++ b/coordination/fairqueue/team.go
@@ -76,8 +76,9 @@
 
 func (t *team) backlogged() bool { return len(t.tickets) > 0 }
 
-// known reports whether any account of the team has been seen.
-func (t *team) known() bool { return t.base > 0 || t.counters > 0 || t.outstanding > 0 }
+// known reports whether the base has been seen. Every base is above 0, because
+// the virtual time begins above 0.
+func (t *team) known() bool { return t.base > 0 }
 
 // teamHeap orders the backlogged teams. A fair queue orders by v, an FCFS
 // queue by the oldest ticket.
