Put the heap of teams in order once per grant

A report changes the account of many teams several times. The heap now orders by stored keys and takes the changes before it is used; selections of affinity keys are remembered until the endpoints change.

--- a/coordination/fairqueue/expire.go
+++ b/coordination/fairqueue/expire.go
@@ -105,7 +105,7 @@
 		return
 	}
 	var high uint64
-	for _, tm := range q.backlog.teams {
+	for _, tm := range q.backlogged() {
 		high = max(high, tm.v())
 	}
 	if high <= limit*millionths {
@@ -113,7 +113,7 @@
 	}
 	floor := high - limit*millionths
 	var low []*team
-	for _, tm := range q.backlog.teams {
+	for _, tm := range q.backlogged() {
 		if tm.v() < floor {
 			low = append(low, tm)
 		}
--- a/coordination/fairqueue/grant.go
+++ b/coordination/fairqueue/grant.go
@@ -63,13 +63,14 @@
 
 // pick returns the ticket to serve next, or nil if none waits.
 func (q *Queue) pick() *waiting {
-	if len(q.backlog.teams) == 0 {
+	backlog := q.backlogged()
+	if len(backlog) == 0 {
 		return nil
 	}
 	if q.opts.Ordering == RouterFair {
 		return q.pickByRouter()
 	}
-	return q.backlog.teams[0].tickets[0]
+	return backlog[0].tickets[0]
 }
 
 // pickByRouter takes the next router with tickets, its team with the smallest
@@ -125,12 +126,26 @@
 	if key == "" {
 		key = w.Team
 	}
-	if in := q.offering[rendezvous.Choose(key, q.eligibleNames())]; in != nil {
+	if in := q.offering[q.home(key)]; in != nil {
 		return in
 	}
 	return q.placeNear(w.Zone)
 }
 
+// home returns the endpoint that an affinity key selects.
+func (q *Queue) home(key string) string {
+	names := q.eligibleNames()
+	if name, ok := q.homes[key]; ok {
+		return name
+	}
+	if len(q.homes) >= maxHomes {
+		clear(q.homes)
+	}
+	name := rendezvous.Choose(key, names)
+	q.homes[key] = name
+	return name
+}
+
 func (q *Queue) placeRandom() *instance {
 	names := make([]string, 0, len(q.offering))
 	for name := range q.offering {
@@ -167,6 +182,7 @@
 	if q.eligible != nil {
 		return q.eligible
 	}
+	clear(q.homes)
 	q.eligible = make([]string, 0, len(q.agents))
 	for name, in := range q.agents {
 		if in.live && !in.draining && !q.known[name].Draining {
@@ -201,7 +217,7 @@
 	}
 	tm.outstanding += g.amount
 	tm.requests++
-	q.backlog.update(tm)
+	q.touch(tm)
 	in.grants[token] = g
 	q.granted[w.Request] = g
 	return g.Grant
@@ -273,7 +289,7 @@
 	g.open = false
 	g.team.outstanding -= g.amount
 	g.team.requests--
-	q.backlog.update(g.team)
+	q.touch(g.team)
 }
 
 func (q *Queue) forgetRequest(g *grant) {
--- a/coordination/fairqueue/queue.go
+++ b/coordination/fairqueue/queue.go
@@ -17,6 +17,8 @@
 
 	teams   map[string]*team
 	backlog teamHeap
+	// dirty lists the teams whose place in the heap must be checked.
+	dirty   []*team
 	tickets map[string]*waiting
 	routers map[string]*router
 	// lastRouter is the router that RouterFair served last.
@@ -29,8 +31,10 @@
 	offering map[string]*instance
 	// eligible lists the endpoints that affinity selects from; nil if it must be made again.
 	eligible []string
-	granted  map[string]*grant
-	serial   uint64
+	// homes holds the selections of affinity keys from eligible.
+	homes   map[string]string
+	granted map[string]*grant
+	serial  uint64
 
 	// bases lists the teams whose bases go out with the next replies.
 	bases     []*team
@@ -61,7 +65,6 @@
 		opts:      opts,
 		started:   now,
 		teams:     map[string]*team{},
-		backlog:   teamHeap{fcfs: opts.Ordering == FCFS},
 		tickets:   map[string]*waiting{},
 		routers:   map[string]*router{},
 		known:     map[string]Endpoint{},
@@ -69,6 +72,7 @@
 		instances: map[string]*instance{},
 		offering:  map[string]*instance{},
 		granted:   map[string]*grant{},
+		homes:     map[string]string{},
 		refreshed: now,
 		virtual:   1,
 	}
@@ -211,7 +215,7 @@
 	heap.Push(&tm.tickets, w)
 	q.tickets[t.Request] = w
 	r.tickets[t.Request] = w
-	q.backlog.update(tm)
+	q.touch(tm)
 }
 
 // begin starts a backlogged period of a team. If the ticket was queued before
@@ -254,7 +258,7 @@
 	if tm.unproven == 0 {
 		q.announce(tm)
 	}
-	q.backlog.update(tm)
+	q.touch(tm)
 }
 
 func (q *Queue) announce(tm *team) {
@@ -277,7 +281,7 @@
 		tm.idleSince = now
 		tm.raise = false
 	}
-	q.backlog.update(tm)
+	q.touch(tm)
 }
 
 // team returns the account of a team, or nil if the table is full.
--- a/coordination/fairqueue/report.go
+++ b/coordination/fairqueue/report.go
@@ -149,7 +149,7 @@
 	if r.VirtualTime > maxVirtual {
 		return RefusedImpossibleCost
 	}
-	teams := map[string]bool{}
+	teams := make(map[string]bool, len(r.Counters))
 	for _, c := range r.Counters {
 		if teams[c.Team] {
 			return RefusedDuplicate
@@ -159,16 +159,22 @@
 			return refusal
 		}
 	}
-	for _, run := range r.Running {
-		teams[run.Team] = true
+	return q.checkNewTeams(r)
+}
+
+func (q *Queue) checkNewTeams(r *Report) Refusal {
+	created := map[string]bool{}
+	for _, c := range r.Counters {
+		if q.teams[c.Team] == nil {
+			created[c.Team] = true
+		}
 	}
-	created := 0
-	for name := range teams {
-		if q.teams[name] == nil {
-			created++
+	for _, run := range r.Running {
+		if q.teams[run.Team] == nil {
+			created[run.Team] = true
 		}
 	}
-	if len(q.teams)+created > MaxTeams {
+	if len(q.teams)+len(created) > MaxTeams {
 		return RefusedTableFull
 	}
 	return RefusedNone
@@ -235,7 +241,7 @@
 			tm.prove(added)
 		}
 		tm.base = max(tm.base, c.Base)
-		q.backlog.update(tm)
+		q.touch(tm)
 	}
 }
 
@@ -273,7 +279,7 @@
 		charge.team.outstanding += charge.amount
 		charge.team.requests++
 		in.running[run.Token] = charge
-		q.backlog.update(charge.team)
+		q.touch(charge.team)
 	}
 }
 
@@ -281,7 +287,7 @@
 	for _, charge := range in.running {
 		charge.team.outstanding -= charge.amount
 		charge.team.requests--
-		q.backlog.update(charge.team)
+		q.touch(charge.team)
 	}
 	clear(in.running)
 }
--- a/coordination/fairqueue/team.go
+++ b/coordination/fairqueue/team.go
@@ -57,8 +57,11 @@
 	// requests counts granted and running requests.
 	requests int
 	tickets  ticketHeap
-	// index is the place in the heap of backlogged teams, or -1.
+	// index is the place in the heap of backlogged teams, or -1, and key its
+	// order there. Both lag behind while dirty is set.
 	index int
+	key   uint64
+	dirty bool
 	// idleSince is the time since which no ticket waited; unknown before the first.
 	idleSince time.Time
 	// raise is set while a raise of the base waits for the end of the rebuild.
@@ -80,23 +83,6 @@
 // the virtual time begins above 0.
 func (t *team) known() bool { return t.base > 0 }
 
-// teamHeap orders the backlogged teams. A fair queue orders by v, an FCFS
-// queue by the oldest ticket.
-type teamHeap struct {
-	teams []*team
-	fcfs  bool
-}
-
-func (h *teamHeap) Len() int { return len(h.teams) }
-
-func (h *teamHeap) Less(i, j int) bool {
-	a, b := h.teams[i], h.teams[j]
-	if h.fcfs {
-		return queuedBefore(a.tickets[0], b.tickets[0])
-	}
-	return servedBefore(a, b)
-}
-
 // servedBefore orders by v; ties are broken by name.
 func servedBefore(a, b *team) bool {
 	if va, vb := a.v(), b.v(); va != vb {
@@ -105,36 +91,80 @@
 	return a.name < b.name
 }
 
-func (h *teamHeap) Swap(i, j int) {
-	h.teams[i], h.teams[j] = h.teams[j], h.teams[i]
-	h.teams[i].index, h.teams[j].index = i, j
+// teamHeap orders the backlogged teams by their keys, which change only while
+// the heap is put in order; ties are broken by name.
+type teamHeap []*team
+
+func (h teamHeap) Len() int { return len(h) }
+
+func (h teamHeap) Less(i, j int) bool {
+	if h[i].key != h[j].key {
+		return h[i].key < h[j].key
+	}
+	return h[i].name < h[j].name
+}
+
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
 }
 
 func (h *teamHeap) Push(x any) {
 	t := x.(*team)
-	t.index = len(h.teams)
-	h.teams = append(h.teams, t)
+	t.index = len(*h)
+	*h = append(*h, t)
 }
 
 func (h *teamHeap) Pop() any {
-	last := len(h.teams) - 1
-	t := h.teams[last]
-	h.teams[last] = nil
-	h.teams = h.teams[:last]
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
 	t.index = -1
 	return t
 }
 
-// update puts a team in its place after its tickets or its v changed.
-func (h *teamHeap) update(t *team) {
-	switch {
-	case t.backlogged() && t.index < 0:
-		heap.Push(h, t)
-	case t.backlogged():
-		heap.Fix(h, t.index)
-	case t.index >= 0:
-		heap.Remove(h, t.index)
+// touch notes that a team's tickets or its v changed. A report changes many
+// teams several times; the heap is put in order once, before it is used.
+func (q *Queue) touch(t *team) {
+	if !t.dirty {
+		t.dirty = true
+		q.dirty = append(q.dirty, t)
+	}
+}
+
+// backlogged returns the heap of backlogged teams in order.
+func (q *Queue) backlogged() teamHeap {
+	for i, t := range q.dirty {
+		t.dirty = false
+		q.dirty[i] = nil
+		q.reorder(t)
+	}
+	q.dirty = q.dirty[:0]
+	return q.backlog
+}
+
+func (q *Queue) reorder(t *team) {
+	if !t.backlogged() {
+		if t.index >= 0 {
+			heap.Remove(&q.backlog, t.index)
+		}
+		return
+	}
+	t.key = q.keyOf(t)
+	if t.index < 0 {
+		heap.Push(&q.backlog, t)
+		return
+	}
+	heap.Fix(&q.backlog, t.index)
+}
+
+// keyOf is v, or the time of the oldest ticket in an FCFS queue.
+func (q *Queue) keyOf(t *team) uint64 {
+	if q.opts.Ordering == FCFS {
+		return uint64(t.tickets[0].QueuedAt.UnixNano())
 	}
+	return t.v()
 }
 
 // normalize divides a cost by a weight, in millionths.
--- a/coordination/fairqueue/types.go
+++ b/coordination/fairqueue/types.go
@@ -80,6 +80,8 @@
 	// baseCopies is the number of replies that carry a changed base. Several
 	// agents then hold it, and the loss of some of them or of a reply does no harm.
 	baseCopies = 8
+	// maxHomes bounds the remembered selections of affinity keys.
+	maxHomes = 1 << 16
 	// maxVirtual bounds a base and the sum of a team's counters, in
 	// millionths, so that v never overflows.
 	maxVirtual = 1 << 61
