--- a/coordination/fairqueue/queue.go
+++ b/coordination/fairqueue/queue.go
@@ -17,6 +17,8 @@
 
 	teams   map[string]*team
 	backlog teamHeap
+	// dirty lists the teams whose place in the heap must be checked.
+	dirty   []*team
 	tickets map[string]*waiting
 	routers map[string]*router
 	// lastRouter is the router that RouterFair served last.
@@ -29,8 +31,10 @@
 	offering map[string]*instance
 	// eligible lists the endpoints that affinity selects from; nil if it must be made again.
 	eligible []string
-	granted  map[string]*grant
-	serial   uint64
+	// homes holds the selections of affinity keys from eligible.
+	homes   map[string]string
+	granted map[string]*grant
+	serial  uint64
 
 	// bases lists the teams whose bases go out with the next replies.
 	bases     []*team
@@ -61,7 +65,6 @@
 		opts:      opts,
 		started:   now,
 		teams:     map[string]*team{},
-		backlog:   teamHeap{fcfs: opts.Ordering == FCFS},
 		tickets:   map[string]*waiting{},
 		routers:   map[string]*router{},
 		known:     map[string]Endpoint{},
@@ -69,7 +72,9 @@
 		instances: map[string]*instance{},
 		offering:  map[string]*instance{},
 		granted:   map[string]*grant{},
+		homes:     map[string]string{},
 		refreshed: now,
+		virtual:   1,
 	}
 }
 
@@ -180,8 +185,10 @@
 		if t.Attempt <= g.Ticket.Attempt {
 			return true
 		}
-		// A later attempt shows that the agent refused the earlier one.
-		q.endGrant(g)
+		// A later attempt shows that the agent refused the earlier one. The
+		// token stays with the grant until its dispatch and lease have ended.
+		q.endHint(g)
+		q.forgetRequest(g)
 	}
 	if w := q.tickets[t.Request]; w != nil {
 		if t.Attempt <= w.Attempt || w.Router != t.Router {
@@ -208,7 +215,7 @@
 	heap.Push(&tm.tickets, w)
 	q.tickets[t.Request] = w
 	r.tickets[t.Request] = w
-	q.backlog.update(tm)
+	q.touch(tm)
 }
 
 // begin starts a backlogged period of a team. If the ticket was queued before
@@ -227,9 +234,9 @@
 }
 
 // applyRaise brings v to the virtual time after an idle period, and for a team
-// of which no account is known.
+// whose base isn't known.
 func (q *Queue) applyRaise(tm *team) {
-	unknown := !tm.known() && tm.idleSince.IsZero()
+	unknown := !tm.known()
 	if !tm.raise && !unknown {
 		return
 	}
@@ -238,7 +245,7 @@
 	if v >= q.virtual {
 		return
 	}
-	if unknown {
+	if unknown && !q.complete() {
 		tm.unproven = q.virtual - v
 	}
 	q.setBase(tm, tm.base+q.virtual-v)
@@ -251,7 +258,7 @@
 	if tm.unproven == 0 {
 		q.announce(tm)
 	}
-	q.backlog.update(tm)
+	q.touch(tm)
 }
 
 func (q *Queue) announce(tm *team) {
@@ -274,7 +281,7 @@
 		tm.idleSince = now
 		tm.raise = false
 	}
-	q.backlog.update(tm)
+	q.touch(tm)
 }
 
 // team returns the account of a team, or nil if the table is full.
