Agents pause while their endpoint is down and follow it to another service

An endpoint that refused a connection would otherwise seem to be always free and draw requests away from the others; slots are offered again once it takes a connection. When an endpoint's object names another service, the agent ends its work, keeps the counters of the old service and offers slots to the new owner. An attempt that meets an earlier one in progress is refused with not-run, since its router knows of the earlier one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -44,12 +44,14 @@
 	platform *http.Client
 	keys     *logclient.Client
 	endpoint *endpointClient
-	contacts *contacts
-	fencing  fencing
-	pool     *pool
-	reporter *reporter
-	counts   *counts
-	limiter  observability.Limiter
+	// unreachable is signalled when the endpoint takes no connection.
+	unreachable chan struct{}
+	contacts    *contacts
+	fencing     fencing
+	pool        *pool
+	reporter    *reporter
+	counts      *counts
+	limiter     observability.Limiter
 
 	ahead struct {
 		mu sync.Mutex
@@ -90,6 +92,7 @@
 		config:        configstore.New(),
 		platform:      newPlatformClient(),
 		endpoint:      newEndpointClient(s.EndpointURL),
+		unreachable:   make(chan struct{}, 1),
 		contacts:      newContacts(s.routers()),
 		fleetListener: fleetListener,
 		adminListener: adminListener,
@@ -103,7 +106,7 @@
 	if a.identity.Address == "" {
 		a.identity.Address = fleetListener.Addr().String()
 	}
-	a.pool = newPool(slots.New(slots.Params{Instance: a.identity.Instance, StartTimeout: s.StartTimeout}))
+	a.pool = newPool(slots.Params{Instance: a.identity.Instance, StartTimeout: s.StartTimeout})
 	a.counts = newCounts(a.pool)
 	hc := fleethttp.NewTraffic(a.counts.registry).Client(fleethttp.NewClient(client))
 	a.caller = fleetrpc.NewCaller(a.identity, a.config, hc, fleethttp.Scheme(client))
@@ -172,6 +175,7 @@
 	group.Go(func() error { return a.followConfig(ctx) })
 	group.Go(func() error { return a.followHosts(ctx) })
 	group.Go(func() error { return a.fetchFencingNumber(ctx) })
+	group.Go(func() error { return a.followEndpoint(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		defer a.closeServers()
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -14,12 +14,16 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/acaciaspar/acaciaspar/coordination/slots"
 	"github.com/acaciaspar/acaciaspar/protocol/work"
 	"github.com/acaciaspar/acaciaspar/state/objects"
 )
 
 const (
 	endpointDialTimeout = 2 * time.Second
+	// probeInterval is the time between two attempts to reach an endpoint that
+	// has refused a connection.
+	probeInterval = 250 * time.Millisecond
 	// maxAnswerHeaderBytes bounds the header of an endpoint's answer.
 	maxAnswerHeaderBytes = 64 << 10
 )
@@ -42,6 +46,7 @@
 type endpointClient struct {
 	base      string
 	transport *http.Transport
+	dialer    *net.Dialer
 }
 
 type startLimitKey struct{}
@@ -51,7 +56,8 @@
 	protocols.SetHTTP1(true)
 	dialer := &net.Dialer{Timeout: endpointDialTimeout}
 	return &endpointClient{
-		base: strings.TrimRight(base, "/"),
+		base:   strings.TrimRight(base, "/"),
+		dialer: dialer,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				return dialBeforeLimit(ctx, dialer, network, address)
@@ -78,6 +84,57 @@
 	return conn, nil
 }
 
+// reachable reports whether the endpoint takes connections.
+func (e *endpointClient) reachable(ctx context.Context) bool {
+	target, err := url.Parse(e.base)
+	if err != nil {
+		return false
+	}
+	port := target.Port()
+	if port == "" {
+		port = target.Scheme
+	}
+	conn, err := e.dialer.DialContext(ctx, "tcp", net.JoinHostPort(target.Hostname(), port))
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// isDialError reports whether no connection could be opened.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// noteUnreachable stops the offering of slots until followEndpoint has reached
+// the endpoint.
+func (a *Agent) noteUnreachable() {
+	a.setStop(slots.StopUnreachable, true, "endpoint unreachable")
+	select {
+	case a.unreachable <- struct{}{}:
+	default:
+	}
+}
+
+// followEndpoint has slots offered again once an endpoint that refused a
+// connection takes them again. Without that pause an endpoint that is down
+// would draw requests away from the others, since it seems to be always free.
+func (a *Agent) followEndpoint(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.unreachable:
+		}
+		for ctx.Err() == nil && !a.endpoint.reachable(ctx) {
+			sleep(ctx, probeInterval)
+		}
+		a.setStop(slots.StopUnreachable, false, "endpoint unreachable")
+	}
+}
+
 // call describes one request to the endpoint.
 type call struct {
 	header *work.Header
--- a/agent/loops_test.go
+++ b/agent/loops_test.go
@@ -199,3 +199,33 @@
 	eventually(t, "reports at the second owner", func() bool { return len(second.last().FreeTokens) == 1 })
 	second.set(func(r *fakeRouter) { must.True(t, r.reports[0].Full) })
 }
+
+// Guards against work of one service that is counted for another, against
+// counters that restart, and against an agent that stays with its old service.
+func TestEndpointMovesBetweenServices(t *testing.T) {
+	g := newGate(t)
+	f := start(t, options{handler: g.ServeHTTP})
+	resp, err := f.send(t.Context(), f.header(f.token()))
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	<-g.arrived
+	f.object.Service = "other"
+	f.router.publish(f.object, objects.ModelService)
+	eventually(t, "the move", func() bool { return f.stopped() == slots.StopMoving })
+	must.Eq(t, "svc", f.router.last().Service)
+	g.release()
+	_, err = io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	eventually(t, "a report of the new service", func() bool { return f.router.last().Service == "other" })
+	must.Nil(t, f.counter("a"))
+	h := f.header(f.token())
+	h.Service = "other"
+	resp, _ = f.exchange(h)
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	f.object.Service = "svc"
+	f.router.publish(f.object, objects.ModelService)
+	eventually(t, "the counters of the first service", func() bool {
+		last := f.router.last()
+		return last.Service == "svc" && len(last.Counters) == 1 && last.Counters[0].Cost == 2 && len(last.FreeTokens) == 1
+	})
+}
--- a/agent/pool.go
+++ b/agent/pool.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,12 +11,61 @@
 // pool guards the table of slots and wakes those who wait for a change of it.
 type pool struct {
 	mu      sync.Mutex
+	params  slots.Params
 	table   *slots.Table
 	changed chan struct{}
+	// service is the one that table belongs to; earlier holds the tables of
+	// services that the endpoint has left, whose counters must not restart.
+	service string
+	earlier map[string]*slots.Table
 }
 
-func newPool(table *slots.Table) *pool {
-	return &pool{table: table, changed: make(chan struct{})}
+func newPool(params slots.Params) *pool {
+	return &pool{
+		params:  params,
+		table:   slots.New(params),
+		changed: make(chan struct{}),
+		earlier: map[string]*slots.Table{},
+	}
+}
+
+// moveTo makes the table belong to service and reports whether it does. An
+// endpoint that moves from another service first ends its work there.
+func (p *pool) moveTo(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.service == service && p.table.Stopped()&slots.StopMoving == 0 {
+		return true
+	}
+	defer p.wake()
+	if p.service == "" || p.service == service {
+		p.service = service
+		p.table.Resume(slots.StopMoving)
+		return true
+	}
+	p.table.Drain(slots.StopMoving)
+	if p.table.Held() > 0 {
+		return false
+	}
+	p.switchTable(service)
+	return true
+}
+
+func (p *pool) switchTable(service string) {
+	old := p.table
+	p.earlier[p.service] = old
+	next := p.earlier[service]
+	if next == nil {
+		params := p.params
+		// Tokens of different tables must have different names.
+		params.Instance = fmt.Sprintf("%s.%d", params.Instance, len(p.earlier))
+		next = slots.New(params)
+	}
+	delete(p.earlier, service)
+	p.service, p.table = service, next
+	next.Resume(^slots.Stop(0))
+	next.Drain(old.Stopped() &^ slots.StopMoving)
+	next.Resize(old.Size())
 }
 
 // read runs f with the table. f must not do anything that lets a waiting request start.
--- a/agent/report.go
+++ b/agent/report.go
@@ -35,6 +35,7 @@
 	// flushes asks for a report at once; the channel is closed after it.
 	flushes chan chan struct{}
 
+	service  string
 	owner    string
 	failures int
 	wantFull bool
@@ -90,7 +91,7 @@
 // round brings one report to the owner, following replies that name another.
 func (r *reporter) round(ctx context.Context) {
 	endpoint, _ := r.agent.objects()
-	if endpoint == nil {
+	if endpoint == nil || !r.moveTo(endpoint.Service) {
 		return
 	}
 	if r.owner == "" || r.failures >= failuresBeforeSearch {
@@ -103,6 +104,19 @@
 	}
 }
 
+// moveTo follows the endpoint to its service and reports whether it serves it.
+// Work of an earlier service must end first. Meanwhile no report is sent: the
+// owner of the earlier service would refuse it, since the endpoint has left.
+func (r *reporter) moveTo(service string) bool {
+	if !r.agent.pool.moveTo(service) {
+		return false
+	}
+	if r.service != service {
+		r.service, r.owner, r.failures, r.wantFull = service, "", 0, false
+	}
+	return true
+}
+
 // send makes one report. It returns true if the reply named another owner.
 func (r *reporter) send(ctx context.Context, service string) bool {
 	a := r.agent
--- a/agent/work.go
+++ b/agent/work.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -109,8 +110,12 @@
 // refuse answers that the request was not run.
 func (a *Agent) refuse(w http.ResponseWriter, r *http.Request, id, reason string, status int, text string) {
 	a.counts.refused(reason)
-	if a.limiter.Allow(time.Now(), r.RemoteAddr, reason) {
-		a.log.Warn("work refused", "reason", reason, "detail", text, "source", r.RemoteAddr, "request", id)
+	source, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		source = r.RemoteAddr
+	}
+	if a.limiter.Allow(time.Now(), source, reason) {
+		a.log.Warn("work refused", "reason", reason, "detail", text, "source", source, "request", id)
 	}
 	a.answer(w, outcome.New(outcome.NotRun, status, id, text))
 }
@@ -200,6 +205,9 @@
 		return
 	}
 	if !sent {
+		if isDialError(err) {
+			j.agent.noteUnreachable()
+		}
 		j.agent.refuse(w, r, j.header.Request, "endpoint-unreachable", http.StatusServiceUnavailable,
 			"the endpoint could not be reached: "+err.Error())
 		return
--- a/coordination/slots/refusal.go
+++ b/coordination/slots/refusal.go
@@ -17,11 +17,13 @@
 	Draining Reason = "draining"
 	// Superseded agents have been replaced by a later instance.
 	Superseded Reason = "superseded"
-	// NotReady agents have no configuration or no fencing number yet.
+	// NotReady agents lack something that they need for work, such as a
+	// configuration or an endpoint that takes connections.
 	NotReady Reason = "not-ready"
 	// Duplicate means that this attempt, or a later one, was accepted before.
 	Duplicate Reason = "duplicate"
-	// InProgress means that another attempt of the request has not ended.
+	// InProgress means that an earlier attempt of the request has not ended.
+	// This attempt was not run; its router knows of the earlier one.
 	InProgress Reason = "in-progress"
 	// TooManyTeams means that the table of counters is full and no entry may be folded.
 	TooManyTeams Reason = "too-many-teams"
@@ -43,8 +45,6 @@
 	return fmt.Sprintf("request %s refused: %s", r.Request, r.Reason)
 }
 
-// MayHaveRun reports whether the request may be running or may have run at
-// this agent, so that "not-run" would be a false answer.
-func (r *Refusal) MayHaveRun() bool {
-	return r.Reason == Duplicate || r.Reason == InProgress
-}
+// MayHaveRun reports whether this attempt may be running or may have run, so
+// that "not-run" would be a false answer.
+func (r *Refusal) MayHaveRun() bool { return r.Reason == Duplicate }
--- a/coordination/slots/table.go
+++ b/coordination/slots/table.go
@@ -36,6 +36,10 @@
 	StopSuperseded
 	// StopFenced is set once the endpoint has refused the fencing number.
 	StopFenced
+	// StopUnreachable is set while the endpoint takes no connections.
+	StopUnreachable
+	// StopMoving is set while the endpoint moves to another service.
+	StopMoving
 )
 
 const (
@@ -123,6 +127,9 @@
 	t.fill()
 }
 
+// Size returns the number of slots and of prefetched requests.
+func (t *Table) Size() (slots, prefetch uint32) { return uint32(t.slots), uint32(t.prefetch) }
+
 // SetOwner binds new tokens to the queue owner at address and cancels those
 // that were offered to another.
 func (t *Table) SetOwner(address string) {
