--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,20 +14,37 @@
 pids=()
 names=()
 
-# stop_all ends the processes in the order of their start, one at a time, and
+# stop_matching PATTERN ends the processes whose names match, all at once, and
 # fails if one doesn't exit with 0.
-stop_all() {
+stop_matching() {
   local failed=0 i code
   for i in "${!pids[@]}"; do
+    if [[ ${names[$i]} == $1 ]]; then
+      kill -TERM "${pids[$i]}" 2>/dev/null || true
+    fi
+  done
+  for i in "${!pids[@]}"; do
+    if [[ ${names[$i]} != $1 ]]; then
+      continue
+    fi
     code=0
-    kill -TERM "${pids[$i]}" 2>/dev/null || true
     wait "${pids[$i]}" || code=$?
     if [[ $code -ne 0 ]]; then
       echo "${names[$i]} exited with $code; its log ends:" >&2
       tail -n 5 "$work/${names[$i]}.log" >&2
       failed=1
     fi
+    unset "pids[$i]" "names[$i]"
   done
+  return $failed
+}
+
+# stop_all ends agents before routers and routers before stand-ins.
+stop_all() {
+  local failed=0
+  stop_matching 'agent-*' || failed=1
+  stop_matching 'router-*' || failed=1
+  stop_matching '*' || failed=1
   pids=()
   names=()
   return $failed
@@ -126,10 +143,11 @@
   fi
 
   echo "== $fleet: status"
+  # Agents report to the queue owner every 500 ms.
+  sleep 2
   bin/acaciaspar status -fleet "$fleet" -routers "$peers"
 
   echo "== $fleet: stopping"
-  reorder_for_stop
   stop_all
 }
 
@@ -139,17 +157,6 @@
     -endpoint-url "http://$(address "$4" listen)" -routers "$peers" -log-url "$log" -hosts-url "$hosts"
 }
 
-# reorder_for_stop puts agents before routers and routers before stand-ins.
-reorder_for_stop() {
-  local i ordered_pids=() ordered_names=()
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    ordered_pids+=("${pids[$i]}")
-    ordered_names+=("${names[$i]}")
-  done
-  pids=("${ordered_pids[@]}")
-  names=("${ordered_names[@]}")
-}
-
 deployment lakeshore strand-assist post-desk /labels superior-mills thimble-club duluth toledo kingston
 deployment kagaj batti-llm order-desk /bookings lokta-press night-market lalitpur patan kirtipur
 echo "== done"
--- a/testbed/cmd/acaciaspar-call/main.go
+++ b/testbed/cmd/acaciaspar-call/main.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -26,6 +27,8 @@
 // retryPause is the time between two attempts that did not run.
 const retryPause = 200 * time.Millisecond
 
+var errNotAnswered = errors.New("the answer is not the endpoint's own")
+
 type options struct {
 	URL    string        `flag:"url" usage:"address of the request, such as http://HOST:PORT/SERVICE/PATH"`
 	Token  string        `flag:"token" usage:"the team's bearer token" secret:"true"`
@@ -100,12 +103,13 @@
 
 func show(resp *http.Response) error {
 	defer resp.Body.Close()
-	if kind := resp.Header.Get(outcome.Header); kind != "" {
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
+	if resp.Header.Get(outcome.Header) != "" {
+		var o outcome.Outcome
+		if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
 			return eris.Wrap(err, "read the outcome")
 		}
-		return eris.Errorf("status %d, outcome %s: %s", resp.StatusCode, kind, strings.TrimSpace(string(body)))
+		fmt.Printf("%d %s: %s\n", resp.StatusCode, o.Kind, o.Reason)
+		return errNotAnswered
 	}
 	fmt.Printf("%d ", resp.StatusCode)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
