--- a/router/configfollow/follower.go
+++ b/router/configfollow/follower.go
@@ -84,6 +84,8 @@
 	// sinceSnapshot counts accepted publications after the last snapshot.
 	sinceSnapshot int
 	lastSnapshot  time.Time
+	// nextSnapshot is the earliest time of the next attempt.
+	nextSnapshot time.Time
 }
 
 // New returns a follower; Run starts its work.
@@ -161,6 +163,9 @@
 
 func (f *Follower) logFailed(err error) {
 	f.count("config.log_errors")
+	f.mu.Lock()
+	f.atEnd = false
+	f.mu.Unlock()
 	if f.limiter.Allow(time.Now(), "log", "read") {
 		f.options.Logger.Warn("the configuration stream can't be read", "error", err.Error())
 	}
@@ -297,12 +302,16 @@
 	f.mu.Lock()
 	f.behind = f.state != nil
 	f.mu.Unlock()
-	state, verdicts, err := f.derive(ctx)
+	beginning, end, err := f.offsets(ctx)
+	if err != nil {
+		return err
+	}
+	state, verdicts, err := f.derive(ctx, beginning, end)
 	if err != nil {
 		return err
 	}
 	if !f.adopt(state, verdicts) {
-		return errNotHigher
+		return f.checkPlace(beginning, end)
 	}
 	for _, v := range verdicts {
 		f.report(v)
@@ -312,11 +321,17 @@
 	return nil
 }
 
-func (f *Follower) derive(ctx context.Context) (*publication.State, []publication.Verdict, error) {
-	beginning, end, err := f.offsets(ctx)
-	if err != nil {
-		return nil, nil, err
+// checkPlace returns an error if the state can't be continued from the
+// retained records. It can if a peer has delivered a state in the meantime.
+func (f *Follower) checkPlace(beginning, end int64) error {
+	next, ok := f.nextOffset()
+	if !ok || next < beginning || next > end {
+		return errNotHigher
 	}
+	return nil
+}
+
+func (f *Follower) derive(ctx context.Context, beginning, end int64) (*publication.State, []publication.Verdict, error) {
 	retained, err := f.options.Log.ReadRange(ctx, publication.Topic, beginning, end)
 	if err != nil {
 		return nil, nil, err
--- a/router/configfollow/follower_test.go
+++ b/router/configfollow/follower_test.go
@@ -278,6 +278,33 @@
 	must.Eq(t, 3, cut.store.Version())
 }
 
+// Guards against going back: to an older version, to an earlier place in the
+// log, or to other content of the same version.
+func TestAdoptNeverGoesBack(t *testing.T) {
+	one := objects.NewSet(&objects.Team{Name: "one"})
+	two := objects.NewSet(&objects.Team{Name: "two"})
+	state := func(version uint64, set *objects.Set, next int64) *publication.State {
+		return publication.Restore(version, set, next, nil)
+	}
+	for _, c := range []struct {
+		have, offered *publication.State
+		want          bool
+	}{
+		{nil, state(0, one, 0), true},
+		{state(5, one, 9), state(6, two, 10), true},
+		{state(5, one, 9), state(6, two, 8), false},
+		{state(5, one, 9), state(4, two, 10), false},
+		{state(5, one, 9), state(5, two, 10), false},
+		{state(5, one, 9), state(5, one, 10), true},
+		{state(5, one, 9), state(5, one, 9), false},
+	} {
+		f := New(Options{State: c.have})
+		must.Eq(t, c.want, f.adopt(c.offered, nil))
+		g := New(Options{State: c.have})
+		must.Eq(t, c.want, g.adoptFromPeer(g.base(), c.offered, nil))
+	}
+}
+
 // Guards against taking a configuration that a peer can't prove, and against
 // serving another fleet.
 func TestRepliesAreVerified(t *testing.T) {
--- a/router/configfollow/snapshot.go
+++ b/router/configfollow/snapshot.go
@@ -7,6 +7,10 @@
 	"github.com/acaciaspar/acaciaspar/coordination/publication"
 )
 
+// snapshotRetry is the time between two attempts after a failure. Encoding a
+// snapshot of 18,000 teams takes about 100 ms of a core.
+const snapshotRetry = 10 * time.Second
+
 // followSnapshots appends snapshots. It doesn't share a loop with the reads,
 // because an append may take long.
 func (f *Follower) followSnapshots(ctx context.Context) error {
@@ -32,12 +36,15 @@
 	defer cancel()
 	_, err = f.options.Log.Append(ctx, publication.Topic, record)
 	if err != nil {
-		// A snapshot that was appended all the same does no harm, so it is
-		// tried again at the next poll.
+		// A snapshot that was appended all the same does no harm, so another
+		// attempt is safe.
 		f.count("config.snapshot_errors")
 		if f.limiter.Allow(now, "log", "snapshot") {
 			f.options.Logger.Warn("snapshot not appended", "error", err.Error())
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.nextSnapshot = now.Add(snapshotRetry)
 		return
 	}
 	f.count("config.snapshots_appended")
@@ -50,7 +57,7 @@
 func (f *Follower) snapshotDue(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state == nil || f.state.NextOffset == 0 || !f.atEnd {
+	if f.state == nil || f.state.NextOffset == 0 || !f.atEnd || now.Before(f.nextSnapshot) {
 		return false
 	}
 	return f.sinceSnapshot >= f.options.SnapshotEvery || now.Sub(f.lastSnapshot) >= f.options.SnapshotInterval
--- a/state/objects/objects_test.go
+++ b/state/objects/objects_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -163,14 +164,24 @@
 	}
 }
 
+// Guards against reporting a dangling name twice when the object that has it
+// is changed together with the deleted one.
+func TestDanglingNameIsReportedOnce(t *testing.T) {
+	set := loadGood(t)
+	share := *set.Shares["harbour-strand-assist"]
+	share.Weight++
+	_, faults := set.Apply([]Change{{Op: OpDelete, Kind: KindTeam, Name: "harbour"}, putOf(&share)})
+	must.Eq(t, []Fault{{Kind: KindShare, Object: share.Name, Field: "team", Message: `team "harbour" does not exist`}}, faults)
+}
+
 func drawObject(t *rapid.T) Object {
-	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	name := rapid.SampledFrom([]string{"a", "b"})
 	switch rapid.SampledFrom(kinds).Draw(t, "kind") {
 	case KindTeam:
-		hashes := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{hashA, hashB, "bad"}), 0, 1, rapid.ID).Draw(t, "hashes")
+		hashes := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{hashA, hashB}), 0, 2, rapid.ID).Draw(t, "hashes")
 		return &Team{Name: name.Draw(t, "name"), TokenSHA256: hashes}
 	case KindService:
-		return &Service{Name: name.Draw(t, "name"), Type: PlainService, DefaultCost: 1, MaxCost: rapid.Uint64Range(0, 2).Draw(t, "max")}
+		return &Service{Name: name.Draw(t, "name"), Type: PlainService, DefaultCost: 1, MaxCost: rapid.Uint64Range(1, 3).Draw(t, "max")}
 	case KindEndpoint:
 		return &Endpoint{Name: name.Draw(t, "name"), Service: name.Draw(t, "service"), Zone: "z", Slots: 1, Fencing: FencingIgnored}
 	default:
@@ -180,7 +191,7 @@
 
 func drawChanges(t *rapid.T) []Change {
 	var changes []Change
-	for range rapid.IntRange(1, 6).Draw(t, "count") {
+	for range rapid.IntRange(1, 3).Draw(t, "count") {
 		c := putOf(drawObject(t))
 		if rapid.Bool().Draw(t, "delete") {
 			c = Change{Op: OpDelete, Kind: c.Kind, Name: c.Name}
@@ -196,7 +207,7 @@
 func TestApplyEqualsFullCheck(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := NewSet()
-		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			changes := drawChanges(t)
 			patched, err := set.Patch(changes)
 			must.NoError(t, err)
@@ -213,8 +224,8 @@
 			rebuilt, err := Decode(next.Encode())
 			must.NoError(t, err)
 			must.Eq(t, rebuilt.Hash(), next.Hash())
-			must.Eq(t, len(rebuilt.teamByToken), len(next.teamByToken))
-			must.Eq(t, len(rebuilt.shareByPair), len(next.shareByPair))
+			must.Eq(t, rebuilt.teamByToken, next.teamByToken)
+			must.Eq(t, rebuilt.shareByPair, next.shareByPair, must.Cmp(cmp.AllowUnexported(pair{})))
 			back, err := next.Patch(Diff(next, set))
 			must.NoError(t, err)
 			must.Eq(t, set.Hash(), back.Hash())
