--- a/coordination/publication/publication_test.go
+++ b/coordination/publication/publication_test.go
@@ -1,6 +1,8 @@
 package publication
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"testing"
 	"time"
@@ -288,6 +290,35 @@
 	t.Logf("%d states", e.runs)
 }
 
+func BenchmarkSnapshotOf18000Teams(b *testing.B) {
+	all := []objects.Object{&objects.Service{Name: "desk", Type: objects.PlainService, DefaultCost: 1, MaxCost: 1}}
+	for i := range 18_000 {
+		name := fmt.Sprintf("team-%d", i)
+		hash := sha256.Sum256([]byte(name))
+		all = append(all, &objects.Team{Name: name, TokenSHA256: []string{hex.EncodeToString(hash[:])}},
+			&objects.Share{Name: name + "-desk", Team: name, Service: "desk", Weight: 1})
+	}
+	state := Restore(1, objects.NewSet(all...), 1, nil)
+	var record []byte
+	b.Run("write", func(b *testing.B) {
+		for range b.N {
+			record = encodeSnapshot(b, snapshot(b, state))
+		}
+		b.ReportMetric(float64(len(record)), "bytes")
+	})
+	b.Run("confirm", func(b *testing.B) {
+		for range b.N {
+			must.Eq(b, SnapshotConfirmed, state.Apply(state.NextOffset, record).Outcome)
+		}
+	})
+	b.Run("start", func(b *testing.B) {
+		for range b.N {
+			_, err := Recover(1, []Record{{1, record}})
+			must.NoError(b, err)
+		}
+	})
+}
+
 // Guards against crashes of the decoder and of a reader, and against a reader
 // that an unusable record stops.
 func FuzzDecode(f *testing.F) {
--- a/router/configfollow/follower_test.go
+++ b/router/configfollow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -31,11 +32,12 @@
 // generous bounds the wait for a condition; no test measures time.
 const generous = 30 * time.Second
 
-// gate passes requests to the log or fails them.
+// gate passes requests to the log, fails them or leaves them without an answer.
 type gate struct {
-	mu   sync.Mutex
-	shut bool
-	log  http.Handler
+	mu     sync.Mutex
+	shut   bool
+	silent bool
+	log    http.Handler
 }
 
 func (g *gate) set(shut bool) {
@@ -46,8 +48,12 @@
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.mu.Lock()
-	shut := g.shut
+	shut, silent := g.shut, g.silent
 	g.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	if shut {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -87,16 +93,17 @@
 }
 
 type nodeOptions struct {
-	shut  bool
-	duty  bool
-	every int
-	peers []*node
-	fleet string
+	shut   bool
+	silent bool
+	duty   bool
+	every  int
+	peers  []*node
+	fleet  string
 }
 
 func startNode(t *testing.T, log *logtest.Log, o nodeOptions) *node {
 	t.Helper()
-	n := &node{store: configstore.New(), logs: &lines{}, gate: &gate{log: log, shut: o.shut}}
+	n := &node{store: configstore.New(), logs: &lines{}, gate: &gate{log: log, shut: o.shut, silent: o.silent}}
 	if o.every == 0 {
 		o.every = 1 << 30
 	}
@@ -227,6 +234,22 @@
 	must.Eq(t, 0, b.logs.count(`"verdict":"refused"`))
 }
 
+// Guards against a router that waits for a log that doesn't answer while a
+// peer has the configuration.
+func TestSilentLog(t *testing.T) {
+	log := &logtest.Log{}
+	op := newOperator()
+	op.publish(t, log, 1)
+	a := startNode(t, log, nodeOptions{})
+	b := startNode(t, log, nodeOptions{silent: true, peers: []*node{a}})
+	b.reaches(t, 1)
+	op.publish(t, log, 2)
+	a.reaches(t, 2)
+	b.store.Observe(2)
+	b.reaches(t, 2)
+	must.Eq(t, op.state.Hash, b.store.Current().Hash)
+}
+
 // Guards against a snapshot that isn't written, and against readers that
 // can't start or continue after the records before it have expired.
 func TestSnapshotsReplaceExpiredRecords(t *testing.T) {
@@ -366,3 +389,24 @@
 	must.Len(t, 0, h.lists)
 	must.Eq(t, 0, h.bytes)
 }
+
+// Guards against crashes on a peer's reply, and against taking a set whose
+// hash isn't the stated one.
+func FuzzReply(f *testing.F) {
+	team := objects.NewSet(&objects.Team{Name: "a"})
+	hash := team.Hash()
+	changes, err := json.Marshal(objects.Diff(objects.NewSet(), team))
+	must.NoError(f, err)
+	f.Add(changes, []byte{}, hash[:])
+	f.Add([]byte{}, team.Encode(), hash[:])
+	f.Fuzz(func(t *testing.T, changes, whole, hash []byte) {
+		reply := &fleetpb.FetchConfigReply{Version: 7, Changes: changes, Objects: whole, SetHash: hash, NextOffset: 9}
+		state, _, err := stateFromReply(publication.NewState(), reply)
+		if err == nil {
+			rebuilt, err := objects.Decode(state.Set.Encode())
+			must.NoError(t, err)
+			must.Eq(t, state.Hash, rebuilt.Hash())
+			must.Eq(t, string(hash), string(state.Hash[:]))
+		}
+	})
+}
