--- a/state/objects/object.go
+++ b/state/objects/object.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"slices"
+	"unique"
 
 	"github.com/rotisserie/eris"
 )
@@ -136,9 +137,23 @@
 		return nil, eris.Wrapf(err, "decode %s", head.Kind)
 	}
 	normalize(object)
+	intern(object)
 	return object, nil
 }
 
+// intern lets objects share the names that they refer to. With 18,000 teams
+// and two shares each this saves memory on every router.
+func intern(o Object) {
+	switch o := o.(type) {
+	case *Endpoint:
+		o.Service = unique.Make(o.Service).Value()
+		o.Zone = unique.Make(o.Zone).Value()
+	case *Share:
+		o.Team = unique.Make(o.Team).Value()
+		o.Service = unique.Make(o.Service).Value()
+	}
+}
+
 func formOf(o Object) any {
 	switch o := o.(type) {
 	case *Team:
--- a/state/objects/set.go
+++ b/state/objects/set.go
@@ -72,7 +72,7 @@
 }
 
 func (s *Set) digestAll(kind Kind) []digest {
-	var all []digest
+	all := make([]digest, 0, s.count(kind))
 	s.each(kind, func(o Object) { all = append(all, digestOf(o)) })
 	slices.SortFunc(all, compareDigests)
 	return all
@@ -180,6 +180,20 @@
 	return &c
 }
 
+func (s *Set) count(kind Kind) int {
+	switch kind {
+	case KindTeam:
+		return len(s.Teams)
+	case KindService:
+		return len(s.Services)
+	case KindEndpoint:
+		return len(s.Endpoints)
+	case KindShare:
+		return len(s.Shares)
+	}
+	return 0
+}
+
 // Size returns the number of objects.
 func (s *Set) Size() int {
 	return len(s.Teams) + len(s.Services) + len(s.Endpoints) + len(s.Shares)
