--- a/transport/logclient/logclient_test.go
+++ b/transport/logclient/logclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -39,5 +40,5 @@
 	}
 	_, err = client.ReadRange(context.Background(), "t", 0, 300)
 	var expired *logclient.ExpiredError
-	must.ErrorAs(t, err, &expired)
+	must.True(t, errors.As(err, &expired))
 }
