--- a/router/configfollow/follower_test.go
+++ b/router/configfollow/follower_test.go
@@ -328,6 +328,33 @@
 	}
 }
 
+// Guards against snapshots that are missing before the retention ends, and
+// against snapshots that are written too often or from an old state.
+func TestSnapshotDue(t *testing.T) {
+	start := time.Now()
+	for name, c := range map[string]struct {
+		after   time.Duration
+		prepare func(*Follower)
+		want    bool
+	}{
+		"recent":          {after: time.Minute},
+		"interval passed": {after: time.Hour, want: true},
+		"many changes":    {after: time.Minute, prepare: func(f *Follower) { f.sinceSnapshot = 3 }, want: true},
+		"not at the end":  {after: time.Hour, prepare: func(f *Follower) { f.atEnd = false }},
+		"after a failure": {after: time.Hour, prepare: func(f *Follower) { f.nextSnapshot = start.Add(2 * time.Hour) }},
+		"empty log":       {after: time.Hour, prepare: func(f *Follower) { f.state = publication.NewState() }},
+		"no state":        {after: time.Hour, prepare: func(f *Follower) { f.state = nil }},
+	} {
+		state := publication.Restore(1, objects.NewSet(), 1, nil)
+		f := New(Options{State: state, SnapshotEvery: 3, SnapshotInterval: time.Hour})
+		f.atEnd, f.lastSnapshot = true, start
+		if c.prepare != nil {
+			c.prepare(f)
+		}
+		must.Eq(t, c.want, f.snapshotDue(start.Add(c.after)), must.Sprint(name))
+	}
+}
+
 // Guards against taking a configuration that a peer can't prove, and against
 // serving another fleet.
 func TestRepliesAreVerified(t *testing.T) {
