Fold the counters of an agent that was silent twice

A silent instance's counters move into the bases once per silence. Before, the charges between two silences were lost with the instance. The test of silence covers the second one.

--- a/coordination/fairqueue/expire.go
+++ b/coordination/fairqueue/expire.go
@@ -62,7 +62,7 @@
 			// Another owner may have acknowledged counters meanwhile.
 			in.full = false
 		}
-		if in.folded == nil && silence > FoldAfter {
+		if !in.resting && silence > FoldAfter {
 			q.fold(in)
 		}
 		if silence > ForgetFolded {
@@ -73,20 +73,19 @@
 
 // fold moves the counters of a silent instance into the bases; v stays the same.
 func (q *Queue) fold(in *instance) {
-	folded := make(map[string]uint64, len(in.counters))
 	for name, c := range in.counters {
 		tm := q.team(name)
 		if tm == nil {
 			continue
 		}
 		part := in.counted(c)
-		folded[name] = c.Normalized
+		in.folded[name] = c.Normalized
 		tm.counters -= part
 		if part > 0 {
 			q.setBase(tm, tm.base+part)
 		}
 	}
-	in.folded = folded
+	in.resting = true
 	if q.agents[in.endpoint] == in {
 		delete(q.agents, in.endpoint)
 	}
--- a/coordination/fairqueue/queue_test.go
+++ b/coordination/fairqueue/queue_test.go
@@ -391,6 +391,10 @@
 	must.Eq(t, 0, q.Teams()[0].Running)
 	q.Enqueue(at(2), first)
 	must.Eq(t, 2, q.tickets["a"].Attempt)
+	third := first
+	third.Attempt = 3
+	q.Enqueue(at(3), third)
+	must.Eq(t, 3, q.tickets["a"].Attempt)
 }
 
 // Guards against queues without bounds.
@@ -454,6 +458,9 @@
 	r.Sequence, r.Running, r.Counters[0].Normalized = 2, nil, 600
 	must.False(t, q.Report(at(70_000), r).WantFull)
 	must.Eq(t, v+100, virtualOf(q, "t"))
+	q.Expire(at(131_000))
+	must.Eq(t, v+100, virtualOf(q, "t"))
+	must.Eq(t, v+100, q.teams["t"].base)
 }
 
 // Guards against credit without limit after counters were lost.
--- a/coordination/fairqueue/report.go
+++ b/coordination/fairqueue/report.go
@@ -22,8 +22,10 @@
 	config   uint64
 
 	counters map[string]Counter
-	// folded holds the normalized cost that has moved into the bases.
+	// folded holds the normalized cost that has moved into the bases, and
+	// resting is set while all of it has.
 	folded  map[string]uint64
+	resting bool
 	running map[string]runningCharge
 	// listed holds the tokens that the last report listed as free.
 	listed map[string]bool
@@ -99,6 +101,7 @@
 		endpoint:      r.Endpoint,
 		startedUnixMs: r.StartedUnixMs,
 		counters:      map[string]Counter{},
+		folded:        map[string]uint64{},
 		running:       map[string]runningCharge{},
 		listed:        map[string]bool{},
 		grants:        map[string]*grant{},
@@ -258,6 +261,7 @@
 		q.eligible = nil
 	}
 	in.live = true
+	in.resting = false
 	in.heard = now
 	in.sequence = r.Sequence
 	in.full = in.full || r.Full
