Check membership in simulated time

Random schedules of stops, restarts (also with a clock that went back), leaving and partitions among 3 to 50 members with up to 25% loss must converge; loss alone must kill nobody for long.

--- /dev/null
+++ b/coordination/membership/table_test.go
@@ -0,0 +1,339 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// rapidSeed is the seed unless the command line names another.
+const rapidSeed = "20261"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set(rapidSeed)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// step is the time of one step of the simulation.
+const step = 100 * time.Millisecond
+
+// cluster runs tables in simulated time over a network that loses messages.
+type cluster struct {
+	rand   *rand.Rand
+	now    time.Time
+	tables map[string]*Table
+	order  []string
+	side   map[string]int
+	// loss is the percentage of messages that are lost.
+	loss   int
+	events map[time.Time][]func()
+	// largest is the largest number of updates on a message without a whole table.
+	largest int
+}
+
+func newCluster(seed uint64, size int) *cluster {
+	c := &cluster{
+		rand:   rand.New(rand.NewPCG(seed, 2)),
+		now:    time.Unix(1_800_000_000, 0),
+		tables: map[string]*Table{},
+		side:   map[string]int{},
+		events: map[time.Time][]func(){},
+	}
+	for i := range size {
+		c.order = append(c.order, fmt.Sprint("m", i))
+		c.start(c.order[i], "first", c.now)
+	}
+	return c
+}
+
+func (c *cluster) start(address, instance string, clock time.Time) {
+	c.tables[address] = New(clock, Member{Address: address, Instance: instance, Zone: "z"}, Options{
+		Seeds: []string{c.order[0], "m1"},
+		Rand:  rand.New(rand.NewPCG(c.rand.Uint64(), 3)),
+	})
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(step) {
+		for _, f := range c.events[c.now] {
+			f()
+		}
+		delete(c.events, c.now)
+		for _, address := range c.order {
+			if t := c.tables[address]; t != nil {
+				c.send(t, t.Tick(c.now))
+			}
+		}
+	}
+}
+
+func (c *cluster) send(t *Table, pings []Ping) {
+	for _, p := range pings {
+		c.ping(t, p)
+	}
+}
+
+func (c *cluster) at(d time.Duration, f func()) {
+	when := c.now.Add(d)
+	c.events[when] = append(c.events[when], f)
+}
+
+// reaches reports whether one message arrives.
+func (c *cluster) reaches(from, to string) bool {
+	return c.tables[to] != nil && c.side[from] == c.side[to] && c.rand.IntN(100) >= c.loss
+}
+
+// exchange sends a ping and its reply.
+func (c *cluster) exchange(t *Table, p Ping) bool {
+	c.largest = max(c.largest, len(p.Updates))
+	if !c.reaches(t.self.Address, p.Target) {
+		return false
+	}
+	reply := c.tables[p.Target].HandlePing(c.now, t.self.Address, p.Updates, p.WantAll)
+	if !p.WantAll {
+		c.largest = max(c.largest, len(reply))
+	}
+	if !c.reaches(p.Target, t.self.Address) {
+		return false
+	}
+	t.HandleAck(c.now, p, reply)
+	return true
+}
+
+func (c *cluster) ping(t *Table, p Ping) {
+	if c.exchange(t, p) {
+		return
+	}
+	c.at(PingTimeout, func() {
+		if c.tables[t.self.Address] != t {
+			return
+		}
+		if helpers := t.HandleTimeout(c.now, p); len(helpers) > 0 {
+			c.indirect(t, p, helpers)
+		}
+	})
+}
+
+func (c *cluster) indirect(t *Table, p Ping, helpers []string) {
+	reached := false
+	for _, address := range helpers {
+		helper := c.tables[address]
+		if !c.reaches(t.self.Address, address) {
+			continue
+		}
+		if hp, ok := helper.PingFor(p.Target); ok && c.exchange(helper, hp) && c.reaches(address, t.self.Address) {
+			reached = true
+		}
+	}
+	c.at(IndirectTimeout, func() {
+		if reached {
+			t.HandleReached(p)
+		} else {
+			t.HandleUnreached(c.now, p)
+		}
+	})
+}
+
+// differences lists what the running tables have wrong.
+func (c *cluster) differences() []string {
+	var out []string
+	for _, from := range c.order {
+		t := c.tables[from]
+		if t == nil {
+			continue
+		}
+		seen := map[string]Member{}
+		for _, m := range t.Members() {
+			seen[m.Address] = m
+		}
+		for _, to := range c.order {
+			other, m := c.tables[to], seen[to]
+			switch {
+			case other == nil && m.Address != "" && m.State != Dead:
+				out = append(out, fmt.Sprintf("%s takes the stopped %s for %s", from, to, m.State))
+			case other != nil && (m.State != other.self.State || m.Instance != other.self.Instance):
+				out = append(out, fmt.Sprintf("%s takes %s/%s for %s/%s", from, to, other.self.Instance, m.State, m.Instance))
+			}
+		}
+	}
+	return out
+}
+
+// Guards against a false death that lasts, a failure that isn't found, a
+// restart that is taken for the old instance (also with a clock that went
+// back), a leaving member that is forgotten and a partition that doesn't heal.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		size := rapid.IntRange(3, 50).Draw(r, "size")
+		c := newCluster(rapid.Uint64().Draw(r, "seed"), size)
+		// Members that never reached a seed couldn't know of each other.
+		c.run(10 * time.Second)
+		c.loss = rapid.IntRange(0, 25).Draw(r, "loss")
+		events := rapid.IntRange(1, 6).Draw(r, "events")
+		for i := range events {
+			address := c.order[rapid.IntRange(0, size-1).Draw(r, "member")]
+			switch rapid.SampledFrom([]string{"stop", "restart", "leave", "partition", "heal"}).Draw(r, "event") {
+			case "stop":
+				delete(c.tables, address)
+			case "restart":
+				back := time.Duration(rapid.IntRange(0, 100).Draw(r, "back")) * time.Second
+				c.start(address, fmt.Sprint("again", i), c.now.Add(-back))
+			case "leave":
+				if m := c.tables[address]; m != nil {
+					c.send(m, m.Leave())
+				}
+			case "partition":
+				for _, member := range c.order {
+					c.side[member] = c.rand.IntN(2)
+				}
+			case "heal":
+				clear(c.side)
+			}
+			c.run(time.Duration(rapid.IntRange(0, 20).Draw(r, "wait")) * time.Second)
+		}
+		c.loss = 0
+		clear(c.side)
+		c.run(2 * time.Minute)
+		if found := c.differences(); len(found) > 0 {
+			r.Fatalf("%d differences, for example %s", len(found), found[0])
+		}
+		if c.largest > MaxUpdates {
+			r.Fatalf("a message carried %d updates", c.largest)
+		}
+	})
+}
+
+// Guards against deaths by loss alone: with 10% of the messages lost, no member
+// may stay dead, and at no time more than a few are taken for dead.
+func TestLossKillsNobody(t *testing.T) {
+	c := newCluster(7, 20)
+	c.run(20 * time.Second)
+	must.SliceEmpty(t, c.differences())
+	c.loss = 10
+	dead := 0
+	for range 600 {
+		c.run(time.Second)
+		for _, table := range c.tables {
+			for _, m := range table.Members() {
+				if m.State == Dead {
+					dead++
+				}
+			}
+		}
+	}
+	// 20 members see 19 others in each of 600 s.
+	must.Less(t, 20*19*600/1000, dead)
+}
+
+// Guards against slow detection: 50 members know of a failure within 10 s.
+func TestDetectionTime(t *testing.T) {
+	c := newCluster(8, 50)
+	c.run(30 * time.Second)
+	must.SliceEmpty(t, c.differences())
+	delete(c.tables, "m33")
+	failed := c.now
+	for len(c.differences()) > 0 && c.now.Sub(failed) < time.Minute {
+		c.run(step)
+	}
+	t.Logf("detected everywhere after %s", c.now.Sub(failed))
+	must.Less(t, 10*time.Second, c.now.Sub(failed))
+}
+
+// Guards against a leaving member that others still choose after 3 s.
+func TestLeaveIsKnownAtOnce(t *testing.T) {
+	c := newCluster(9, 50)
+	c.run(30 * time.Second)
+	c.send(c.tables["m5"], c.tables["m5"].Leave())
+	must.SliceEmpty(t, c.tables["m5"].Leave())
+	c.run(time.Second)
+	for _, address := range c.order {
+		must.SliceNotContains(t, c.tables[address].Live(), "m5")
+	}
+	must.SliceEmpty(t, c.differences())
+}
+
+// Guards against a partition of an hour that doesn't heal, though the members
+// of the other side are long forgotten, and against deaths when it heals.
+func TestLongPartition(t *testing.T) {
+	c := newCluster(10, 20)
+	c.run(20 * time.Second)
+	for _, address := range c.order[10:] {
+		c.side[address] = 1
+	}
+	c.run(time.Hour)
+	must.Len(t, 9, c.tables["m3"].Live())
+	must.Len(t, 10, c.tables["m3"].Members())
+	clear(c.side)
+	for range 300 {
+		c.run(step)
+		for _, address := range c.order[2:10] {
+			live := c.tables["m3"].Live()
+			must.True(t, address == "m3" || len(live) == 0 || contains(live, address), must.Sprint(address))
+		}
+	}
+	c.run(time.Minute)
+	must.SliceEmpty(t, c.differences())
+}
+
+func contains(list []string, item string) bool {
+	for _, s := range list {
+		if s == item {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a wrong order of updates.
+func TestPrecedence(t *testing.T) {
+	base := Member{Address: "x", Instance: "b", Incarnation: 5, State: Suspect}
+	cases := map[string]struct {
+		update Member
+		want   bool
+	}{
+		"same":                 {base, false},
+		"alive again":          {Member{"x", "b", "", 5, Alive}, false},
+		"refuted":              {Member{"x", "b", "", 6, Alive}, true},
+		"dead":                 {Member{"x", "b", "", 5, Dead}, true},
+		"leaving":              {Member{"x", "b", "", 5, Leaving}, true},
+		"dead of before":       {Member{"x", "b", "", 4, Dead}, false},
+		"restarted":            {Member{"x", "a", "", 6, Alive}, true},
+		"other, same number":   {Member{"x", "c", "", 5, Alive}, true},
+		"earlier, same number": {Member{"x", "a", "", 5, Dead}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.want, supersedes(c.update, base))
+		})
+	}
+}
+
+// Guards against updates that would break the table.
+func TestFaultyUpdates(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	table := New(now, Member{Address: "self", Instance: "i"}, Options{})
+	table.Merge(now, []Member{
+		{Address: "", Incarnation: 1},
+		{Address: "a", Incarnation: maxIncarnation},
+		{Address: "b", State: 9},
+		{Address: "self", Instance: "i", Incarnation: maxIncarnation, State: Dead},
+	})
+	must.Len(t, 1, table.Members())
+	must.Eq(t, uint64(now.UnixMilli()), table.Self().Incarnation)
+	var flood []Member
+	for i := range MaxMembers + 10 {
+		flood = append(flood, Member{Address: fmt.Sprint("f", i), Incarnation: 1})
+	}
+	table.Merge(now, flood)
+	must.Len(t, MaxMembers, table.Members())
+}
