Partitions tell processes apart by both ends of a connection

The kernel uses a local port for several remote ends, so the lookup by the local address alone found closed sockets and let traffic through a partition.

--- a/testbed/faultproxy/faultproxy.go
+++ b/testbed/faultproxy/faultproxy.go
@@ -28,7 +28,7 @@
 // below it and the state of the links, and is not held during I/O.
 type Proxy struct {
 	listener net.Listener
-	identify func(client net.Addr) string
+	identify func(accepted net.Conn) string
 	closing  chan struct{}
 	running  sync.WaitGroup
 
@@ -51,13 +51,13 @@
 // New returns a proxy that listens on a loopback port. Until SetTarget,
 // connections are closed at once. If identify isn't nil, it names the source
 // of an accepted connection for Hold.
-func New(identify func(client net.Addr) string) (*Proxy, error) {
+func New(identify func(accepted net.Conn) string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
 	if identify == nil {
-		identify = func(net.Addr) string { return "" }
+		identify = func(net.Conn) string { return "" }
 	}
 	p := &Proxy{
 		listener: listener,
@@ -180,7 +180,7 @@
 
 // serve connects to the target and carries bytes until both directions end.
 func (p *Proxy) serve(client net.Conn) {
-	source := p.identify(client.RemoteAddr())
+	source := p.identify(client)
 	p.mu.Lock()
 	address, blocked := p.target, p.blockNew
 	p.mu.Unlock()
--- a/testbed/faultproxy/faultproxy_test.go
+++ b/testbed/faultproxy/faultproxy_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-func startProxy(t *testing.T, identify func(net.Addr) string) (*Proxy, *echoServer) {
+func startProxy(t *testing.T, identify func(net.Conn) string) (*Proxy, *echoServer) {
 	t.Helper()
 	server := startEcho(t)
 	proxy, err := New(identify)
@@ -159,7 +159,7 @@
 // Guards against a partition that reaches other sources, lets traffic through or loses bytes.
 func TestHoldBySource(t *testing.T) {
 	var names atomic.Int64
-	p, server := startProxy(t, func(net.Addr) string {
+	p, server := startProxy(t, func(net.Conn) string {
 		return []string{"a", "b"}[names.Add(1)-1]
 	})
 	a := dial(t, p)
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -220,9 +220,9 @@
 	}
 }
 
-// sourceOf names the process that owns the client's end of a connection.
-func (f *Fleet) sourceOf(client net.Addr) string {
-	inode := socketInode(client.String())
+// sourceOf names the process that owns the client's end of an accepted connection.
+func (f *Fleet) sourceOf(accepted net.Conn) string {
+	inode := socketInode(accepted.RemoteAddr(), accepted.LocalAddr())
 	for _, p := range f.Processes() {
 		if inode != "" && p.ownsSocket(inode) {
 			return p.Name
--- a/testbed/fleet/fleet_test.go
+++ b/testbed/fleet/fleet_test.go
@@ -84,7 +84,7 @@
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	must.NoError(t, err)
 	t.Cleanup(func() { must.NoError(t, conn.Close()) })
-	inode := socketInode(conn.LocalAddr().String())
+	inode := socketInode(conn.LocalAddr(), conn.RemoteAddr())
 	must.NotEq(t, "", inode)
 	entries, err := os.ReadDir("/proc/self/fd")
 	must.NoError(t, err)
@@ -94,5 +94,5 @@
 		found = found || (err == nil && target == "socket:["+inode+"]")
 	}
 	must.True(t, found)
-	must.Eq(t, "", socketInode("127.0.0.1:1"))
+	must.Eq(t, "", socketInode(conn.LocalAddr(), conn.LocalAddr()))
 }
--- a/testbed/fleet/source.go
+++ b/testbed/fleet/source.go
@@ -3,37 +3,44 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 )
 
-// socketInode returns the inode of the socket whose local IPv4 address is
-// address, from the kernel's table of TCP sockets, or "".
-func socketInode(address string) string {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil || !parsed.Addr().Unmap().Is4() {
-		return ""
-	}
-	ip := parsed.Addr().Unmap().As4()
-	// The kernel prints the address as a little-endian number.
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], parsed.Port())
+// socketInode returns the inode of the socket with these IPv4 addresses, from
+// the kernel's table of TCP sockets, or "". Both ends count, because the
+// kernel uses a local port for several remote ends.
+func socketInode(local, remote net.Addr) string {
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer table.Close()
-	const localColumn, inodeColumn = 1, 9
+	const localColumn, remoteColumn, inodeColumn = 1, 2, 9
+	wantLocal, wantRemote := tableForm(local), tableForm(remote)
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		columns := strings.Fields(lines.Text())
-		if len(columns) > inodeColumn && columns[localColumn] == local {
+		if len(columns) > inodeColumn && columns[localColumn] == wantLocal && columns[remoteColumn] == wantRemote {
 			return columns[inodeColumn]
 		}
 	}
 	return ""
 }
 
+// tableForm returns an IPv4 address and port as the kernel's table prints
+// them: the address as a little-endian number.
+func tableForm(address net.Addr) string {
+	parsed, err := netip.ParseAddrPort(address.String())
+	if err != nil || !parsed.Addr().Unmap().Is4() {
+		return ""
+	}
+	ip := parsed.Addr().Unmap().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], parsed.Port())
+}
+
 // ownsSocket reports whether the process has the socket open.
 func (p *Process) ownsSocket(inode string) bool {
 	e := p.current()
