--- a/testbed/faultproxy/faultproxy_test.go
+++ b/testbed/faultproxy/faultproxy_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -237,6 +238,14 @@
 	p, err := New(nil)
 	must.NoError(t, err)
 	t.Cleanup(p.Close)
-	_, err = ask(dial(t, p), "refused")
+	// The reset may come before or after connect has returned.
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		return
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+	_, err = ask(conn, "refused")
 	must.Error(t, err)
+	must.False(t, errors.Is(err, os.ErrDeadlineExceeded), must.Sprint("the connection was not ended"))
 }
