--- a/testbed/faultproxy/link.go
+++ b/testbed/faultproxy/link.go
@@ -114,12 +114,18 @@
 		if d == ToClient && l.discards() {
 			continue
 		}
+		var rule *loss
+		if d == ToTarget {
+			// Replies are discarded before the last byte of the match leaves,
+			// or a fast target's reply would still get through.
+			rule = l.matchLoss(c.data)
+		}
 		if _, err := l.ends[d].Write(c.data); err != nil {
 			l.reset()
 			return
 		}
-		if d == ToTarget {
-			l.matchLoss(c.data)
+		if rule != nil {
+			l.loseReplies(rule)
 		}
 	}
 	if !l.untilReleased(d) {
@@ -171,22 +177,32 @@
 	return l.discard
 }
 
-// matchLoss applies the rule of LoseReply to bytes that were passed to the target.
-func (l *link) matchLoss(data []byte) {
+// matchLoss starts to discard replies if data, which is about to be passed to
+// the target, completes the match of LoseReply's rule. It returns that rule.
+func (l *link) matchLoss(data []byte) *loss {
 	l.proxy.mu.Lock()
 	defer l.proxy.mu.Unlock()
 	rule := l.proxy.lose
 	if rule == nil {
 		l.tail = ""
-		return
+		return nil
 	}
 	text := l.tail + string(data)
 	if !strings.Contains(text, rule.match) {
 		l.tail = text[max(len(text)-len(rule.match)+1, 0):]
-		return
+		return nil
 	}
-	l.proxy.lose = nil
 	l.discard = true
+	return rule
+}
+
+// loseReplies notes that the rule was applied and ends the link after its time.
+func (l *link) loseReplies(rule *loss) {
+	l.proxy.mu.Lock()
+	defer l.proxy.mu.Unlock()
+	if l.proxy.lose == rule {
+		l.proxy.lose = nil
+	}
 	if rule.linger > 0 {
 		time.AfterFunc(rule.linger, l.endAfterLoss)
 	}
