Send no grant after its token's lease

A grant waits at most 400 ms for a worker; a later one frees its token unsent. Leave is tested within half a ping interval.

--- a/router/gossip/gossip.go
+++ b/router/gossip/gossip.go
@@ -39,7 +39,7 @@
 	Seeds []string
 	// HostList reads the host list. Default: none.
 	HostList func(ctx context.Context) ([]hostlist.Host, error)
-	// Logger takes changes of members. Default: slog.Default().
+	// Logger takes changes of members and refused messages. Default: slog.Default().
 	Logger *slog.Logger
 	// Metrics is the registry. Default: a new one.
 	Metrics metrics.Registry
@@ -102,7 +102,9 @@
 	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	var logged uint64
 	for ctx.Err() == nil {
+		logged = g.logChange(logged)
 		for _, p := range g.due() {
 			senders.Go(func() error { g.send(ctx, p); return nil })
 		}
@@ -116,6 +118,18 @@
 	return tasks.Wait()
 }
 
+// logChange logs the number of live routers if members changed since the
+// version that was logged, and returns the present version.
+func (g *Gossip) logChange(logged uint64) uint64 {
+	g.mu.Lock()
+	version, live := g.version, len(g.live)
+	g.mu.Unlock()
+	if version != logged {
+		g.opts.Logger.Info("members changed", "live", live+1)
+	}
+	return version
+}
+
 // update runs f on the table and announces a change of members.
 func (g *Gossip) update(f func(now time.Time)) {
 	now := time.Now()
--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -172,7 +172,7 @@
 	})
 }
 
-// Guards against a leaving router that stays the owner for longer than 3 s,
+// Guards against a leaving router that stays the owner until gossip has spread,
 // whether it is told by a signal or by the host list.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -198,7 +198,8 @@
 			}
 		}
 		leaving.Leave()
-		time.Sleep(3 * time.Second)
+		// Less than a period: the messages leave at once.
+		time.Sleep(membership.PingInterval / 2)
 		must.NotEq(t, owner, sameOwner(t, nodes))
 	})
 }
--- a/router/owner/dispatch.go
+++ b/router/owner/dispatch.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// dispatchTimeout is the time limit of one message to an entry router, and
-	// of the wait for a worker.
+	// dispatchTimeout is the time limit of one message to an entry router.
 	dispatchTimeout = time.Second
+	// maxLaneWait is the longest wait of a grant for a worker. With
+	// fairqueue.FreshFor it stays below the lease of the token.
+	maxLaneWait = 400 * time.Millisecond
 	// workers is the number of messages to entry routers at the same time.
 	workers = 64
 	// maxLanes bounds the lanes: 32 services times 520 entry routers.
@@ -130,7 +132,7 @@
 func (o *Owner) split(batch []queuedGrant) (fresh, late []queuedGrant) {
 	now := o.opts.Clock()
 	for _, g := range batch {
-		if now.Sub(g.at) > dispatchTimeout {
+		if now.Sub(g.at) > maxLaneWait {
 			late = append(late, g)
 		} else {
 			fresh = append(fresh, g)
--- a/router/owner/owner_test.go
+++ b/router/owner/owner_test.go
@@ -225,6 +225,27 @@
 	})
 }
 
+// Guards against grants that leave after their token's lease, and against the
+// loss of the token of such a grant.
+func TestLateGrantIsNotSent(t *testing.T) {
+	run(t, func(t *testing.T, x *fixture) {
+		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, true)
+		x.sync(t, false, "r1", "r2")
+		x.report(t, "t1")
+		synctest.Wait()
+		// The lane is busy with r1 while this grant waits.
+		x.report(t, "t1", "t2")
+		time.Sleep(dispatchTimeout + time.Millisecond)
+		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, false)
+		synctest.Wait()
+		must.SliceEmpty(t, x.entry.requests())
+		x.sync(t, true, "r2")
+		synctest.Wait()
+		must.Eq(t, []string{"r2"}, x.entry.requests())
+		must.Eq(t, "t2", x.entry.got[0].SlotToken)
+	})
+}
+
 // Guards against tickets that the configuration doesn't allow, and against
 // refusing what only a newer configuration knows.
 func TestTicketsOutsideTheConfiguration(t *testing.T) {
