Test the owner's failure, single sends and lost acknowledgements of agents

Each test was seen to fail with its mechanism taken out: the start limit while connecting, the connection per request, the search for another owner, the replacement of lapsed tokens and the check of acknowledged sequences.

--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -43,6 +43,7 @@
 	fleetpb.Owner
 	fleetpb.Control
 	address string
+	server  *http.Server
 
 	mu      sync.Mutex
 	version uint64
@@ -62,9 +63,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(fleetpb.OwnerPathPrefix, fleetpb.NewOwnerServer(f))
 	mux.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(f))
-	s := fleethttp.NewServer(mux, nil)
-	go func() { _ = fleethttp.Serve(s, l) }()
-	t.Cleanup(func() { _ = s.Close() })
+	f.server = fleethttp.NewServer(mux, nil)
+	go func() { _ = fleethttp.Serve(f.server, l) }()
+	t.Cleanup(func() { _ = f.server.Close() })
 	return f
 }
 
@@ -140,6 +141,7 @@
 	stop     chan struct{}
 	done     chan error
 	client   *http.Client
+	body     string
 	requests int
 }
 
@@ -169,6 +171,7 @@
 		stop:   make(chan struct{}),
 		done:   make(chan error, 1),
 		client: fleethttp.NewClient(nil),
+		body:   "question",
 	}
 	if o.fencing != "" {
 		f.object.Fencing = o.fencing
@@ -232,7 +235,7 @@
 func (f *fixture) send(ctx context.Context, h *work.Header) (*http.Response, error) {
 	f.t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+f.agent.FleetAddress()+work.Path, strings.NewReader("question"))
+		"http://"+f.agent.FleetAddress()+work.Path, strings.NewReader(f.body))
 	must.NoError(f.t, err)
 	h.Encode(req.Header)
 	return f.client.Do(req)
--- a/agent/loops_test.go
+++ b/agent/loops_test.go
@@ -229,3 +229,21 @@
 		return last.Service == "svc" && len(last.Counters) == 1 && last.Counters[0].Cost == 2 && len(last.FreeTokens) == 1
 	})
 }
+
+// Guards against an agent that keeps reporting to an owner that is gone.
+func TestOwnerFails(t *testing.T) {
+	second := startRouter(t)
+	second.publish(objects.Endpoint{Name: "e1", Service: "svc", Slots: 1}, objects.ModelService)
+	f := start(t, options{
+		handler: func(http.ResponseWriter, *http.Request) {},
+		change: func(s *Settings) {
+			second.set(func(r *fakeRouter) { r.owner = s.Routers })
+			s.Routers += "," + second.address
+		},
+	})
+	f.token()
+	must.NoError(t, f.router.server.Close())
+	second.set(func(r *fakeRouter) { r.owner = "" })
+	eventually(t, "reports at the second owner", func() bool { return len(second.last().FreeTokens) == 1 })
+	must.Eq(t, second.address, f.agent.status().Owner)
+}
--- a/agent/work_test.go
+++ b/agent/work_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -114,7 +115,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	resp, err := f.send(ctx, f.header(f.token()))
 	must.NoError(t, err)
-	<-g.arrived
+	_, err = io.ReadFull(resp.Body, make([]byte, len("data: one\n\n")))
+	must.NoError(t, err)
 	cancel()
 	_ = resp.Body.Close()
 	select {
@@ -266,3 +268,46 @@
 	must.Eq(t, 1, f.held())
 	must.Zero(t, len(g.arrived))
 }
+
+// Guards against a request that the HTTP transport sends a second time by
+// itself: it does so for a request without body and with an idempotency key on
+// a connection that was in use before.
+func TestRequestIsSentOnce(t *testing.T) {
+	var runs atomic.Int32
+	cut := hijack("")
+	f := start(t, options{handler: func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) > 1 {
+			cut(w, r)
+		}
+	}})
+	f.body = ""
+	first := f.token()
+	resp, _ := f.exchange(f.header(first))
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	eventually(t, "another token", func() bool {
+		free := f.router.last().FreeTokens
+		return len(free) == 1 && free[0] != first
+	})
+	f.mustRefuse(f.header(f.token()), outcome.Unknown, http.StatusBadGateway)
+	must.Eq(t, 2, runs.Load())
+}
+
+// Guards against a request that is sent although its start limit passed while
+// the connection was opened.
+func TestStartLimitWhileConnecting(t *testing.T) {
+	var runs atomic.Int32
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	defer endpoint.Close()
+	h := &work.Header{Method: http.MethodPost, URI: "/", Request: "r", Forwarded: http.Header{}}
+	_, sent, err := newEndpointClient(endpoint.URL).do(t.Context(), call{
+		header:     h,
+		incoming:   httptest.NewRequest(http.MethodPost, "/", nil),
+		service:    &objects.Service{},
+		startLimit: time.Now().Add(-time.Millisecond),
+		onSend:     func() {},
+	})
+	must.ErrorIs(t, err, errStartTooLate)
+	must.False(t, sent)
+	must.False(t, isDialError(err))
+	must.Zero(t, runs.Load())
+}
--- a/coordination/slots/slots_test.go
+++ b/coordination/slots/slots_test.go
@@ -204,18 +204,20 @@
 // machine drives a table with random calls, late and repeated messages, and
 // compares it with a plain model.
 type machine struct {
-	table    *Table
-	slots    int
-	now      time.Time
-	owners   map[string]*ownerView
-	sent     []sentReport
-	offered  map[string]time.Time
-	accepted map[string]bool
-	held     []string
-	started  map[string]bool
-	weights  map[string]uint64
-	charged  map[string]uint64
-	requests int
+	table  *Table
+	slots  int
+	now    time.Time
+	owners map[string]*ownerView
+	sent   []sentReport
+	// delivered lists the sequences of reports that reached their owner.
+	delivered []uint64
+	offered   map[string]time.Time
+	accepted  map[string]bool
+	held      []string
+	started   map[string]bool
+	weights   map[string]uint64
+	charged   map[string]uint64
+	requests  int
 }
 
 type sentReport struct {
@@ -231,6 +233,9 @@
 	owner := rapid.SampledFrom([]string{"o1", "o1", "o1", "o2"}).Draw(t, "owner")
 	r := m.table.BuildReport(m.now, owner, rapid.Bool().Draw(t, "full"))
 	for _, token := range r.FreeTokens {
+		if at, ok := m.offered[token]; ok && m.now.Sub(at) > Lease {
+			t.Fatalf("token %s was listed again after its lease", token)
+		}
 		m.offered[token] = m.now
 	}
 	if len(r.FreeTokens)+len(r.Running) > int(r.Capacity) && len(r.FreeTokens) > 0 {
@@ -239,12 +244,31 @@
 	m.sent = append(m.sent, sentReport{owner, r})
 	if rapid.Bool().Draw(t, "delivered") {
 		m.owners[owner].take(t, r)
+		m.compare(t, owner)
+		m.delivered = append(m.delivered, r.Sequence)
 		if rapid.Bool().Draw(t, "reply arrives") {
 			m.table.Acknowledge(r.Sequence)
 		}
 	}
 }
 
+// compare checks that an owner that took the latest report knows every charge.
+func (m *machine) compare(t *rapid.T, owner string) {
+	for team, units := range m.charged {
+		if got := m.owners[owner].cost[team]; got != units {
+			t.Fatalf("owner %s has cost %d of %s, charged were %d", owner, got, team, units)
+		}
+	}
+}
+
+// AcknowledgeLate brings the reply to an earlier report.
+func (m *machine) AcknowledgeLate(t *rapid.T) {
+	if len(m.delivered) == 0 {
+		t.Skip()
+	}
+	m.table.Acknowledge(rapid.SampledFrom(m.delivered).Draw(t, "sequence"))
+}
+
 // Deliver hands an earlier report to its owner, late or once more.
 func (m *machine) Deliver(t *rapid.T) {
 	if len(m.sent) == 0 {
@@ -370,11 +394,7 @@
 		t.Repeat(rapid.StateMachineActions(m))
 		for name, owner := range m.owners {
 			owner.take(t, m.table.BuildReport(m.now, name, false))
-			for team, units := range m.charged {
-				if owner.cost[team] != units {
-					t.Fatalf("owner %s has cost %d of %s, charged were %d", name, owner.cost[team], team, units)
-				}
-			}
+			m.compare(t, name)
 		}
 	})
 }
