Keep floods out of the request trails and pass bodiless answers on

Requests that find no room get no trail, since a flooding team would push out the trails of others. The answer to a HEAD request no longer counts as a caller that is gone when the agent sends a body. A caller that leaves while its key is claimed ends as cancelled.

--- a/router/entry/answer.go
+++ b/router/entry/answer.go
@@ -58,7 +58,12 @@
 	rc := http.NewResponseController(d.w)
 	_ = rc.SetWriteDeadline(time.Now().Add(d.s.o.Limits.IdleTimeout))
 	d.begin(resp)
-	if _, err := d.w.Write(part); err != nil {
+	_, err := d.w.Write(part)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		// The answer to a HEAD request or a status such as 304 has no body for the caller.
+		return true
+	}
+	if err != nil {
 		return false
 	}
 	return rc.Flush() == nil
--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -48,6 +48,22 @@
 	must.StrContains(t, lines[5], `"cost":"7"`)
 }
 
+// Guards against an answer without a body for the caller that is taken for a
+// caller that is gone, although the agent sends one.
+func TestAnswerWithoutBody(t *testing.T) {
+	agent := newAgent(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "text") })
+	b := newBench(t, eachTo(agent.address))
+	req, err := http.NewRequest(http.MethodHead, b.front.URL+"/post-desk/stock", nil)
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer harbour-token")
+	resp, err := b.client.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, 200, resp.StatusCode)
+	eventually(t, "the request has ended", func() bool { return b.counter("entry.outcome.finished") == 1 })
+	must.Eq(t, "HEAD", agent.first().Method)
+}
+
 // Guards against an answer that reaches another caller, with many callers at
 // once, duplicated dispatches, refusals and cut attempts.
 func TestAnswersAreNotCrossed(t *testing.T) {
@@ -104,12 +120,34 @@
 		<-release
 		echo(w, r)
 	})
-	b := newBench(t, eachTo(agent.address))
-	done := make(chan reply, 1)
+	b := newBench(t, func(ticket *fleetpb.Ticket) string {
+		if ticket.Team == "quarry" {
+			return ""
+		}
+		return agent.address
+	})
+	done, waits := make(chan reply, 1), make(chan reply, 1)
 	go func() { done <- b.post("/post-desk/label", "harbour-token", "x") }()
-	eventually(t, "the agent has the request", func() bool { return agent.calls.Load() == 1 })
-	must.Eq(t, []TeamCount{{Service: "post-desk", Team: "harbour", InProgress: 1}}, b.server.Status())
+	go func() { waits <- b.post("/post-desk/label", "quarry-token", "x") }()
+	eventually(t, "one request runs and one waits", func() bool {
+		return agent.calls.Load() == 1 && len(b.server.Status()) == 2
+	})
+	must.Eq(t, []TeamCount{
+		{Service: "post-desk", Team: "harbour", InProgress: 1},
+		{Service: "post-desk", Team: "quarry", Waiting: 1},
+	}, b.server.Status())
 	id := agent.first().Request
+	var waiting string
+	eventually(t, "the owner has the ticket", func() bool {
+		b.owner.mu.Lock()
+		defer b.owner.mu.Unlock()
+		for request := range b.owner.waiting {
+			if request != id {
+				waiting = request
+			}
+		}
+		return waiting != ""
+	})
 	grant := func(request string, attempt uint32, token, address string) *fleetpb.Assignment {
 		return &fleetpb.Assignment{Request: request, Attempt: attempt, SlotToken: token, AgentAddress: address, Weight: 1}
 	}
@@ -119,17 +157,20 @@
 		grant("nobody", 1, "other", agent.address),
 		grant(id, 1, "token-1", agent.address),
 		grant(id, 1, "token-1", "no address"),
+		grant(waiting, 2, "other", agent.address),
+		grant(waiting, 1, "other", agent.address),
 	}}
 	got, err := b.server.Dispatch(context.Background(), in)
 	must.NoError(t, err)
 	gone, accepted := fleetpb.DispatchResult_DISPATCH_RESULT_GONE, fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED
-	must.Eq(t, []fleetpb.DispatchResult{gone, gone, gone, accepted, gone}, got.Results)
+	must.Eq(t, []fleetpb.DispatchResult{gone, gone, gone, accepted, gone, gone, accepted}, got.Results)
 	in.Sender.Fleet = "another"
 	_, err = b.server.Dispatch(context.Background(), in)
 	must.Error(t, err)
 	close(release)
 	must.Eq(t, 201, (<-done).status)
-	must.Eq(t, 1, agent.calls.Load())
+	must.Eq(t, 201, (<-waits).status)
+	must.Eq(t, 2, agent.calls.Load())
 }
 
 // Guards against a request that is never dispatched because its ticket or its
--- a/router/entry/fake_test.go
+++ b/router/entry/fake_test.go
@@ -127,7 +127,8 @@
 // empty address leaves the ticket waiting. It repeats nothing by itself: a
 // ticket that it has granted comes back only with the next attempt.
 type fakeOwner struct {
-	t       *testing.T
+	// Owner is nil; the calls that the entry router doesn't make are missing.
+	fleetpb.Owner
 	caller  *fleetrpc.Caller
 	entry   string
 	address string
@@ -218,14 +219,6 @@
 	return &fleetpb.WithdrawReply{Sender: o.caller.Sender()}, nil
 }
 
-func (o *fakeOwner) Report(context.Context, *fleetpb.ReportRequest) (*fleetpb.ReportReply, error) {
-	return nil, fmt.Errorf("not used")
-}
-
-func (o *fakeOwner) FindOwner(context.Context, *fleetpb.OwnerRequest) (*fleetpb.OwnerReply, error) {
-	return nil, fmt.Errorf("not used")
-}
-
 // set changes the owner's behaviour or reads its state under its lock.
 func (o *fakeOwner) set(change func()) {
 	o.mu.Lock()
@@ -264,7 +257,7 @@
 
 func newOwner(t *testing.T, caller *fleetrpc.Caller, entry string, pick func(*fleetpb.Ticket) string) *fakeOwner {
 	o := &fakeOwner{
-		t: t, caller: caller, entry: entry, pick: pick, copies: 1,
+		caller: caller, entry: entry, pick: pick, copies: 1,
 		granted: map[string]uint32{}, waiting: map[string]bool{}, withdrawn: map[string]bool{},
 	}
 	o.address, _ = serveFleet(t, fleetpb.NewOwnerServer(o))
--- a/router/entry/handler.go
+++ b/router/entry/handler.go
@@ -72,36 +72,31 @@
 	}
 }
 
-// serve takes a request of a known team through its life.
+// serve takes a request of a known team through its life. Requests that find
+// no room get no trail, so that a flood doesn't push out the trails of others.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, q *request) {
+	defer s.forget(q)
+	if refusal := s.admit(q, r.ContentLength); refusal != nil {
+		s.refuse(w, *refusal)
+		return
+	}
 	s.note(q, audit.Received, false,
 		slog.String("team", q.team), slog.String("service", q.service),
 		slog.String("operation", q.op.Name), slog.Uint64("hint", q.hint))
-	defer s.forget(q)
-	if refusal := s.prepare(w, r, q); refusal != nil {
+	// A body that can't be read ends the context as well, so the refusal counts.
+	if refusal := s.readBody(w, r, q); refusal != nil {
 		s.conclude(w, q, *refusal)
 		return
 	}
-	if r.Context().Err() != nil {
+	refusal := s.claim(r, q)
+	switch {
+	case r.Context().Err() != nil:
 		s.cancelled(q)
-		return
-	}
-	s.run(w, r, q)
-}
-
-// prepare does everything that comes before the queue. The refusals that it
-// returns are certain for this request.
-func (s *Server) prepare(w http.ResponseWriter, r *http.Request, q *request) *outcome.Outcome {
-	if r.ContentLength > s.o.Limits.MaxBody {
-		return tooLarge(q.id)
-	}
-	if refusal := s.admit(q); refusal != nil {
-		return refusal
-	}
-	if refusal := s.readBody(w, r, q); refusal != nil {
-		return refusal
+	case refusal != nil:
+		s.conclude(w, q, *refusal)
+	default:
+		s.run(w, r, q)
 	}
-	return s.claim(r, q)
 }
 
 // identify finds out who asks for what.
--- a/router/entry/room.go
+++ b/router/entry/room.go
@@ -40,8 +40,12 @@
 	}
 }
 
-// admit counts a request in its team's queue, if there is room.
-func (s *Server) admit(q *request) *outcome.Outcome {
+// admit counts a request in its team's queue, if there is room. The length of
+// its body is -1 if it is not known.
+func (s *Server) admit(q *request, length int64) *outcome.Outcome {
+	if length > s.o.Limits.MaxBody {
+		return tooLarge(q.id)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	use := s.teams[q.team]
--- a/router/keyclaim/keyclaim.go
+++ b/router/keyclaim/keyclaim.go
@@ -45,6 +45,8 @@
 	Offsets(ctx context.Context, topic string) (beginning, end int64, err error)
 }
 
+var _ Log = (*logclient.Client)(nil)
+
 // Options are the parts and settings of a Claimer.
 type Options struct {
 	Log Log
--- a/router/keyclaim/keyclaim_test.go
+++ b/router/keyclaim/keyclaim_test.go
@@ -15,9 +15,12 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/acaciaspar/acaciaspar/coordination/idemkey"
+	"github.com/acaciaspar/acaciaspar/router/entry"
 	"github.com/acaciaspar/acaciaspar/transport/logclient"
 )
 
+var _ entry.KeyClaimer = (*Claimer)(nil)
+
 // fakeLog is a log in memory whose calls take random times and fail in the
 // ways that chaos, from 0 to 1, makes likely.
 type fakeLog struct {
