Don't count a caller's slow reads as silence of the agent

The time limit between bytes of an answer now runs only while the router reads from the agent. A caller that doesn't take its answer is cut by the write deadline, which a test now covers. The key reader no longer logs a fault when it is stopped.

--- a/router/entry/answer.go
+++ b/router/entry/answer.go
@@ -37,8 +37,10 @@
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	for {
-		n, err := resp.Body.Read(*buffer)
+		// The time that the caller takes for a write doesn't count as silence of the agent.
 		idle.Reset(d.s.o.Limits.IdleTimeout)
+		n, err := resp.Body.Read(*buffer)
+		idle.Stop()
 		if n > 0 && !d.pass(resp, (*buffer)[:n]) {
 			return d.callerGone()
 		}
--- a/router/entry/outcome_test.go
+++ b/router/entry/outcome_test.go
@@ -337,6 +337,24 @@
 	})
 }
 
+// Guards against a caller that holds an endpoint's slot by not reading its
+// answer: the work is cancelled.
+func TestSlowReader(t *testing.T) {
+	agent := newAgent(t, func(w http.ResponseWriter, _ *http.Request) {
+		for part := make([]byte, 1<<20); ; {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	})
+	b := newBench(t, eachTo(agent.address), func(o *Options) { o.Limits.IdleTimeout = 100 * time.Millisecond })
+	conn, err := net.Dial("tcp", b.front.Listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /post-desk/stock HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer harbour-token\r\nContent-Length: 0\r\n\r\n")
+	eventually(t, "the request is cancelled", func() bool { return b.counter("entry.outcome.cancelled") == 1 })
+}
+
 // Guards against a team that takes up the queue or the memory of others.
 func TestFlood(t *testing.T) {
 	limits := func(o *Options) {
--- a/router/keyclaim/reader.go
+++ b/router/keyclaim/reader.go
@@ -41,6 +41,9 @@
 	var at position
 	for ctx.Err() == nil {
 		more, err := c.readOnce(ctx, &at)
+		if ctx.Err() != nil {
+			break
+		}
 		c.noteRead(err)
 		switch {
 		case err != nil:
@@ -98,7 +101,7 @@
 	was := c.readFault
 	c.readFault = err
 	c.mu.Unlock()
-	if (err == nil) != (was == nil) && c.o.Logger != nil {
+	if (err == nil) != (was == nil) {
 		c.logReadChange(err)
 	}
 }
