Measure fairness, utilisation and outcomes under load with acaciaspar-bench

acaciaspar-bench run drives the built binaries with a workload of open-loop Poisson arrivals, heavy-tailed costs, wrong hints, a flood and a timeline of faults, once per variant of the settings.

--- /dev/null
+++ b/testbed/bench/deploy.go
@@ -0,0 +1,213 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/state/objects"
+	"github.com/acaciaspar/acaciaspar/testbed/faultproxy"
+	"github.com/acaciaspar/acaciaspar/testbed/fleet"
+	"github.com/acaciaspar/acaciaspar/testbed/standin/logservice"
+)
+
+// deployment is the fleet of one run.
+type deployment struct {
+	*fleet.Fleet
+	run      fleet.Runner
+	workload *Workload
+	variant  Variant
+	routers  []*fleet.Process
+	agents   map[string]*fleet.Process
+	// endpoints holds the stand-ins of each service.
+	endpoints [][]*fleet.Process
+}
+
+func deploy(run fleet.Runner, w *Workload, v Variant) *deployment {
+	d := &deployment{
+		Fleet: fleet.New(run, "bench"), run: run, workload: w, variant: v,
+		agents: map[string]*fleet.Process{},
+	}
+	for i := range w.Routers {
+		d.routers = append(d.routers, d.Router(d.member(fmt.Sprintf("router-%d", i+1), i, v.RouterArgs)))
+	}
+	for _, r := range d.routers {
+		d.delay(r)
+	}
+	d.Publish(w.objects(v))
+	for i := range w.Services {
+		d.endpoints = append(d.endpoints, d.startEndpoints(&w.Services[i]))
+	}
+	d.settle()
+	return d
+}
+
+func (d *deployment) member(name string, index int, args []string) fleet.Member {
+	w := d.workload
+	return fleet.Member{Name: name, Zone: w.Zones[index%len(w.Zones)], Proxy: w.Delay > 0, Args: args}
+}
+
+func (d *deployment) delay(p *fleet.Process) {
+	if p.Proxy != nil {
+		p.Proxy.SetDelay(faultproxy.ToTarget, d.workload.Delay)
+		p.Proxy.SetDelay(faultproxy.ToClient, d.workload.Delay)
+	}
+}
+
+func (d *deployment) startEndpoints(s *Service) []*fleet.Process {
+	var standins []*fleet.Process
+	for i := range s.Endpoints {
+		name := endpointName(s, i)
+		standin := s.start(d.Fleet, "endpoint-"+name)
+		agent := d.Agent(d.member(name, i, nil), name, standin.URL("listen"))
+		d.delay(agent)
+		d.agents[name] = agent
+		standins = append(standins, standin)
+	}
+	return standins
+}
+
+// start runs a stand-in of an endpoint of the service.
+func (s *Service) start(f *fleet.Fleet, name string) *fleet.Process {
+	if s.Type == objects.PlainService {
+		return f.Standin(name, "plain", "-service-time", s.ServiceTime.String())
+	}
+	return f.Standin(name, "engine",
+		"-max-batch", fmt.Sprint(s.Slots),
+		"-step-base", s.StepBase.String(),
+		"-step-per-sequence", s.StepPerSequence.String())
+}
+
+func endpointName(s *Service, i int) string { return fmt.Sprintf("%s-%d", s.Name, i+1) }
+
+func (w *Workload) objects(v Variant) *fleet.Objects {
+	o := &fleet.Objects{}
+	var names []string
+	for i := range w.Services {
+		s := &w.Services[i]
+		names = append(names, s.Name)
+		o.Services = append(o.Services, s.object())
+		for i := range s.Endpoints {
+			o.Endpoints = append(o.Endpoints, objects.Endpoint{
+				Name: endpointName(s, i), Service: s.Name, Zone: w.Zones[i%len(w.Zones)],
+				Slots: s.Slots, Prefetch: v.Prefetch,
+				Fencing: objects.FencingIgnored, State: objects.EndpointActive,
+			})
+		}
+	}
+	for _, t := range w.Teams {
+		o.Team(t.Name, t.Weight, names...)
+	}
+	return o
+}
+
+func (s *Service) object() objects.Service {
+	o := objects.Service{Name: s.Name, Type: s.Type, DefaultCost: s.DefaultCost, MaxCost: s.MaxCost}
+	if s.Type == objects.PlainService {
+		o.Operations = []objects.Operation{
+			{Name: "look-up-stock", Path: "/stock", Idempotent: true},
+			{Name: "act", Path: s.Act},
+		}
+		return o
+	}
+	o.Operations = []objects.Operation{{Name: "complete", Path: "/v1/completions", Idempotent: true}}
+	return o
+}
+
+// settle waits until each service has one owner that knows all free slots.
+func (d *deployment) settle() {
+	d.Eventually("the fleet settles", func() bool {
+		for _, r := range d.routers {
+			if status := d.Status(r); status.GetConfigVersion() < 1 || len(status.GetMembers()) < len(d.routers)-1 {
+				return false
+			}
+		}
+		for i := range d.workload.Services {
+			s := &d.workload.Services[i]
+			owner := d.Owner(s.Name, d.routers...)
+			if owner == nil {
+				return false
+			}
+			for i := range s.Endpoints {
+				free, _, ok := d.FreeSlots(endpointName(s, i), owner)
+				if !ok || free != s.Slots+d.variant.Prefetch {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// apply causes one fault.
+func (d *deployment) apply(f Fault, up *routerSet) {
+	p := d.agents[f.Process]
+	for i, r := range d.routers {
+		if r.Name == f.Process {
+			p = r
+			up.set(i, f.Action == "start")
+		}
+	}
+	if p == nil && f.Process != "" {
+		d.run.Fatalf("fault at %v: no process %q", f.At, f.Process)
+	}
+	switch f.Action {
+	case "kill":
+		p.Kill()
+	case "stop":
+		// The drain may last longer than the run.
+		p.Signal(syscall.SIGTERM)
+	case "start":
+		p.Start()
+	case "log-down":
+		d.Put(d.Log, "/standin/faults", logservice.Faults{Outage: true})
+	case "log-up":
+		d.Put(d.Log, "/standin/faults", logservice.Faults{})
+	}
+}
+
+// members returns the routers and agents.
+func (d *deployment) members() []*fleet.Process {
+	all := append([]*fleet.Process(nil), d.routers...)
+	for _, a := range d.agents {
+		all = append(all, a)
+	}
+	return all
+}
+
+// probeClient reads metrics and states, off the measured path.
+var probeClient = &http.Client{Timeout: 2 * time.Second}
+
+// metricsOf reads the counters and gauges of a process; it returns nil if the
+// process doesn't answer.
+func metricsOf(adminURL string) map[string]float64 {
+	resp, err := probeClient.Get(adminURL + "/metrics")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	return parseMetrics(resp.Body)
+}
+
+// parseMetrics reads the samples without labels of the Prometheus text format.
+func parseMetrics(r io.Reader) map[string]float64 {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return nil
+	}
+	out := map[string]float64{}
+	for line := range strings.Lines(string(text)) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if !ok || strings.HasPrefix(name, "#") || strings.Contains(name, "{") {
+			continue
+		}
+		if number, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = number
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/testbed/bench/sampler.go
@@ -0,0 +1,156 @@
+package bench
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/testbed/standin/engine"
+)
+
+// sampleInterval is the time between two samples of the endpoints' load.
+const sampleInterval = 100 * time.Millisecond
+
+// Sample is the state of all endpoints of a service at one time.
+type Sample struct {
+	At time.Duration
+	// BusySlotSeconds is the sum of the endpoints' counters.
+	BusySlotSeconds float64
+	// Occupied is the number of slots that hold an admitted request.
+	Occupied int
+}
+
+// sampler reads the load of the endpoints of one service until it is stopped.
+type sampler struct {
+	urls    []string
+	slots   int
+	began   time.Time
+	stop    chan struct{}
+	done    chan struct{}
+	samples []Sample
+}
+
+func startSampler(urls []string, slotsPerEndpoint int, began time.Time) *sampler {
+	s := &sampler{
+		urls: urls, slots: slotsPerEndpoint, began: began,
+		stop: make(chan struct{}), done: make(chan struct{}),
+	}
+	go s.run()
+	return s
+}
+
+func (s *sampler) run() {
+	defer close(s.done)
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		if sample, ok := s.take(); ok {
+			s.samples = append(s.samples, sample)
+		}
+		select {
+		case <-ticker.C:
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+// end stops the sampler and returns what it took.
+func (s *sampler) end() []Sample {
+	close(s.stop)
+	<-s.done
+	return s.samples
+}
+
+// take reads all endpoints at the same time. The time of the sample is the
+// middle of the reading.
+func (s *sampler) take() (Sample, bool) {
+	loads := make([]engine.Busy, len(s.urls))
+	failed := make([]bool, len(s.urls))
+	from := time.Since(s.began)
+	var reading sync.WaitGroup
+	for i, url := range s.urls {
+		reading.Go(func() { failed[i] = !probe(url+"/standin/busy", &loads[i]) })
+	}
+	reading.Wait()
+	sample := Sample{At: (from + time.Since(s.began)) / 2}
+	for i, load := range loads {
+		if failed[i] {
+			return Sample{}, false
+		}
+		sample.BusySlotSeconds += load.BusySlotSeconds
+		sample.Occupied += min(s.slots, load.Running+load.Waiting)
+	}
+	return sample, true
+}
+
+// probe reads JSON from a process and reports whether that worked.
+func probe(url string, v any) bool {
+	resp, err := probeClient.Get(url)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v) == nil
+}
+
+// Utilisation is the busy share of a service's slots over the time in which
+// any of its requests waits.
+type Utilisation struct {
+	// Busy comes from the endpoints' counters of busy time.
+	Busy float64 `json:"busy"`
+	// Occupied is the mean share of slots that hold an admitted request.
+	Occupied float64 `json:"occupied"`
+	// WaitingSeconds is the time over which both are taken.
+	WaitingSeconds float64 `json:"waitingSeconds"`
+}
+
+// utilisation takes the intervals between two samples in which at least one
+// request waited throughout. waits holds the times at which the service has no
+// waiting request, as spans in order.
+func utilisation(samples []Sample, idle []span, slots int) Utilisation {
+	var u Utilisation
+	busy, occupied, next := 0.0, 0.0, 0
+	for i := 1; i < len(samples); i++ {
+		from, to := samples[i-1], samples[i]
+		for next < len(idle) && idle[next].to <= from.At {
+			next++
+		}
+		if next < len(idle) && idle[next].from < to.At {
+			continue
+		}
+		seconds := (to.At - from.At).Seconds()
+		u.WaitingSeconds += seconds
+		busy += to.BusySlotSeconds - from.BusySlotSeconds
+		occupied += seconds * float64(from.Occupied+to.Occupied) / 2
+	}
+	if u.WaitingSeconds > 0 {
+		u.Busy = busy / (u.WaitingSeconds * float64(slots))
+		u.Occupied = occupied / (u.WaitingSeconds * float64(slots))
+	}
+	return u
+}
+
+// span is a time from one moment to another.
+type span struct{ from, to time.Duration }
+
+// idleSpans returns the times up to end in which no request of the events waits.
+// The events are in order of time.
+func idleSpans(events []serviceEvent, end time.Duration) []span {
+	var idle []span
+	waiting, since := 0, time.Duration(0)
+	for _, e := range events {
+		was := waiting
+		waiting += e.waiting
+		if was == 0 && waiting > 0 {
+			idle = append(idle, span{since, e.at})
+		}
+		if was > 0 && waiting == 0 {
+			since = e.at
+		}
+	}
+	if waiting == 0 {
+		idle = append(idle, span{since, max(end, since)})
+	}
+	return idle
+}
--- /dev/null
+++ b/testbed/bench/variant.go
@@ -0,0 +1,32 @@
+package bench
+
+// Variant is one set of settings that a workload is run with.
+type Variant struct {
+	Name string
+	// RouterArgs are flags of all routers.
+	RouterArgs []string
+	// Prefetch is the prefetch of all endpoints.
+	Prefetch uint32
+	// NoHints sends no hints; the service's default cost is used instead.
+	NoHints bool
+	// NoFlood leaves out the flood.
+	NoFlood bool
+	// Faults runs the workload's timeline of faults.
+	Faults bool
+}
+
+// Variants returns all variants in the order of the tables.
+func Variants() []Variant {
+	return []Variant{
+		{Name: "default"},
+		{Name: "fcfs", RouterArgs: []string{"-ordering", "fcfs"}},
+		{Name: "router-fair", RouterArgs: []string{"-ordering", "router-fair"}},
+		{Name: "default-no-flood", NoFlood: true},
+		{Name: "fcfs-no-flood", RouterArgs: []string{"-ordering", "fcfs"}, NoFlood: true},
+		{Name: "random-placement", RouterArgs: []string{"-placement", "random"}},
+		{Name: "prefetch-1", Prefetch: 1},
+		{Name: "prefetch-2", Prefetch: 2},
+		{Name: "no-hints", NoHints: true},
+		{Name: "default-faults", Faults: true},
+	}
+}
--- /dev/null
+++ b/testbed/cmd/acaciaspar-bench/main.go
@@ -0,0 +1,25 @@
+// Command acaciaspar-bench drives the built binaries with load and measures
+// them. Run it inside the workspace after "make build".
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "acaciaspar-bench")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(&runCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
--- /dev/null
+++ b/testbed/cmd/acaciaspar-bench/run.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/acaciaspar/acaciaspar/settings"
+	"github.com/acaciaspar/acaciaspar/testbed/bench"
+)
+
+type runOptions struct {
+	Variants string        `flag:"variants" usage:"names of the variants, separated by commas (default: all)"`
+	Duration time.Duration `flag:"duration" default:"0s" usage:"time during which requests arrive; 0 takes the workload's"`
+	Repeat   int           `flag:"repeat" default:"1" usage:"runs of each variant, each with the next seed"`
+	JSON     string        `flag:"json" usage:"file for the results as JSON"`
+}
+
+// runCommand runs workloads with variants.
+type runCommand struct {
+	options runOptions
+	loader  *settings.Loader
+}
+
+// Name implements subcommands.Command.
+func (*runCommand) Name() string { return "run" }
+
+// Synopsis implements subcommands.Command.
+func (*runCommand) Synopsis() string { return "run workloads with variants of the settings" }
+
+// Usage implements subcommands.Command.
+func (*runCommand) Usage() string { return "acaciaspar-bench run [flags] WORKLOAD.yaml...\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *runCommand) SetFlags(fs *flag.FlagSet) { c.loader = settings.Bind(fs, &c.options, nil) }
+
+// Execute implements subcommands.Command.
+func (c *runCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.loader.Finish(fs, nil); err != nil || fs.NArg() == 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	variants, err := selected(c.options.Variants)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	var results []*bench.Result
+	for _, path := range fs.Args() {
+		w, err := bench.Load(path)
+		if err != nil {
+			return failed(err)
+		}
+		some, err := c.runAll(ctx, w, variants)
+		results = append(results, some...)
+		if err != nil {
+			return failed(err)
+		}
+	}
+	return c.report(results)
+}
+
+func (c *runCommand) runAll(ctx context.Context, w *bench.Workload, variants []bench.Variant) ([]*bench.Result, error) {
+	if c.options.Duration > 0 {
+		w.Duration = c.options.Duration
+	}
+	var results []*bench.Result
+	for range c.options.Repeat {
+		for _, v := range variants {
+			if ctx.Err() != nil {
+				return results, ctx.Err()
+			}
+			fmt.Fprintf(os.Stderr, "%s %s %s seed %d\n", time.Now().Format(time.TimeOnly), w.Name, v.Name, w.Seed)
+			result, err := bench.Run(os.Stderr, w, v)
+			if err != nil {
+				return results, fmt.Errorf("%s, %s: %w", w.Name, v.Name, err)
+			}
+			results = append(results, result)
+		}
+		w.Seed++
+	}
+	return results, nil
+}
+
+func (c *runCommand) report(results []*bench.Result) subcommands.ExitStatus {
+	if err := bench.WriteTable(os.Stdout, results); err != nil {
+		return failed(err)
+	}
+	fmt.Println()
+	if err := bench.WriteSmallTeams(os.Stdout, results); err != nil {
+		return failed(err)
+	}
+	if c.options.JSON != "" {
+		if err := bench.WriteJSON(c.options.JSON, results); err != nil {
+			return failed(err)
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+func selected(names string) ([]bench.Variant, error) {
+	all := bench.Variants()
+	if names == "" {
+		return all, nil
+	}
+	var out []bench.Variant
+	for name := range strings.SplitSeq(names, ",") {
+		i := slices.IndexFunc(all, func(v bench.Variant) bool { return v.Name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("there is no variant %q", name)
+		}
+		out = append(out, all[i])
+	}
+	return out, nil
+}
+
+func failed(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "acaciaspar-bench:", err)
+	return subcommands.ExitFailure
+}
