Serve CPU and memory profiles on the admin listener with -pprof

Routers and agents serve /debug/pprof/ on the admin listener if the flag is set. It is off by default, because profiles show command lines and code.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -150,6 +150,9 @@
 	admin.Handle("GET /metrics", observability.Handler(a.counts.registry))
 	admin.HandleFunc("GET /healthz", a.serveHealth)
 	admin.HandleFunc("GET /status", a.serveStatus)
+	if a.settings.PProf {
+		observability.HandleProfiles(admin)
+	}
 	a.adminServer = &http.Server{
 		Handler:           admin,
 		ReadHeaderTimeout: callTimeout,
--- a/router/process.go
+++ b/router/process.go
@@ -275,6 +275,9 @@
 	admin := http.NewServeMux()
 	admin.Handle("GET /metrics", observability.Handler(p.registry))
 	admin.HandleFunc("GET /healthz", p.serveHealth)
+	if p.settings.PProf {
+		observability.HandleProfiles(admin)
+	}
 	p.admin = &http.Server{Handler: admin, ReadHeaderTimeout: callerReadHeaderTimeout}
 }
 
--- a/router/settings.go
+++ b/router/settings.go
@@ -47,6 +47,7 @@
 	TLSKey   string `flag:"tls-key" usage:"key file (PEM)"`
 	TLSCA    string `flag:"tls-ca" usage:"file with the CA of the fleet's certificates (PEM)"`
 	LogLevel string `flag:"log-level" default:"info" usage:"debug, info, warn or error"`
+	PProf    bool   `flag:"pprof" usage:"serve profiles below /debug/pprof/ on the admin listener"`
 
 	PrintSettings bool `flag:"print-settings" usage:"print the settings in force and exit"`
 }
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -211,6 +211,9 @@
 	return p.Address("fleet")
 }
 
+// PID returns the process's identifier in the kernel.
+func (p *Process) PID() int { return p.current().cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) {
 	p.fleet.run.Helper()
