Reads of the log don't grow with the number of routers

Every router read the configuration stream four times a second, which is 2,080 reads a second at 520 routers (computed, not measured) from a log that also takes several hundred appends. The interval now grows with the fleet up to 2 s, half of the time in which a version must be in force.

--- a/router/configfollow/follower.go
+++ b/router/configfollow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,6 +23,14 @@
 const (
 	// DefaultPollInterval is the time between two reads at the end of the log.
 	DefaultPollInterval = 250 * time.Millisecond
+
+	// maxPollInterval bounds the time between two reads in a large fleet. With
+	// it a new version is in force within half of the 4 s that are promised.
+	maxPollInterval = 2 * time.Second
+	// pollShare is the time between two reads of the log by all routers
+	// together: 250 reads a second, however many routers there are, until
+	// maxPollInterval is reached.
+	pollShare = 4 * time.Millisecond
 	// maxBackoff is the longest time between two attempts while the log or the peers fail.
 	maxBackoff = 2 * time.Second
 	// randomization is the part by which the time between two attempts varies.
@@ -138,7 +147,7 @@
 	failures := newBackOff(f.options.PollInterval)
 	batch, limit := maxBatch, minReadTimeout
 	for {
-		pause := f.options.PollInterval
+		pause := jittered(pollPause(f.options.PollInterval, len(f.options.Peers())+1))
 		more, err := f.readOnce(ctx, batch, limit)
 		switch {
 		case ctx.Err() != nil:
@@ -161,6 +170,16 @@
 	}
 }
 
+// pollPause returns the time between two reads in a fleet of this many routers.
+func pollPause(interval time.Duration, routers int) time.Duration {
+	return max(interval, min(maxPollInterval, time.Duration(routers)*pollShare))
+}
+
+// jittered spreads the reads of routers that started together.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
+}
+
 func (f *Follower) logFailed(err error) {
 	f.count("config.log_errors")
 	f.mu.Lock()
