Keep full tables usable

A full table of agent instances forgets the one that was silent for longest, with its counters folded into the bases, and a full member table forgets the member that is dead for longest, instead of refusing new ones. Both are tested.

--- a/coordination/fairqueue/expire.go
+++ b/coordination/fairqueue/expire.go
@@ -55,7 +55,7 @@
 }
 
 func (q *Queue) expireInstances(now time.Time) {
-	for id, in := range q.instances {
+	for _, in := range q.instances {
 		silence := now.Sub(in.heard)
 		if in.live && silence > SilentAfter {
 			q.release(in)
@@ -66,7 +66,7 @@
 			q.fold(in)
 		}
 		if silence > ForgetFolded {
-			q.forgetInstance(id, in)
+			q.forgetInstance(in)
 		}
 	}
 }
@@ -91,9 +91,9 @@
 	}
 }
 
-func (q *Queue) forgetInstance(id string, in *instance) {
+func (q *Queue) forgetInstance(in *instance) {
 	q.endGrants(in)
-	delete(q.instances, id)
+	delete(q.instances, in.id)
 }
 
 // limitCredit raises the backlogged teams that are further below the largest
--- a/coordination/fairqueue/queue_test.go
+++ b/coordination/fairqueue/queue_test.go
@@ -465,6 +465,22 @@
 	must.Eq(t, v+100, q.teams["t"].base)
 }
 
+// Guards against an agent that restarts again and again until no new instance
+// is taken, and against counters that are lost with the forgotten ones.
+func TestManyRestarts(t *testing.T) {
+	q := newQueue(Options{}, "e")
+	for i := range MaxInstances + 10 {
+		r := report("e", 1, "t")
+		r.Instance, r.StartedUnixMs = fmt.Sprint("i", i), int64(i)
+		r.Counters = []Counter{{Team: "t", Cost: 1, Normalized: 1}}
+		result := q.Report(at(i), r)
+		must.Eq(t, RefusedNone, result.Refused)
+		must.False(t, result.Superseded)
+	}
+	must.MapLen(t, MaxInstances, q.instances)
+	must.Eq(t, MaxInstances+10, virtualOf(q, "t"))
+}
+
 // Guards against credit without limit after counters were lost.
 func TestCreditLimit(t *testing.T) {
 	q := newQueue(Options{CreditLimit: 50}, "e")
--- a/coordination/fairqueue/report.go
+++ b/coordination/fairqueue/report.go
@@ -77,6 +77,7 @@
 		return ReportResult{Refused: refusal, VirtualTime: q.virtual}
 	}
 	if in == nil {
+		q.makeRoom()
 		in = newInstance(&r)
 		q.instances[r.Instance] = in
 	}
@@ -108,6 +109,26 @@
 	}
 }
 
+// makeRoom forgets the instance that is silent for longest if the table is
+// full. There is always one, because only MaxAgents are current.
+func (q *Queue) makeRoom() {
+	if len(q.instances) < MaxInstances {
+		return
+	}
+	var oldest *instance
+	for _, in := range q.instances {
+		if q.agents[in.endpoint] == in {
+			continue
+		}
+		if oldest == nil || in.heard.Before(oldest.heard) {
+			oldest = in
+		}
+	}
+	q.release(oldest)
+	q.fold(oldest)
+	q.forgetInstance(oldest)
+}
+
 // check returns the reason for which a report must be refused whole.
 func (q *Queue) check(in *instance, r *Report) Refusal {
 	if _, ok := q.known[r.Endpoint]; !ok || (in != nil && in.endpoint != r.Endpoint) {
@@ -116,9 +137,6 @@
 	if len(r.FreeTokens)+len(r.Running) > MaxTokens {
 		return RefusedTooManyTokens
 	}
-	if in == nil && len(q.instances) >= MaxInstances {
-		return RefusedTableFull
-	}
 	if q.agents[r.Endpoint] == nil && len(q.agents) >= MaxAgents {
 		return RefusedTableFull
 	}
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -469,7 +469,7 @@
 	}
 	e := t.members[m.Address]
 	if e == nil {
-		if len(t.members) >= MaxMembers-1 {
+		if len(t.members) >= MaxMembers-1 && (m.State == Dead || !t.dropDead(now)) {
 			return
 		}
 		t.members[m.Address] = &entry{Member: m, since: now}
@@ -495,6 +495,25 @@
 	t.announce(m.Address)
 }
 
+// dropDead forgets the member that is dead for longest, and reports whether
+// there was one.
+func (t *Table) dropDead(now time.Time) bool {
+	var oldest *entry
+	for _, e := range t.members {
+		if e.State != Dead {
+			continue
+		}
+		if oldest == nil || e.since.Before(oldest.since) {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.remove(now, oldest.Address)
+	return true
+}
+
 // supersedes is the rule of precedence. The instance only breaks ties between
 // two processes that started in the same millisecond.
 func supersedes(m, old Member) bool {
@@ -535,9 +554,7 @@
 			t.setState(now, e, Dead)
 		}
 		if e.State == Dead && now.Sub(e.since) >= ForgetAfter {
-			delete(t.members, address)
-			delete(t.queue, address)
-			t.forget(now, address)
+			t.remove(now, address)
 		}
 	}
 	for address, since := range t.forgotten {
@@ -547,8 +564,11 @@
 	}
 }
 
-func (t *Table) forget(now time.Time, address string) {
+// remove takes a dead member out of the table. It is still probed for a while.
+func (t *Table) remove(now time.Time, address string) {
 	t.version++
+	delete(t.members, address)
+	delete(t.queue, address)
 	if len(t.forgotten) < MaxMembers {
 		t.forgotten[address] = now
 	}
--- a/coordination/membership/table_test.go
+++ b/coordination/membership/table_test.go
@@ -357,6 +357,11 @@
 	}
 	table.Merge(now, flood)
 	must.Len(t, MaxMembers, table.Members())
+	must.SliceNotContains(t, table.Live(), "f2080")
+	flood[3].State = Dead
+	table.Merge(now, []Member{flood[3], flood[2080]})
+	must.SliceContains(t, table.Live(), "f2080")
+	must.Len(t, MaxMembers, table.Members())
 }
 
 func targets(pings []Ping) []string {
