--- a/agent/loops_test.go
+++ b/agent/loops_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -158,6 +159,27 @@
 	f.mustRefuse(f.header(token), outcome.NotRun, http.StatusServiceUnavailable)
 }
 
+// Guards against an agent that stays out of service because a clock step made
+// it look older than its predecessor, and against two instances that take turns.
+func TestSupersededStateEnds(t *testing.T) {
+	a, err := New(Settings{Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0"}, slog.New(slog.DiscardHandler))
+	must.NoError(t, err)
+	defer a.closeServers()
+	defer a.fleetListener.Close()
+	defer a.adminListener.Close()
+	stopped := func(after time.Duration, superseded bool) bool {
+		a.reporter.noteSuperseded(time.Unix(1000, 0).Add(after), superseded)
+		var stop slots.Stop
+		a.pool.read(func(t *slots.Table) { stop = t.Stopped() })
+		return stop&slots.StopSuperseded != 0
+	}
+	must.False(t, stopped(0, false))
+	must.True(t, stopped(time.Second, true))
+	must.True(t, stopped(time.Second+supersededFor-1, false))
+	must.False(t, stopped(time.Second+supersededFor, false))
+	must.True(t, stopped(time.Minute, true))
+}
+
 // Guards against an agent that waits for a log that its endpoint doesn't need,
 // and against one that starts without the number that its endpoint checks.
 func TestFencingAndStart(t *testing.T) {
--- a/agent/report.go
+++ b/agent/report.go
@@ -133,7 +133,7 @@
 		return false
 	}
 	r.failures = 0
-	r.noteSuperseded(reply.Superseded)
+	r.noteSuperseded(time.Now(), reply.Superseded)
 	if reply.OwnerAddress != "" && reply.OwnerAddress != r.owner {
 		r.owner = reply.OwnerAddress
 		return true
@@ -161,8 +161,8 @@
 	return report
 }
 
-func (r *reporter) noteSuperseded(superseded bool) {
-	now := time.Now()
+// noteSuperseded takes a reply's word on whether a later instance is known.
+func (r *reporter) noteSuperseded(now time.Time, superseded bool) {
 	switch {
 	case superseded:
 		r.superseded = now
