--- a/router/entry/answer.go
+++ b/router/entry/answer.go
@@ -37,8 +37,10 @@
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	for {
-		n, err := resp.Body.Read(*buffer)
+		// The time that the caller takes for a write doesn't count as silence of the agent.
 		idle.Reset(d.s.o.Limits.IdleTimeout)
+		n, err := resp.Body.Read(*buffer)
+		idle.Stop()
 		if n > 0 && !d.pass(resp, (*buffer)[:n]) {
 			return d.callerGone()
 		}
@@ -58,7 +60,12 @@
 	rc := http.NewResponseController(d.w)
 	_ = rc.SetWriteDeadline(time.Now().Add(d.s.o.Limits.IdleTimeout))
 	d.begin(resp)
-	if _, err := d.w.Write(part); err != nil {
+	_, err := d.w.Write(part)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		// The answer to a HEAD request or a status such as 304 has no body for the caller.
+		return true
+	}
+	if err != nil {
 		return false
 	}
 	return rc.Flush() == nil
