--- a/coordination/fairqueue/queue_test.go
+++ b/coordination/fairqueue/queue_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -391,6 +393,10 @@
 	must.Eq(t, 0, q.Teams()[0].Running)
 	q.Enqueue(at(2), first)
 	must.Eq(t, 2, q.tickets["a"].Attempt)
+	third := first
+	third.Attempt = 3
+	q.Enqueue(at(3), third)
+	must.Eq(t, 3, q.tickets["a"].Attempt)
 }
 
 // Guards against queues without bounds.
@@ -454,6 +460,9 @@
 	r.Sequence, r.Running, r.Counters[0].Normalized = 2, nil, 600
 	must.False(t, q.Report(at(70_000), r).WantFull)
 	must.Eq(t, v+100, virtualOf(q, "t"))
+	q.Expire(at(131_000))
+	must.Eq(t, v+100, virtualOf(q, "t"))
+	must.Eq(t, v+100, q.teams["t"].base)
 }
 
 // Guards against credit without limit after counters were lost.
@@ -503,14 +512,21 @@
 		must.Eq(t, place(key, "z-e"), place(key, "z-f"))
 	}
 	must.MapLen(t, 3, seen)
+	q.SetEndpoints([]Endpoint{{Name: "e"}, {Name: "f", Draining: true}, {Name: "g"}})
+	for i := range 20 {
+		key := fmt.Sprint("key", i)
+		must.Eq(t, rendezvous.Choose(key, []string{"e", "g"}), place(key, "none"))
+	}
+	q.SetEndpoints([]Endpoint{{Name: "e"}, {Name: "f"}, {Name: "g"}})
+	q.Report(at(1), report("f", 2, "t1", "t2"))
 	first := place("key", "z-e")
-	q.Report(at(1), report(first, 2))
+	q.Report(at(1), report(first, 3))
 	tokens := []string{"t1", "t2"}
 	for _, e := range []string{"e", "f", "g"} {
 		if e != first {
 			must.Eq(t, e, place("key", "z-"+e))
 			tokens = append(tokens, "t"+e)
-			q.Report(at(1), report(e, 2, tokens...))
+			q.Report(at(1), report(e, 3, tokens...))
 			must.Eq(t, e, place("key", "none"))
 		}
 	}
