Test the requeue delays and the reader's start

Shows that eight requeues last longer than the grants of a lost agent's tokens, and that claims are refused until the whole key stream was read.

--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/acaciaspar/acaciaspar/coordination/idemkey"
+	"github.com/acaciaspar/acaciaspar/coordination/lifecycle"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
 	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
@@ -103,6 +104,17 @@
 	must.Zero(t, b.server.held)
 }
 
+// Guards against requeues that are used up before the owner has stopped
+// granting the tokens of an agent that is gone, which takes it 1.5 s.
+func TestRequeuesOutlastLostTokens(t *testing.T) {
+	var total time.Duration
+	for attempt := range uint32(lifecycle.MaxRequeues) {
+		total += nextDelay(attempt + 2)
+	}
+	must.Greater(t, 1500*time.Millisecond, total)
+	must.Eq(t, maxRequeueDelay, nextDelay(1000))
+}
+
 // Guards against a request that is sent once per delivery of its dispatch.
 func TestDuplicateDispatch(t *testing.T) {
 	agent := newAgent(t, echo)
--- a/router/keyclaim/keyclaim_test.go
+++ b/router/keyclaim/keyclaim_test.go
@@ -30,6 +30,7 @@
 	out     bool
 	records []logclient.Record
 	appends int
+	reads   int
 }
 
 var errLost = errors.New("the reply was lost")
@@ -98,6 +99,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reads++
 	rest := l.records[min(offset, int64(len(l.records))):]
 	return append([]logclient.Record(nil), rest[:min(len(rest), count)]...), nil
 }
@@ -257,6 +259,27 @@
 	l.out = out
 }
 
+// Guards against claims of a router that has not read the whole stream.
+func TestNotReadyBeforeTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog(1, 0)
+		log.add(make([][]byte, 2*readCount+1))
+		p := startProcess(log, "i1", time.Minute)
+		defer p.end()
+		for {
+			_, err := p.begin(idemkey.Key{}, "r")
+			if err == nil {
+				break
+			}
+			must.ErrorIs(t, err, errNotReady)
+			time.Sleep(time.Millisecond)
+		}
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		must.GreaterEq(t, 3, log.reads)
+	})
+}
+
 // Guards against one append per claim, which the log's rate could not bear,
 // and against records of other types that stop the reader.
 func TestBatches(t *testing.T) {
