--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -70,7 +70,10 @@
 start() {
   local name=$1
   shift
-  "$@" 2>"$work/$name.log" >"$work/$name.out" &
+  # The new process opens its log later; until then the log of an earlier one
+  # with the same name must not count.
+  : >"$work/$name.log"
+  "$@" 2>>"$work/$name.log" >"$work/$name.out" &
   pids+=($!)
   names+=("$name")
   local deadline=$((SECONDS + READY_SECONDS))
