Name the TLS files that are missing, also in the operators' tool

With a part of -tls-cert, -tls-key and -tls-ca set, router and agent said only that the three belong together, and the operators' tool failed with code 1 after its settings had passed. All three now name the flags that aren't set, together with the other faults, and the tool exits with 2 (usage).

--- a/agent/settings.go
+++ b/agent/settings.go
@@ -65,9 +65,8 @@
 	if s.StartTimeout <= 0 || s.DrainTimeout <= 0 {
 		fault("start-timeout and drain-timeout must be positive")
 	}
-	files := s.tlsFiles()
-	if !files.Empty() && (files.Certificate == "" || files.Key == "" || files.CA == "") {
-		fault("tls-cert, tls-key and tls-ca must be set together")
+	if err := s.tlsFiles().Validate(); err != nil {
+		faults = append(faults, err)
 	}
 	if _, err := s.logLevel(); err != nil {
 		fault("log-level: %w", err)
--- a/operator/app.go
+++ b/operator/app.go
@@ -15,6 +15,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/acaciaspar/acaciaspar/settings"
+	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
 )
 
 // The exit codes of all subcommands.
@@ -92,10 +93,18 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() []error {
+	var faults []error
 	if s.Timeout <= 0 {
-		return []error{fmt.Errorf("timeout must be above 0")}
+		faults = append(faults, fmt.Errorf("timeout must be above 0"))
 	}
-	return nil
+	if err := s.tlsFiles().Validate(); err != nil {
+		faults = append(faults, err)
+	}
+	return faults
+}
+
+func (s *Settings) tlsFiles() tlsconf.Files {
+	return tlsconf.Files{Certificate: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}
 }
 
 func (s *Settings) routers() []string {
--- a/operator/status.go
+++ b/operator/status.go
@@ -80,7 +80,7 @@
 
 // newCaller returns a caller of routers.
 func (c *command) newCaller() (*fleetrpc.Caller, error) {
-	files := tlsconf.Files{Certificate: c.settings.TLSCert, Key: c.settings.TLSKey, CA: c.settings.TLSCA}
+	files := c.settings.tlsFiles()
 	var config *tls.Config
 	if !files.Empty() {
 		source, err := tlsconf.Open(files)
--- a/router/settings.go
+++ b/router/settings.go
@@ -118,9 +118,8 @@
 	default:
 		fault("placement: %q is not affinity or random", s.Placement)
 	}
-	files := s.tlsFiles()
-	if !files.Empty() && (files.Certificate == "" || files.Key == "" || files.CA == "") {
-		fault("tls-cert, tls-key and tls-ca must be set together")
+	if err := s.tlsFiles().Validate(); err != nil {
+		faults = append(faults, err)
 	}
 	if _, err := s.logLevel(); err != nil {
 		fault("log-level: %w", err)
--- a/transport/tlsconf/tlsconf.go
+++ b/transport/tlsconf/tlsconf.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +27,25 @@
 // Empty reports whether TLS is off.
 func (f Files) Empty() bool { return f == Files{} }
 
+// Validate reports files that aren't set although another one is.
+func (f Files) Validate() error {
+	if f.Empty() {
+		return nil
+	}
+	var missing []string
+	for _, file := range []struct{ flag, path string }{
+		{"tls-cert", f.Certificate}, {"tls-key", f.Key}, {"tls-ca", f.CA},
+	} {
+		if file.path == "" {
+			missing = append(missing, file.flag)
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	return eris.Errorf("tls-cert, tls-key and tls-ca must be set together, not set: %s", strings.Join(missing, ", "))
+}
+
 // Source serves the certificate and the CA pool that the files hold now.
 // Its mutex guards the fields below it and is held while files are read.
 type Source struct {
