Test fleets with TLS

Guards callers', fleet and agent listeners with TLS, the refusal of processes without the fleet's certificate, replacement of certificates while requests stream, and settings with a part of the TLS files. The harness can start a fleet with TLS, ask routers with the operators' tool and read metrics.

--- a/testbed/e2e/fixture_test.go
+++ b/testbed/e2e/fixture_test.go
@@ -50,7 +50,12 @@
 	// proxies puts a fault proxy in front of every router and agent.
 	proxies    bool
 	routerArgs []string
+	agentArgs  []string
 	plainArgs  []string
+	// extraPeer, if set, is a further peer of the first router.
+	extraPeer string
+	// prepare, if set, runs before the first router starts.
+	prepare func(f *fleet.Fleet)
 }
 
 func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
@@ -61,12 +66,19 @@
 	fleetSlots <- struct{}{}
 	t.Cleanup(func() { <-fleetSlots })
 	d := &deployment{Fleet: fleet.New(t, "e2e"), t: t, objects: testObjects(s.teams)}
+	if s.prepare != nil {
+		s.prepare(d.Fleet)
+	}
 	for i := range s.routers {
+		args := s.routerArgs
+		if i == 0 && s.extraPeer != "" {
+			args = append([]string{"-peers", s.extraPeer}, args...)
+		}
 		d.routers = append(d.routers, d.Router(fleet.Member{
 			Name:  fmt.Sprintf("router-%d", i+1),
 			Zone:  zones[i%len(zones)],
 			Proxy: s.proxies,
-			Args:  s.routerArgs,
+			Args:  args,
 		}))
 	}
 	d.Publish(d.objects)
@@ -78,10 +90,11 @@
 			Name:  fmt.Sprintf("model-agent-%d", i+1),
 			Zone:  zones[i],
 			Proxy: s.proxies,
+			Args:  s.agentArgs,
 		}, modelEndpoint(i), e.URL("listen")))
 	}
 	d.plain = d.Standin("plain", "plain", append([]string{"-check-fencing"}, s.plainArgs...)...)
-	d.plainAgent = d.Agent(fleet.Member{Name: "plain-agent", Zone: zones[2], Proxy: s.proxies}, plainService+"-1", d.plain.URL("listen"))
+	d.plainAgent = d.Agent(fleet.Member{Name: "plain-agent", Zone: zones[2], Proxy: s.proxies, Args: s.agentArgs}, plainService+"-1", d.plain.URL("listen"))
 	d.awaitSettled(1)
 	return d
 }
--- /dev/null
+++ b/testbed/e2e/tls_test.go
@@ -0,0 +1,308 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/testbed/fleet"
+	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
+	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
+)
+
+// certificateLife is above the longest run of a test.
+const certificateLife = time.Hour
+
+// authority is a CA that a test makes.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"},
+		NotBefore: time.Now().Add(-certificateLife), NotAfter: time.Now().Add(certificateLife),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	must.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	must.NoError(t, err)
+	return &authority{t: t, cert: cert, key: key}
+}
+
+// issue writes a certificate for 127.0.0.1 with its key and the CA into dir.
+func (a *authority) issue(dir string, serial int64) tlsconf.Files {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "member"},
+		NotBefore: time.Now().Add(-certificateLife), NotAfter: time.Now().Add(certificateLife),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	must.NoError(a.t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	must.NoError(a.t, err)
+	files := tlsconf.Files{
+		Certificate: filepath.Join(dir, "member.crt"),
+		Key:         filepath.Join(dir, "member.key"),
+		CA:          filepath.Join(dir, "ca.crt"),
+	}
+	a.write(files.Certificate, "CERTIFICATE", der)
+	a.write(files.Key, "EC PRIVATE KEY", keyDER)
+	a.write(files.CA, "CERTIFICATE", a.cert.Raw)
+	return files
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	a.t.Helper()
+	must.NoError(a.t, os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// deployTLS starts a fleet with the certificate in files.
+func deployTLS(t *testing.T, files tlsconf.Files, s setup) *deployment {
+	t.Helper()
+	s.prepare = func(f *fleet.Fleet) { f.UseTLS(files) }
+	return deploy(t, s)
+}
+
+// listeners returns the addresses of all listeners that speak TLS.
+func (d *deployment) listeners() []string {
+	var addresses []string
+	for _, r := range d.routers {
+		addresses = append(addresses, r.Address("callers"), r.Address("fleet"))
+	}
+	for _, a := range append(d.modelAgents, d.plainAgent) {
+		addresses = append(addresses, a.Address("fleet"))
+	}
+	return addresses
+}
+
+// mustServeTLS sends a streamed completion and a booking and checks the answers.
+func (d *deployment) mustServeTLS(id string) *fleet.Answer {
+	d.t.Helper()
+	answer := d.Call(completion(d.routers[0], teamName(0), id, 20))
+	mustWhole(d.t, id, 20, answer)
+	booked := d.Call(booking(d.routers[1], teamName(1), id))
+	must.True(d.t, booked.Whole(), must.Sprintf("%+v", booked))
+	must.Eq(d.t, 1, d.bookings()[id])
+	return answer
+}
+
+// Guards against a fleet that serves nothing, or an operators' tool that
+// reaches no router, once TLS is on.
+func TestServiceOverTLS(t *testing.T) {
+	t.Parallel()
+	d := deployTLS(t, newAuthority(t).issue(t.TempDir(), 2), setup{routers: 2, teams: 2})
+	answer := d.mustServeTLS("over-tls")
+	status := d.ToolAsk(d.routers[:1], "status")
+	must.Eq(t, 0, status.Code, must.Sprint(status.Stderr))
+	must.StrContains(t, status.Stdout, "versions in force: 1 on 2 routers")
+	trail := d.ToolAsk(d.routers[1:], "audit", "-request", answer.Header.Get(outcome.RequestHeader))
+	must.Eq(t, 0, trail.Code, must.Sprint(trail.Stderr))
+	must.StrContains(t, trail.Stdout, `"finished"`)
+
+	without := d.Tool("status", "-fleet", d.Name, "-routers", d.routers[0].FleetAddress())
+	must.Eq(t, 1, without.Code)
+	must.StrContains(t, without.Stderr, "no router answered")
+}
+
+// Guards against work or control messages that are taken from a process that
+// doesn't belong to the fleet.
+func TestTLSRefusesForeignCallers(t *testing.T) {
+	t.Parallel()
+	files := newAuthority(t).issue(t.TempDir(), 2)
+	foreign := newAuthority(t).issue(t.TempDir(), 3)
+	d := deployTLS(t, files, setup{routers: 2, teams: 2})
+	foreignCert, err := tls.LoadX509KeyPair(foreign.Certificate, foreign.Key)
+	must.NoError(t, err)
+	roots := d.Roots(files.CA)
+	callers := map[string]*tls.Config{
+		"without a certificate":           {RootCAs: roots},
+		"with a foreign CA's certificate": {RootCAs: roots, Certificates: []tls.Certificate{foreignCert}},
+	}
+	targets := []string{
+		d.modelAgents[0].Address("fleet") + "/fleet/v1/work",
+		d.routers[0].Address("fleet") + "/twirp/acaciaspar.fleet.v1.Control/Status",
+	}
+	for who, config := range callers {
+		client := fleethttp.NewClient(config)
+		for _, target := range targets {
+			resp, err := client.Post("https://"+target, "application/protobuf", strings.NewReader(""))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			must.Error(t, err, must.Sprintf("a caller %s reached %s", who, target))
+		}
+		client.CloseIdleConnections()
+	}
+	for _, e := range d.engines {
+		must.SliceEmpty(t, d.executions(e))
+	}
+	must.Eq(t, 0, d.Metric(d.modelAgents[0], "agent.refused.malformed"))
+	// The same message with the fleet's certificate reaches the agent.
+	source, err := tlsconf.Open(files)
+	must.NoError(t, err)
+	resp, err := fleethttp.NewClient(source.FleetClient()).Post("https://"+targets[0], "application/protobuf", strings.NewReader(""))
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, http.StatusConflict, resp.StatusCode)
+	must.Eq(t, 1, d.Metric(d.modelAgents[0], "agent.refused.malformed"))
+	d.mustServeTLS("after-foreign")
+}
+
+// presented returns the serial number of the certificate that a listener
+// presents on a new connection, 0 if none was made.
+func presented(address string, config *tls.Config) int64 {
+	dialer := &tls.Dialer{Config: config}
+	ctx, cancel := context.WithTimeout(context.Background(), fleet.Patience)
+	defer cancel()
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return 0
+	}
+	defer conn.Close()
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+}
+
+// peerRecorder accepts connections of a fleet and notes the serial number of
+// the last client certificate. It closes each connection after the handshake.
+func peerRecorder(t *testing.T, files tlsconf.Files) (address string, last *atomic.Int64) {
+	t.Helper()
+	source, err := tlsconf.Open(files)
+	must.NoError(t, err)
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", source.FleetServer())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	last = new(atomic.Int64)
+	go func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer accepted.Close()
+				conn := accepted.(*tls.Conn)
+				if conn.Handshake() == nil {
+					last.Store(conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64())
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), last
+}
+
+// Guards against certificates that are only read at start, and against a
+// replacement that cuts requests in progress.
+func TestTLSCertificatesAreReplaced(t *testing.T) {
+	t.Parallel()
+	const before, after = 2, 3
+	dir := t.TempDir()
+	ca := newAuthority(t)
+	files := ca.issue(dir, before)
+	peer, shown := peerRecorder(t, ca.issue(t.TempDir(), 9))
+	d := deployTLS(t, files, setup{routers: 2, teams: 2, extraPeer: peer})
+	config := &tls.Config{RootCAs: d.Roots(files.CA)}
+	cert, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	must.NoError(t, err)
+	config.Certificates = []tls.Certificate{cert}
+	for _, address := range d.listeners() {
+		must.Eq(t, before, presented(address, config))
+	}
+	d.Eventually("a router shows its certificate", func() bool { return shown.Load() == before })
+	streams := d.openStreams(d.routers[0], 4, longStream)
+	ca.issue(dir, after)
+	for _, address := range d.listeners() {
+		d.Eventually("new connections use the new certificate", func() bool { return presented(address, config) == after })
+	}
+	d.Eventually("a router shows its new certificate", func() bool { return shown.Load() == after })
+	d.mustServeTLS("after-replacement")
+	for _, s := range streams {
+		mustWhole(t, s.prompt, s.tokens, s.Wait())
+	}
+	// A process that starts with the new certificate meets the others.
+	d.routers[1].Stop()
+	d.routers[1].Start()
+	d.awaitSettled(1)
+	d.mustServeTLS("after-restart")
+}
+
+// Guards against a process that starts without TLS, or stops at the first
+// fault, when a part of the TLS files is set.
+func TestPartOfTLSFilesIsRefused(t *testing.T) {
+	t.Parallel()
+	f := fleet.New(t, "part-tls")
+	files := newAuthority(t).issue(t.TempDir(), 2)
+	flags := []struct{ name, value string }{
+		{"tls-cert", files.Certificate}, {"tls-key", files.Key}, {"tls-ca", files.CA},
+	}
+	for set := 1; set < 1<<len(flags)-1; set++ {
+		var args, missing []string
+		for i, flag := range flags {
+			if set&(1<<i) != 0 {
+				args = append(args, "-"+flag.name, flag.value)
+			} else {
+				missing = append(missing, flag.name)
+			}
+		}
+		runs := []fleet.Result{
+			f.Tool(append([]string{"router", "-fleet="}, args...)...),
+			f.AgentOnce(append([]string{"-fleet="}, args...)...),
+			f.Tool(append([]string{"status", "-timeout=-1s"}, args...)...),
+		}
+		others := []string{"fleet", "fleet", "timeout"}
+		for i, run := range runs {
+			must.Eq(t, 2, run.Code, must.Sprintf("%v: %s", args, run.Stderr))
+			must.StrContains(t, run.Stderr, "tls-cert, tls-key and tls-ca must be set together")
+			must.StrContains(t, run.Stderr, "not set: "+strings.Join(missing, ", "))
+			must.StrContains(t, run.Stderr, others[i]+" must")
+		}
+	}
+}
+
+// Guards against a fleet listener that answers a message before the
+// handshake has shown whose it is.
+func TestTLSListenersIgnorePlainText(t *testing.T) {
+	t.Parallel()
+	d := deployTLS(t, newAuthority(t).issue(t.TempDir(), 2), setup{routers: 2, teams: 2})
+	for _, address := range d.listeners() {
+		conn, err := net.Dial("tcp", address)
+		must.NoError(t, err)
+		must.NoError(t, conn.SetDeadline(time.Now().Add(fleet.Patience)))
+		_, err = io.WriteString(conn, "POST /fleet/v1/work HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		must.NoError(t, err)
+		// A reset, a TLS alert or the server's fixed refusal are the only ends.
+		answer, _ := io.ReadAll(conn)
+		must.False(t, bytes.Contains(answer, []byte("Acaciaspar")), must.Sprintf("%s", answer))
+		must.NoError(t, conn.Close())
+	}
+	d.mustServeTLS("after-plain-text")
+}
--- a/testbed/fleet/call.go
+++ b/testbed/fleet/call.go
@@ -26,6 +26,10 @@
 	Key string
 	// Hint is the expected cost, if not 0.
 	Hint uint64
+	// Header holds further headers; it replaces those that the other fields set.
+	Header http.Header
+	// Client sends the request in place of the fleet's own client, if set.
+	Client *http.Client
 }
 
 // Answer is what the caller got.
@@ -105,17 +109,21 @@
 	p := &Pending{cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(p.done)
-		p.send(ctx, f.callers, r)
+		hc := r.Client
+		if hc == nil {
+			hc = f.callers
+		}
+		p.send(ctx, hc, f.scheme(), r)
 	}()
 	return p
 }
 
-func (p *Pending) send(ctx context.Context, hc *http.Client, r Request) {
+func (p *Pending) send(ctx context.Context, hc *http.Client, scheme string, r Request) {
 	method := r.Method
 	if method == "" {
 		method = http.MethodPost
 	}
-	url := "http://" + r.Router.current().readyField("callers") + r.Path
+	url := scheme + "://" + r.Router.current().readyField("callers") + r.Path
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(r.Body))
 	if err != nil {
 		p.answer.Err = err
@@ -128,6 +136,9 @@
 	if r.Hint > 0 {
 		req.Header.Set("Acaciaspar-Cost-Hint", strconv.FormatUint(r.Hint, 10))
 	}
+	for name, values := range r.Header {
+		req.Header[name] = values
+	}
 	resp, err := hc.Do(req)
 	if err != nil {
 		p.answer.Err = err
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/acaciaspar/acaciaspar/testbed/faultproxy"
 	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
 	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
+	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
 )
 
 const (
@@ -57,6 +58,8 @@
 	bin     string
 	control *fleetrpc.Caller
 	callers *http.Client
+	// tls names the files of all routers and agents; it is empty without TLS.
+	tls tlsconf.Files
 
 	mu        sync.Mutex
 	processes []*Process
@@ -173,6 +176,7 @@
 		proxy.SetTarget(fleetAddress)
 		args = append(args, "-advertise", proxy.Address())
 	}
+	args = append(args, f.tlsFlags()...)
 	return f.start(m.Name, binary, append(args, m.Args...), proxy, "fleet")
 }
 
