Answers to refused requests reach callers that still send their bodies

A router that refused a request before its body had been read closed the connection with unread bytes, which resets it, and callers then lost the 413 or 429 and could not know that their request was not run. It now discards up to 1 MiB of the rest within 1 s after the answer, and closes the connection in two steps beyond that. A refused request also gives its memory back before that rest is read.

--- a/router/entry/body.go
+++ b/router/entry/body.go
@@ -16,6 +16,14 @@
 // nothing takes none of the room of others.
 const firstBuffer = 4 << 10
 
+const (
+	// lingerBytes and lingerTime bound what is read of a refused body after the
+	// answer. A connection that is closed while body bytes arrive is reset, and
+	// the caller then often loses the answer.
+	lingerBytes = 1 << 20
+	lingerTime  = time.Second
+)
+
 func tooLarge(id string) *outcome.Outcome {
 	o := outcome.New(outcome.NotRun, http.StatusRequestEntityTooLarge, id, "the body is too large")
 	return &o
@@ -64,6 +72,31 @@
 	return &o
 }
 
+// writeEarly sends an outcome before the body has been read to its end, and
+// discards a bounded rest of the body so that the answer reaches the caller.
+// HTTP/2 ends the stream without a loss, and a caller that waits for 100
+// Continue sends no body.
+func (s *Server) writeEarly(w http.ResponseWriter, r *http.Request, o outcome.Outcome) {
+	if r.ProtoMajor != 1 || r.Header.Get("Expect") != "" {
+		s.write(w, o)
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > lingerBytes {
+		w.Header().Set("Connection", "close")
+	}
+	control := http.NewResponseController(w)
+	// Lets the body be read after the answer has been written.
+	_ = control.EnableFullDuplex()
+	s.write(w, o)
+	if control.Flush() != nil {
+		return
+	}
+	_ = control.SetReadDeadline(time.Now().Add(lingerTime))
+	// Beyond its limit, MaxBytesReader has the server close the connection in
+	// two steps, which gives the caller time to read the answer.
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, lingerBytes))
+}
+
 // bodyReader reads a body from memory. It has no other methods of
 // bytes.Reader, so that the transport has no way to rewind it.
 type bodyReader struct{ reader *bytes.Reader }
--- a/router/entry/handler.go
+++ b/router/entry/handler.go
@@ -44,25 +44,25 @@
 	// The deadline also bounds what net/http reads of a refused request's body.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.o.Limits.BodyTimeout))
 	if !s.enter() {
-		s.refuse(w, outcome.New(outcome.NotRun, http.StatusServiceUnavailable, id, "the router is shutting down").WithRetryAfter(retryAfter))
+		s.refuse(w, r, outcome.New(outcome.NotRun, http.StatusServiceUnavailable, id, "the router is shutting down").WithRetryAfter(retryAfter))
 		return
 	}
 	defer s.leave()
 	q, refusal := s.identify(r, id)
 	if refusal != nil {
-		s.refuse(w, *refusal)
+		s.refuse(w, r, *refusal)
 		return
 	}
 	s.serve(w, r, q)
 }
 
 // refuse answers a request that has no trail yet.
-func (s *Server) refuse(w http.ResponseWriter, o outcome.Outcome) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, o outcome.Outcome) {
 	s.m.outcomes[o.Kind].Inc(1)
 	if o.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
-	s.write(w, o)
+	s.writeEarly(w, r, o)
 }
 
 // write sends an outcome as a whole answer.
@@ -77,7 +77,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	defer s.forget(q)
 	if refusal := s.admit(q, r.ContentLength); refusal != nil {
-		s.refuse(w, *refusal)
+		s.refuse(w, r, *refusal)
 		return
 	}
 	s.note(q, audit.Received, false,
@@ -85,7 +85,9 @@
 		slog.String("operation", q.op.Name), slog.Uint64("hint", q.hint))
 	// A body that can't be read ends the context as well, so the refusal counts.
 	if refusal := s.readBody(w, r, q); refusal != nil {
-		s.conclude(w, q, *refusal)
+		s.record(q, *refusal)
+		s.forget(q)
+		s.writeEarly(w, r, *refusal)
 		return
 	}
 	refusal := s.claim(r, q)
