Count control traffic per kind of message

Routers and agents report control.METHOD.request_bytes, reply_bytes and calls beside the totals, so that the expensive messages can be told apart. At most 32 methods get counters of their own.

--- a/transport/fleethttp/fleethttp_test.go
+++ b/transport/fleethttp/fleethttp_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -138,9 +139,23 @@
 		must.Eq(t, 2, traffic.messages.Count())
 		must.Eq(t, messageOverheadBytes+5, traffic.sentBytes.Count())
 		must.Eq(t, messageOverheadBytes+5, traffic.receivedBytes.Count())
+		must.MapLen(t, 1, traffic.kinds)
+		must.Eq(t, 5, traffic.kinds["x"].requestBytes.Count())
+		must.Eq(t, 5, traffic.kinds["x"].replyBytes.Count())
+		must.Eq(t, 1, traffic.kinds["x"].calls.Count())
 	}
 }
 
+// Guards against a table that grows with the paths that callers choose.
+func TestTrafficKindsAreBounded(t *testing.T) {
+	traffic := NewTraffic(metrics.NewRegistry())
+	for i := range 2 * maxKinds {
+		traffic.kindOf(controlPrefix + strconv.Itoa(i)).calls.Inc(1)
+	}
+	must.MapLen(t, maxKinds+1, traffic.kinds)
+	must.Eq(t, maxKinds, traffic.kinds["other"].calls.Count())
+}
+
 // Guards against a constant for the overhead that is far from what the wire shows.
 func TestMessageOverhead(t *testing.T) {
 	address := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/transport/fleethttp/traffic.go
+++ b/transport/fleethttp/traffic.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"path"
 	"strings"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -17,22 +19,62 @@
 // TLS; the rest allows for TLS records, window updates and pings.
 const messageOverheadBytes = 64
 
+// maxKinds bounds the kinds of messages with counters of their own. Callers
+// choose the paths that a server sees.
+const maxKinds = 32
+
 // Traffic counts the control messages that a process sends and receives, as
 // caller and as server.
 type Traffic struct {
 	sentBytes     metrics.Counter
 	receivedBytes metrics.Counter
 	messages      metrics.Counter
+
+	registry metrics.Registry
+	// mu guards kinds.
+	mu    sync.Mutex
+	kinds map[string]kind
+}
+
+// kind counts the messages of one twirp method, requests and replies, sent and
+// received. The bytes are those of the bodies.
+type kind struct {
+	requestBytes metrics.Counter
+	replyBytes   metrics.Counter
+	calls        metrics.Counter
 }
 
 // NewTraffic registers the counters control.sent_bytes, control.received_bytes
-// and control.messages.
+// and control.messages, and for each method control.METHOD.request_bytes,
+// control.METHOD.reply_bytes and control.METHOD.calls.
 func NewTraffic(registry metrics.Registry) *Traffic {
 	return &Traffic{
 		sentBytes:     metrics.NewRegisteredCounter("control.sent_bytes", registry),
 		receivedBytes: metrics.NewRegisteredCounter("control.received_bytes", registry),
 		messages:      metrics.NewRegisteredCounter("control.messages", registry),
+		registry:      registry,
+		kinds:         map[string]kind{},
+	}
+}
+
+// kindOf returns the counters of the method that a path names.
+func (t *Traffic) kindOf(urlPath string) kind {
+	name := path.Base(urlPath)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.kinds[name]; !ok && len(t.kinds) >= maxKinds {
+		name = "other"
+	}
+	k, ok := t.kinds[name]
+	if !ok {
+		k = kind{
+			requestBytes: metrics.GetOrRegisterCounter("control."+name+".request_bytes", t.registry),
+			replyBytes:   metrics.GetOrRegisterCounter("control."+name+".reply_bytes", t.registry),
+			calls:        metrics.GetOrRegisterCounter("control."+name+".calls", t.registry),
+		}
+		t.kinds[name] = k
 	}
+	return k
 }
 
 // Client returns a client like hc whose control calls are counted.
@@ -49,14 +91,16 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		t.message()
-		r.Body = &countingBody{ReadCloser: r.Body, counter: t.receivedBytes}
-		next.ServeHTTP(&countingWriter{ResponseWriter: w, counter: t.sentBytes}, r)
+		k := t.kindOf(r.URL.Path)
+		t.message(k)
+		r.Body = &countingBody{ReadCloser: r.Body, counters: counters{t.receivedBytes, k.requestBytes}}
+		next.ServeHTTP(&countingWriter{ResponseWriter: w, counters: counters{t.sentBytes, k.replyBytes}}, r)
 	})
 }
 
 // message counts one call: a request and a reply, each with its overhead.
-func (t *Traffic) message() {
+func (t *Traffic) message(k kind) {
+	k.calls.Inc(1)
 	t.messages.Inc(2)
 	t.sentBytes.Inc(messageOverheadBytes)
 	t.receivedBytes.Inc(messageOverheadBytes)
@@ -71,15 +115,16 @@
 	if !strings.HasPrefix(r.URL.Path, controlPrefix) {
 		return c.next.RoundTrip(r)
 	}
-	c.traffic.message()
+	k := c.traffic.kindOf(r.URL.Path)
+	c.traffic.message(k)
 	if r.ContentLength > 0 {
-		c.traffic.sentBytes.Inc(r.ContentLength)
+		counters{c.traffic.sentBytes, k.requestBytes}.inc(r.ContentLength)
 	}
 	resp, err := c.next.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &countingBody{ReadCloser: resp.Body, counter: c.traffic.receivedBytes}
+	resp.Body = &countingBody{ReadCloser: resp.Body, counters: counters{c.traffic.receivedBytes, k.replyBytes}}
 	return resp, nil
 }
 
@@ -90,25 +135,33 @@
 	}
 }
 
+// counters is the total of a direction and that of a kind.
+type counters [2]metrics.Counter
+
+func (c counters) inc(n int64) {
+	c[0].Inc(n)
+	c[1].Inc(n)
+}
+
 type countingBody struct {
 	io.ReadCloser
-	counter metrics.Counter
+	counters counters
 }
 
 func (c *countingBody) Read(p []byte) (int, error) {
 	n, err := c.ReadCloser.Read(p)
-	c.counter.Inc(int64(n))
+	c.counters.inc(int64(n))
 	return n, err
 }
 
 type countingWriter struct {
 	http.ResponseWriter
-	counter metrics.Counter
+	counters counters
 }
 
 func (c *countingWriter) Write(p []byte) (int, error) {
 	n, err := c.ResponseWriter.Write(p)
-	c.counter.Inc(int64(n))
+	c.counters.inc(int64(n))
 	return n, err
 }
 
