Sync waiting tickets by digest

Every 500 ms each entry router sent all its waiting tickets to the queue owner, so the control traffic grew with the number of waiting requests. The periodic message now carries their number and the sum of the xxHash64 of request and attempt. The owner compares that with the tickets it holds of this router instance and asks for the full list only if they differ. Grants whose dispatch may be on its way count as agreement, so that a busy queue needs no full lists. An owner that is new to the router still gets the full list at once. The ticket no longer repeats the service, which the message names.

The sim of the property tests syncs by digest as well. TestLostDispatch now drops the ticket at the fake owner, as the queue owner does when a dispatch has no reply; before, the periodic full sync hid the difference.

--- a/coordination/fairqueue/queue.go
+++ b/coordination/fairqueue/queue.go
@@ -48,9 +48,11 @@
 	retired  string
 	heard    time.Time
 	sequence uint64
-	// lastFull is the sequence of the last full sync.
+	// lastFull is the sequence of the last full sync or agreeing digest.
 	lastFull uint64
 	tickets  map[string]*waiting
+	// digest is that of tickets.
+	digest Digest
 }
 
 // New returns an empty queue whose rebuild begins at now.
@@ -152,7 +154,7 @@
 		return r
 	default:
 		q.dropTickets(now, r)
-		*r = router{instance: instance, retired: r.instance, tickets: r.tickets}
+		*r = router{instance: instance, retired: r.instance, tickets: r.tickets, digest: r.digest}
 	}
 	r.heard = now
 	return r
@@ -215,6 +217,7 @@
 	heap.Push(&tm.tickets, w)
 	q.tickets[t.Request] = w
 	r.tickets[t.Request] = w
+	r.digest.Add(t.Request, t.Attempt)
 	q.touch(tm)
 }
 
@@ -276,6 +279,7 @@
 	delete(q.tickets, w.Request)
 	if r := q.routers[w.Router]; r != nil && r.tickets[w.Request] == w {
 		delete(r.tickets, w.Request)
+		r.digest.remove(w.Request, w.Attempt)
 	}
 	if !tm.backlogged() {
 		tm.idleSince = now
--- a/coordination/fairqueue/sim_test.go
+++ b/coordination/fairqueue/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -58,6 +59,8 @@
 	address string
 	seq     uint64
 	lost    int
+	// owner is the one that the last full sync was made for.
+	owner   int
 	waiting map[string]*simRequest
 }
 
@@ -288,6 +291,32 @@
 	s.deliver(&r.lost, func() { s.q.Sync(s.now, r.address, "i", seq, tickets, full) })
 }
 
+// sendDigest sends the digest of the waiting tickets. If the owner asks for
+// them and its reply arrives, they follow.
+func (s *sim) sendDigest(r *simRouter) {
+	r.seq++
+	seq := r.seq
+	var d Digest
+	for _, req := range r.waiting {
+		d.Add(req.id, req.attempt)
+	}
+	s.deliver(&r.lost, func() {
+		s.q.Sync(s.now, r.address, "i", seq, nil, false)
+		if s.q.Compare(s.now, r.address, "i", seq, d) && !s.chance(s.o.loss) {
+			s.send(r, r.tickets(), true)
+		}
+	})
+}
+
+// tickets returns the waiting tickets in order of their names.
+func (r *simRouter) tickets() []Ticket {
+	var tickets []Ticket
+	for _, id := range slices.Sorted(maps.Keys(r.waiting)) {
+		tickets = append(tickets, ticketOf(r.waiting[id]))
+	}
+	return tickets
+}
+
 // charge runs the requests and meters them.
 func (s *sim) charge() {
 	for _, a := range s.agents {
@@ -323,18 +352,13 @@
 
 func (s *sim) periodic() {
 	for i, r := range s.routers {
-		if (s.step+3*i)%simPeriod == 0 {
-			var tickets []Ticket
-			for _, req := range r.waiting {
-				tickets = append(tickets, ticketOf(req))
-			}
-			slices.SortFunc(tickets, func(a, b Ticket) int {
-				if a.Request < b.Request {
-					return -1
-				}
-				return 1
-			})
-			s.send(r, tickets, true)
+		switch {
+		case (s.step+3*i)%simPeriod != 0:
+		case r.owner != s.owner:
+			r.owner = s.owner
+			s.send(r, r.tickets(), true)
+		default:
+			s.sendDigest(r)
 		}
 	}
 	for i, a := range s.agents {
--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -192,9 +192,11 @@
 	b := newBench(t, eachTo(agent.address))
 	lost := 0
 	b.owner.set(func() {
-		b.owner.pick = func(*fleetpb.Ticket) string {
+		b.owner.pick = func(ticket *fleetpb.Ticket) string {
 			lost++
 			if lost < 3 {
+				// The owner drops the ticket when its dispatch has no reply.
+				delete(b.owner.waiting, ticket.Request)
 				return ""
 			}
 			return agent.address
@@ -213,6 +215,49 @@
 	})
 }
 
+// Guards against periodic messages that list every waiting ticket, and against
+// an owner that isn't repaired after it lost one.
+func TestSyncByDigest(t *testing.T) {
+	agent := newAgent(t, echo)
+	b := newBench(t, nowhere)
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { test.Eq(t, 201, b.post("/post-desk/label", "harbour-token", "x").status) })
+	}
+	eventually(t, "all tickets wait", func() bool { return b.owner.waits() == 10 })
+	var fulls, messages int
+	b.owner.set(func() { fulls, messages = b.owner.fulls, b.owner.messages })
+	eventually(t, "more digests have come", func() bool {
+		b.owner.mu.Lock()
+		defer b.owner.mu.Unlock()
+		return b.owner.messages > messages+5
+	})
+	b.owner.set(func() {
+		must.Eq(t, fulls, b.owner.fulls)
+		for id := range b.owner.waiting {
+			delete(b.owner.waiting, id)
+			break
+		}
+	})
+	eventually(t, "the lost ticket is back", func() bool { return b.owner.waits() == 10 })
+	b.owner.set(func() {
+		must.Eq(t, fulls+1, b.owner.fulls)
+		b.owner.pick = eachTo(agent.address)
+		clear(b.owner.waiting)
+	})
+	wg.Wait()
+}
+
+// Guards against tickets that stay unknown because the message that carried
+// them was lost and the next one carries only a digest.
+func TestLostTicketsAreRepaired(t *testing.T) {
+	agent := newAgent(t, echo)
+	b := newBench(t, eachTo(agent.address))
+	b.owner.set(func() { b.owner.forget = true })
+	must.Eq(t, 201, b.post("/post-desk/label", "harbour-token", "x").status)
+	must.Positive(t, b.counter("entry.full_syncs"))
+}
+
 // Guards against one message per request during a burst: requests that arrive
 // while a message is in flight share the next one.
 func TestBurstSharesMessages(t *testing.T) {
--- a/router/entry/fake_test.go
+++ b/router/entry/fake_test.go
@@ -19,6 +19,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 
+	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/work"
 	"github.com/acaciaspar/acaciaspar/state/audit"
@@ -133,12 +134,13 @@
 	entry   string
 	address string
 
-	mu        sync.Mutex
-	pick      func(*fleetpb.Ticket) string
-	refuse    bool
-	named     string
-	granted   map[string]uint32
-	waiting   map[string]bool
+	mu      sync.Mutex
+	pick    func(*fleetpb.Ticket) string
+	refuse  bool
+	named   string
+	granted map[string]uint32
+	// waiting holds the tickets with their attempts.
+	waiting   map[string]uint32
 	withdrawn map[string]bool
 	tokens    int
 	// empties counts full syncs without a ticket.
@@ -146,7 +148,10 @@
 	// messages counts calls of Enqueue; hold, if set, delays them.
 	messages int
 	hold     chan struct{}
-	results  []fleetpb.DispatchResult
+	// fulls counts full syncs; forget drops the tickets of the next message.
+	fulls   int
+	forget  bool
+	results []fleetpb.DispatchResult
 	// copies is how often every dispatch is delivered.
 	copies int
 }
@@ -162,7 +167,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	reply := &fleetpb.EnqueueReply{Sender: o.caller.Sender(), OwnerAddress: o.named}
+	if o.forget {
+		o.forget = false
+		in.Tickets = nil
+	}
 	if in.FullSync {
+		o.fulls++
 		clear(o.waiting)
 		if len(in.Tickets) == 0 {
 			o.empties++
@@ -170,7 +180,7 @@
 	}
 	var grants []*fleetpb.Assignment
 	for _, ticket := range in.Tickets {
-		o.waiting[ticket.Request] = true
+		o.waiting[ticket.Request] = ticket.Attempt
 		if o.refuse {
 			reply.Refused = append(reply.Refused, ticket.Request)
 			continue
@@ -182,12 +192,22 @@
 		o.granted[ticket.Request] = ticket.Attempt
 		grants = append(grants, o.grant(ticket.Request, ticket.Attempt, address))
 	}
+	reply.WantFull = in.Digest != nil && !o.agrees(in.Digest)
 	if len(grants) > 0 {
 		go o.dispatch(grants)
 	}
 	return reply, nil
 }
 
+// agrees compares a digest with the waiting tickets. The caller holds o.mu.
+func (o *fakeOwner) agrees(in *fleetpb.TicketDigest) bool {
+	var held fairqueue.Digest
+	for request, attempt := range o.waiting {
+		held.Add(request, attempt)
+	}
+	return held == fairqueue.Digest{Count: in.Count, Hash: in.Hash}
+}
+
 func (o *fakeOwner) grant(request string, attempt uint32, address string) *fleetpb.Assignment {
 	o.tokens++
 	return &fleetpb.Assignment{
@@ -258,7 +278,7 @@
 func newOwner(t *testing.T, caller *fleetrpc.Caller, entry string, pick func(*fleetpb.Ticket) string) *fakeOwner {
 	o := &fakeOwner{
 		caller: caller, entry: entry, pick: pick, copies: 1,
-		granted: map[string]uint32{}, waiting: map[string]bool{}, withdrawn: map[string]bool{},
+		granted: map[string]uint32{}, waiting: map[string]uint32{}, withdrawn: map[string]bool{},
 	}
 	o.address, _ = serveFleet(t, fleetpb.NewOwnerServer(o))
 	return o
--- a/router/entry/meters.go
+++ b/router/entry/meters.go
@@ -14,10 +14,12 @@
 
 // meters are the metrics of the package. Times are in nanoseconds.
 type meters struct {
-	requests   metrics.Counter
-	retries    metrics.Counter
-	badCalls   metrics.Counter
-	requeues   metrics.Counter
+	requests metrics.Counter
+	retries  metrics.Counter
+	badCalls metrics.Counter
+	requeues metrics.Counter
+	// fullSyncs counts syncs that an owner asked for after a digest.
+	fullSyncs  metrics.Counter
 	waiting    metrics.Gauge
 	inProgress metrics.Gauge
 	heldBytes  metrics.Gauge
@@ -32,6 +34,7 @@
 		retries:    metrics.GetOrRegisterCounter("entry.retries", r),
 		badCalls:   metrics.GetOrRegisterCounter("entry.refused_messages", r),
 		requeues:   metrics.GetOrRegisterCounter("entry.requeues", r),
+		fullSyncs:  metrics.GetOrRegisterCounter("entry.full_syncs", r),
 		waiting:    metrics.GetOrRegisterGauge("entry.waiting", r),
 		inProgress: metrics.GetOrRegisterGauge("entry.in_progress", r),
 		heldBytes:  metrics.GetOrRegisterGauge("entry.held_bytes", r),
--- a/router/entry/tickets.go
+++ b/router/entry/tickets.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
 	"github.com/acaciaspar/acaciaspar/coordination/lifecycle"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 )
@@ -28,7 +29,7 @@
 	// withdrawn lists requests whose tickets the owner may still hold.
 	withdrawn []string
 	sequence  uint64
-	// synced is the number of tickets in the last full sync.
+	// synced is the number of tickets in the last sync.
 	synced int
 
 	// The fields below belong to the goroutine.
@@ -87,45 +88,56 @@
 	}
 }
 
+// extent tells how much of the waiting tickets a message covers.
+type extent int
+
+const (
+	// freshOnly lists the tickets that no message has carried yet.
+	freshOnly extent = iota
+	// digested lists them and carries the digest of all waiting tickets.
+	digested
+	// whole lists all waiting tickets.
+	whole
+)
+
 func (s *Server) runLink(l *link) {
 	ticker := time.NewTicker(s.o.Limits.SyncInterval)
 	defer ticker.Stop()
-	full := true
+	next := whole
 	for {
 		changed := s.o.OwnerChanged()
 		owner := s.o.Owner(l.service)
 		if owner != l.owner {
-			full = true
+			next = whole
 			l.owner = owner
 			l.named = ""
 		}
-		s.exchange(l, full)
-		if full && s.stopLink(l) {
+		s.exchange(l, next)
+		if next != freshOnly && s.stopLink(l) {
 			return
 		}
-		full = s.nextExchange(l, ticker.C, changed)
+		next = s.nextExchange(l, ticker.C, changed)
 	}
 }
 
-// nextExchange waits until there is something to tell and reports whether it
-// should be a full sync.
-func (s *Server) nextExchange(l *link, tick <-chan time.Time, changed <-chan struct{}) bool {
+// nextExchange waits until there is something to tell and returns its extent.
+func (s *Server) nextExchange(l *link, tick <-chan time.Time, changed <-chan struct{}) extent {
 	for {
 		select {
 		case <-l.wake:
-			return false
+			return freshOnly
 		case <-tick:
-			return true
+			return digested
 		case <-changed:
 			changed = s.o.OwnerChanged()
 			if s.o.Owner(l.service) != l.owner {
-				return true
+				return whole
 			}
 		}
 	}
 }
 
-// stopLink ends the link after a full sync if nothing has come up since.
+// stopLink ends the link after a sync if nothing has come up since.
 func (s *Server) stopLink(l *link) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,26 +150,26 @@
 
 // exchange sends what the owner has to know. A full sync makes withdrawals
 // superfluous, because the owner drops the tickets that it doesn't list.
-func (s *Server) exchange(l *link, full bool) {
-	in, withdrawn := s.collect(l, full)
+func (s *Server) exchange(l *link, size extent) {
+	in, withdrawn := s.collect(l, size)
 	if l.owner == "" {
 		return
 	}
-	if !full && len(withdrawn) > 0 {
+	if size != whole && len(withdrawn) > 0 {
 		s.withdraw(l, l.owner, withdrawn)
 		s.withdraw(l, l.named, withdrawn)
 	}
-	if !full && len(in.Tickets) == 0 {
+	if size == freshOnly && len(in.Tickets) == 0 {
 		return
 	}
-	named := s.enqueue(l, l.owner, in)
+	named, in := s.enqueue(l, l.owner, in)
 	if named == "" || named == l.owner {
 		l.named = ""
 		return
 	}
 	if named != l.named {
 		l.named = named
-		in, _ = s.collect(l, true)
+		in, _ = s.collect(l, whole)
 	} else {
 		in.Sequence = s.nextSequence(l)
 	}
@@ -165,21 +177,20 @@
 }
 
 // collect takes the message of the next exchange out of the table.
-func (s *Server) collect(l *link, full bool) (*fleetpb.EnqueueRequest, []string) {
+func (s *Server) collect(l *link, size extent) (*fleetpb.EnqueueRequest, []string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.sequence++
 	in := &fleetpb.EnqueueRequest{
 		Service:  l.service,
-		FullSync: full,
+		FullSync: size == whole,
 		Sequence: l.sequence,
 	}
-	if full {
+	if size == whole {
 		for _, q := range l.waiting {
 			in.Tickets = append(in.Tickets, q.ticket(now))
 		}
-		l.synced = len(in.Tickets)
 	} else {
 		for _, q := range l.fresh {
 			if l.waiting[q.id] == q {
@@ -187,12 +198,27 @@
 			}
 		}
 	}
+	if size == digested {
+		in.Digest = l.digest()
+	}
+	if size != freshOnly {
+		l.synced = len(l.waiting)
+	}
 	withdrawn := l.withdrawn
 	l.fresh = nil
 	l.withdrawn = nil
 	return in, withdrawn
 }
 
+// digest stands for the waiting tickets. The caller holds Server.mu.
+func (l *link) digest() *fleetpb.TicketDigest {
+	var d fairqueue.Digest
+	for _, q := range l.waiting {
+		d.Add(q.id, q.attempt)
+	}
+	return &fleetpb.TicketDigest{Count: d.Count, Hash: d.Hash}
+}
+
 func (s *Server) nextSequence(l *link) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,7 +232,6 @@
 		Request:   q.id,
 		Attempt:   q.attempt,
 		Team:      q.team,
-		Service:   q.service,
 		Operation: q.op.Name,
 		Hint:      q.hint,
 		Affinity:  q.affinity,
@@ -214,8 +239,20 @@
 	}
 }
 
-// enqueue sends tickets to an owner and returns the owner that the reply names, if any.
-func (s *Server) enqueue(l *link, owner string, in *fleetpb.EnqueueRequest) string {
+// enqueue sends tickets to an owner, and all of them if it asks for that. It
+// returns the owner that the last reply names, if any, and the last message.
+func (s *Server) enqueue(l *link, owner string, in *fleetpb.EnqueueRequest) (string, *fleetpb.EnqueueRequest) {
+	reply := s.callEnqueue(l, owner, in)
+	if reply.GetWantFull() {
+		s.m.fullSyncs.Inc(1)
+		in, _ = s.collect(l, whole)
+		reply = s.callEnqueue(l, owner, in)
+	}
+	return reply.GetOwnerAddress(), in
+}
+
+// callEnqueue returns the reply of an owner, or nil if there is none.
+func (s *Server) callEnqueue(l *link, owner string, in *fleetpb.EnqueueRequest) *fleetpb.EnqueueReply {
 	ctx, cancel := s.callContext(l)
 	defer cancel()
 	in.Sender = s.o.Caller.Sender()
@@ -225,12 +262,12 @@
 	}
 	if err != nil {
 		s.warn(owner, "tickets not delivered", err)
-		return ""
+		return nil
 	}
 	for _, id := range reply.Refused {
 		s.overfull(l, id)
 	}
-	return reply.OwnerAddress
+	return reply
 }
 
 // overfull ends the wait of a request that the owner refused.
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -149,15 +149,21 @@
 	}
 	now := o.opts.Clock()
 	tickets, refused := s.tickets(now, p, r)
+	wantFull := false
 	o.use(r.Service, s, func(sv *service) {
 		sv.heard = now
 		id := r.Sender
 		refused = append(refused, sv.queue.Sync(now, id.Address, id.Instance, r.Sequence, tickets, r.FullSync)...)
+		if d := r.Digest; d != nil {
+			held := fairqueue.Digest{Count: d.Count, Hash: d.Hash}
+			wantFull = sv.queue.Compare(now, id.Address, id.Instance, r.Sequence, held)
+		}
 	})
 	return &fleetpb.EnqueueReply{
 		Sender:       o.opts.Caller.Sender(),
 		OwnerAddress: o.otherOwner(r.Service),
 		Refused:      refused,
+		WantFull:     wantFull,
 	}, nil
 }
 
--- a/router/owner/owner_test.go
+++ b/router/owner/owner_test.go
@@ -154,7 +154,7 @@
 		FullSync: full,
 	}
 	for _, id := range requests {
-		r.Tickets = append(r.Tickets, &fleetpb.Ticket{Request: id, Attempt: 1, Team: "a", Service: "svc", Operation: "op"})
+		r.Tickets = append(r.Tickets, &fleetpb.Ticket{Request: id, Attempt: 1, Team: "a", Operation: "op"})
 	}
 	reply, err := x.Enqueue(t.Context(), r)
 	must.NoError(t, err)
