Report running requests as sums by team

An agent listed all its running requests in every report, and reported at every accept. Reports now carry the number of running requests, and each team's counter carries the number and the sum of the outstanding hints of its requests. Accepts cause no report, since the owner knows its grants. A report for a freed slot lists only teams whose requests were accepted or ended; the report every 500 ms lists all that changed. The owner asks for a full report if the sum over the teams isn't the number of running requests that the report states.

--- a/agent/report.go
+++ b/agent/report.go
@@ -77,19 +77,20 @@
 		case <-ctx.Done():
 			return nil
 		case done := <-r.flushes:
-			r.round(ctx)
+			r.round(ctx, false)
 			close(done)
 		case <-r.kicked:
-			r.round(ctx)
+			r.round(ctx, true)
 		case <-ticker.C:
-			r.round(ctx)
+			r.round(ctx, false)
 		}
 		sleep(ctx, reportGap)
 	}
 }
 
-// round brings one report to the owner, following replies that name another.
-func (r *reporter) round(ctx context.Context) {
+// round brings one report to the owner, following replies that name another. A
+// brief report leaves out the counters of teams whose requests only went on.
+func (r *reporter) round(ctx context.Context, brief bool) {
 	endpoint, _ := r.agent.objects()
 	if endpoint == nil || !r.moveTo(endpoint.Service) {
 		return
@@ -98,7 +99,7 @@
 		r.findOwner(ctx, endpoint.Service)
 	}
 	for range maxRedirects {
-		if r.owner == "" || !r.send(ctx, endpoint.Service) {
+		if r.owner == "" || !r.send(ctx, endpoint.Service, brief) {
 			return
 		}
 	}
@@ -118,9 +119,9 @@
 }
 
 // send makes one report. It returns true if the reply named another owner.
-func (r *reporter) send(ctx context.Context, service string) bool {
+func (r *reporter) send(ctx context.Context, service string, brief bool) bool {
 	a := r.agent
-	report := r.build(service)
+	report := r.build(service, brief)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := a.caller.Owner(r.owner).Report(ctx, report)
@@ -149,10 +150,16 @@
 	return false
 }
 
-func (r *reporter) build(service string) *fleetpb.ReportRequest {
+func (r *reporter) build(service string, brief bool) *fleetpb.ReportRequest {
 	a := r.agent
 	var report *fleetpb.ReportRequest
-	a.pool.read(func(t *slots.Table) { report = t.BuildReport(time.Now(), r.owner, r.wantFull) })
+	a.pool.read(func(t *slots.Table) {
+		if brief && !r.wantFull {
+			report = t.BuildBrief(time.Now(), r.owner)
+		} else {
+			report = t.BuildReport(time.Now(), r.owner, r.wantFull)
+		}
+	})
 	report.Sender = a.caller.Sender()
 	report.Endpoint = a.settings.Endpoint
 	report.Service = service
--- a/agent/work.go
+++ b/agent/work.go
@@ -56,8 +56,9 @@
 		a.refuseSlot(w, r, err)
 		return
 	}
+	// No report is due: the owner knows its grants, and the next report of any
+	// kind shows that the token is in use.
 	a.counts.accepted.Inc(1)
-	a.kick()
 	defer j.end()
 	j.run(w, r)
 }
--- a/coordination/fairqueue/expire.go
+++ b/coordination/fairqueue/expire.go
@@ -182,7 +182,7 @@
 			Instance:      in.id,
 			Draining:      in.draining || q.known[name].Draining,
 			Capacity:      in.capacity,
-			Running:       len(in.running),
+			Running:       in.requests,
 			Free:          len(in.free),
 			FencingNumber: in.fencing,
 			ConfigVersion: in.config,
--- a/coordination/fairqueue/report.go
+++ b/coordination/fairqueue/report.go
@@ -26,7 +26,12 @@
 	// resting is set while all of it has.
 	folded  map[string]uint64
 	resting bool
-	running map[string]runningCharge
+	// running holds what is outstanding by team, and requests is the number of
+	// requests of all teams.
+	running  map[string]runningCharge
+	requests int
+	// partial is set while running may lack teams.
+	partial bool
 	// listed holds the tokens that the last report listed as free.
 	listed map[string]bool
 	// free lists the tokens that may be granted.
@@ -34,10 +39,12 @@
 	grants map[string]*grant
 }
 
-// runningCharge is the part of a running request's hint that isn't metered yet.
+// runningCharge is the part of the hints of a team's running requests that
+// isn't metered yet.
 type runningCharge struct {
-	team   *team
-	amount uint64
+	team     *team
+	amount   uint64
+	requests int
 }
 
 // counted is the part of a counter that isn't in a base.
@@ -85,11 +92,11 @@
 	current := q.takeOver(in)
 	q.mergeCounters(in, &r)
 	q.describe(now, in, &r)
-	q.replaceRunning(in, r.Running)
+	q.replaceRunning(in, &r)
 	q.replaceTokens(now, in, &r, current)
 	q.endRebuild(now)
 	return ReportResult{
-		WantFull:    !in.full,
+		WantFull:    !in.full || in.partial,
 		Superseded:  !current,
 		Bases:       q.takeBases(),
 		VirtualTime: q.virtual,
@@ -134,7 +141,7 @@
 	if _, ok := q.known[r.Endpoint]; !ok || (in != nil && in.endpoint != r.Endpoint) {
 		return RefusedUnknownEndpoint
 	}
-	if len(r.FreeTokens)+len(r.Running) > MaxTokens {
+	if uint64(len(r.FreeTokens))+uint64(r.Running) > MaxTokens {
 		return RefusedTooManyTokens
 	}
 	if q.agents[r.Endpoint] == nil && len(q.agents) >= MaxAgents {
@@ -147,22 +154,13 @@
 }
 
 func checkTokens(r *Report) Refusal {
-	seen := make(map[string]bool, len(r.FreeTokens)+len(r.Running))
+	seen := make(map[string]bool, len(r.FreeTokens))
 	for _, token := range r.FreeTokens {
 		if seen[token] {
 			return RefusedDuplicate
 		}
 		seen[token] = true
 	}
-	for _, run := range r.Running {
-		if seen[run.Token] {
-			return RefusedDuplicate
-		}
-		seen[run.Token] = true
-		if run.Hint > MaxCost || run.Metered > MaxCost || run.Weight == 0 {
-			return RefusedImpossibleCost
-		}
-	}
 	return RefusedNone
 }
 
@@ -170,6 +168,7 @@
 	if r.VirtualTime > maxVirtual {
 		return RefusedImpossibleCost
 	}
+	var running uint64
 	teams := make(map[string]bool, len(r.Counters))
 	for _, c := range r.Counters {
 		if teams[c.Team] {
@@ -179,6 +178,10 @@
 		if refusal := q.checkCounter(in, c); refusal != RefusedNone {
 			return refusal
 		}
+		running += uint64(c.Running)
+	}
+	if running > uint64(r.Running) {
+		return RefusedTooManyTokens
 	}
 	return q.checkNewTeams(r)
 }
@@ -190,11 +193,6 @@
 			created[c.Team] = true
 		}
 	}
-	for _, run := range r.Running {
-		if q.teams[run.Team] == nil {
-			created[run.Team] = true
-		}
-	}
 	if len(q.teams)+len(created) > MaxTeams {
 		return RefusedTableFull
 	}
@@ -205,6 +203,9 @@
 	if c.Cost > MaxCost || c.Normalized > c.Cost*millionths || c.Base > maxVirtual {
 		return RefusedImpossibleCost
 	}
+	if c.Running > MaxTokens || c.Outstanding > uint64(c.Running)*MaxCountedHint*millionths {
+		return RefusedImpossibleCost
+	}
 	var sum uint64
 	if tm := q.teams[c.Team]; tm != nil {
 		sum = tm.counters
@@ -291,27 +292,48 @@
 	in.config = r.ConfigVersion
 }
 
-func (q *Queue) replaceRunning(in *instance, running []Running) {
-	q.dropRunning(in)
-	for _, run := range running {
-		charge := runningCharge{team: q.team(run.Team)}
-		if hint := min(run.Hint, MaxCountedHint); hint > run.Metered {
-			charge.amount = normalize(hint-run.Metered, run.Weight)
+// replaceRunning takes what is outstanding for the listed teams. If the sum
+// over all teams isn't what the report says, some are missing, and the agent is
+// asked for a full report.
+func (q *Queue) replaceRunning(in *instance, r *Report) {
+	if r.Full {
+		q.dropRunning(in)
+	}
+	for _, c := range r.Counters {
+		q.dropCharge(in, c.Team)
+		if c.Running == 0 {
+			continue
 		}
+		charge := runningCharge{team: q.team(c.Team), amount: c.Outstanding, requests: int(c.Running)}
 		charge.team.outstanding += charge.amount
-		charge.team.requests++
-		in.running[run.Token] = charge
+		charge.team.requests += charge.requests
+		in.running[c.Team] = charge
+		in.requests += charge.requests
 		q.touch(charge.team)
 	}
+	if in.requests > MaxTokens {
+		// Keeps the sum of all hints within its bound.
+		q.dropRunning(in)
+	}
+	in.partial = in.requests != int(r.Running)
 }
 
 func (q *Queue) dropRunning(in *instance) {
-	for _, charge := range in.running {
-		charge.team.outstanding -= charge.amount
-		charge.team.requests--
-		q.touch(charge.team)
+	for name := range in.running {
+		q.dropCharge(in, name)
+	}
+}
+
+func (q *Queue) dropCharge(in *instance, name string) {
+	charge, ok := in.running[name]
+	if !ok {
+		return
 	}
-	clear(in.running)
+	charge.team.outstanding -= charge.amount
+	charge.team.requests -= charge.requests
+	in.requests -= charge.requests
+	delete(in.running, name)
+	q.touch(charge.team)
 }
 
 // replaceTokens settles the grants that the report tells about and takes the
--- a/coordination/fairqueue/types.go
+++ b/coordination/fairqueue/types.go
@@ -129,17 +129,6 @@
 	Draining bool
 }
 
-// Running is a request that an agent has accepted and not ended.
-type Running struct {
-	Request string
-	Team    string
-	Token   string
-	// Hint and Metered are in cost units.
-	Hint    uint64
-	Metered uint64
-	Weight  uint64
-}
-
 // Counter holds the totals of one team at one agent instance.
 type Counter struct {
 	Team string
@@ -151,6 +140,11 @@
 	Base     uint64
 	Finished uint64
 	Failed   uint64
+	// Outstanding is the part of the hints of accepted requests that isn't
+	// metered yet, divided by weight, in millionths.
+	Outstanding uint64
+	// Running counts accepted requests that have not ended.
+	Running uint32
 }
 
 // Report is the state of one agent.
@@ -165,8 +159,11 @@
 	StartedUnixMs int64
 	Sequence      uint64
 	FreeTokens    []string
-	Running       []Running
-	// Counters that changed, or all of them if Full is set.
+	// Running counts accepted requests of all teams.
+	Running uint32
+	// Counters that changed, or all of them if Full is set. They must contain
+	// the teams whose requests were accepted or ended since the last report
+	// that the queue has taken.
 	Counters      []Counter
 	Full          bool
 	Draining      bool
--- a/coordination/slots/counters.go
+++ b/coordination/slots/counters.go
@@ -44,8 +44,10 @@
 	remainder uint64
 	weight    uint64
 	running   int
-	// stamp is the time of the last change on the table's logical clock.
+	// stamp is the time of the last change on the table's logical clock, and
+	// moved that of the last request that was accepted or ended.
 	stamp uint64
+	moved uint64
 	place *list.Element
 }
 
@@ -152,17 +154,24 @@
 	return quotient
 }
 
+// accept counts a request that was accepted.
+func (c *counters) accept(t *team) {
+	t.running++
+	c.touch(t)
+	t.moved = t.stamp
+}
+
+// finish counts a request that has ended.
 func (c *counters) finish(t *team, result Result) {
 	t.running--
+	c.touch(t)
+	t.moved = t.stamp
 	switch result {
 	case Finished:
 		t.finished++
 	case Failed:
 		t.failed++
-	default:
-		return
 	}
-	c.touch(t)
 }
 
 func addCost(a, b uint64) uint64 { return a + min(b, MaxCost-a) }
--- a/coordination/slots/table.go
+++ b/coordination/slots/table.go
@@ -215,7 +215,7 @@
 		return &Refusal{Reason: TooManyTeams, Request: a.Request}
 	}
 	t.free = slices.DeleteFunc(t.free, func(f token) bool { return f.name == a.Token })
-	counter.running++
+	t.counters.accept(counter)
 	r := &request{
 		id:       a.Request,
 		attempt:  a.Attempt,
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -504,30 +504,23 @@
 		StartedUnixMs: r.StartedUnixMs,
 		Sequence:      r.Sequence,
 		FreeTokens:    r.FreeTokens,
+		Running:       r.Running,
 		Full:          r.Full,
 		Draining:      r.Draining,
 		Capacity:      r.Capacity,
 		FencingNumber: r.FencingNumber,
 		VirtualTime:   r.VirtualTime,
 	}
-	for _, run := range r.Running {
-		out.Running = append(out.Running, fairqueue.Running{
-			Request: run.GetRequest(),
-			Team:    run.GetTeam(),
-			Token:   run.GetSlotToken(),
-			Hint:    run.GetHint(),
-			Metered: run.GetMetered(),
-			Weight:  run.GetWeight(),
-		})
-	}
 	for _, c := range r.Counters {
 		out.Counters = append(out.Counters, fairqueue.Counter{
-			Team:       c.GetTeam(),
-			Cost:       c.GetCost(),
-			Normalized: c.GetNormalized(),
-			Base:       c.GetBase(),
-			Finished:   c.GetFinished(),
-			Failed:     c.GetFailed(),
+			Team:        c.GetTeam(),
+			Cost:        c.GetCost(),
+			Normalized:  c.GetNormalized(),
+			Base:        c.GetBase(),
+			Finished:    c.GetFinished(),
+			Failed:      c.GetFailed(),
+			Outstanding: c.GetOutstanding(),
+			Running:     c.GetRunning(),
 		})
 	}
 	return out
