Report free tokens by number

A report listed the full name of every free token, 28 bytes or more. It now lists the number of each as a varint; the queue owner builds the name from the agent instance and the number. Numbers continue when an endpoint moves to another service, so that names stay unique within the instance. The list stays complete, so a lost report needs no repair of its own.

--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -215,8 +215,8 @@
 	f.t.Helper()
 	var token string
 	eventually(f.t, "a free token", func() bool {
-		if free := f.router.last().FreeTokens; len(free) > 0 {
-			token = free[0]
+		if last := f.router.last(); len(last.FreeTokens) > 0 {
+			token = slots.TokenName(last.Sender.Instance, last.FreeTokens[0])
 		}
 		return token != ""
 	})
--- a/agent/pool.go
+++ b/agent/pool.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -56,11 +55,10 @@
 	p.earlier[p.service] = old
 	next := p.earlier[service]
 	if next == nil {
-		params := p.params
-		// Tokens of different tables must have different names.
-		params.Instance = fmt.Sprintf("%s.%d", params.Instance, len(p.earlier))
-		next = slots.New(params)
+		next = slots.New(p.params)
 	}
+	// Tokens of different tables must have different names.
+	next.ContinueAfter(old)
 	delete(p.earlier, service)
 	p.service, p.table = service, next
 	next.Resume(^slots.Stop(0))
--- a/agent/work_test.go
+++ b/agent/work_test.go
@@ -107,7 +107,8 @@
 	var token string
 	f.agent.pool.read(func(table *slots.Table) {
 		past := time.Now().Add(-slots.Lease - time.Second)
-		token = table.BuildReport(past, table.Owner(), false).FreeTokens[0]
+		number := table.BuildReport(past, table.Owner(), false).FreeTokens[0]
+		token = slots.TokenName(f.agent.identity.Instance, number)
 	})
 	f.mustRefuse(f.header(token), outcome.NotRun, http.StatusServiceUnavailable)
 	must.Zero(t, runs.Load())
@@ -290,8 +291,8 @@
 	resp, _ := f.exchange(f.header(first))
 	must.Eq(t, http.StatusOK, resp.StatusCode)
 	eventually(t, "another token", func() bool {
-		free := f.router.last().FreeTokens
-		return len(free) == 1 && free[0] != first
+		last := f.router.last()
+		return len(last.FreeTokens) == 1 && slots.TokenName(last.Sender.Instance, last.FreeTokens[0]) != first
 	})
 	f.mustRefuse(f.header(f.token()), outcome.Unknown, http.StatusBadGateway)
 	must.Eq(t, 2, runs.Load())
--- a/coordination/slots/report.go
+++ b/coordination/slots/report.go
@@ -72,7 +72,7 @@
 	}
 	for i := range t.free {
 		t.free[i].offered = now
-		out.FreeTokens = append(out.FreeTokens, t.free[i].name)
+		out.FreeTokens = append(out.FreeTokens, t.free[i].number)
 	}
 	return out
 }
--- a/coordination/slots/slots_test.go
+++ b/coordination/slots/slots_test.go
@@ -37,14 +37,23 @@
 	return Ask{Token: token, Request: request, Attempt: 1, Team: "a", Weight: 1, Hint: 10}
 }
 
+// tokens returns the names of the free tokens of a report.
+func tokens(r *fleetpb.ReportRequest) []string {
+	var names []string
+	for _, number := range r.FreeTokens {
+		names = append(names, TokenName("i", number))
+	}
+	return names
+}
+
 // Guards against work that starts under a lease that passed while the process
 // was paused, also after the agent has reported again.
 func TestLapsedTokenStaysRefused(t *testing.T) {
 	table := newTable(1, 0)
-	old := table.BuildReport(epoch, "o", false).FreeTokens[0]
+	old := tokens(table.BuildReport(epoch, "o", false))[0]
 	late := epoch.Add(Lease + 1)
 	must.Eq(t, LapsedToken, reasonOf(table.Accept(late, ask(old, "r"))))
-	renewed := table.BuildReport(late, "o", false).FreeTokens
+	renewed := tokens(table.BuildReport(late, "o", false))
 	must.SliceNotContains(t, renewed, old)
 	must.Eq(t, SpentToken, reasonOf(table.Accept(late, ask(old, "r"))))
 	must.NoError(t, table.Accept(late.Add(Lease), ask(renewed[0], "r")))
@@ -53,18 +62,32 @@
 // Guards against a token that two owners can grant.
 func TestOwnerChangeCancelsTokens(t *testing.T) {
 	table := newTable(2, 0)
-	old := table.BuildReport(epoch, "o1", false).FreeTokens
+	old := tokens(table.BuildReport(epoch, "o1", false))
 	second := table.BuildReport(epoch, "o2", false)
 	must.True(t, second.Full)
 	must.Eq(t, SpentToken, reasonOf(table.Accept(epoch, ask(old[0], "r"))))
-	must.NoError(t, table.Accept(epoch, ask(second.FreeTokens[0], "r")))
+	must.NoError(t, table.Accept(epoch, ask(tokens(second)[0], "r")))
+}
+
+// Guards against tokens of two tables of one instance with the same name.
+func TestTokenNumbersContinue(t *testing.T) {
+	first := newTable(3, 0)
+	used := tokens(first.BuildReport(epoch, "o", false))
+	second := New(Params{Instance: "i", StartTimeout: startTimeout})
+	second.ContinueAfter(first)
+	second.Resize(3, 0)
+	second.Resume(StopStarting)
+	for _, token := range tokens(second.BuildReport(epoch, "o", false)) {
+		must.SliceNotContains(t, used, token)
+	}
+	must.Eq(t, SpentToken, reasonOf(second.Accept(epoch, ask(used[0], "r"))))
 }
 
 // Guards against the answer "not run" to a repeated message about a request that runs.
 func TestRefusals(t *testing.T) {
 	table := newTable(2, 1)
 	must.Eq(t, UnknownToken, reasonOf(table.Accept(epoch, ask("i-1", "r"))))
-	free := table.BuildReport(epoch, "o", false).FreeTokens
+	free := tokens(table.BuildReport(epoch, "o", false))
 	must.Len(t, 3, free)
 	must.Eq(t, UnknownToken, reasonOf(table.Accept(epoch, ask("other-1", "r"))))
 	must.NoError(t, table.Accept(epoch, ask(free[0], "r")))
@@ -82,7 +105,7 @@
 	must.NoError(t, table.Accept(epoch, retry))
 	table.Drain(StopShutdown)
 	must.Eq(t, Draining, reasonOf(table.Accept(epoch, ask(free[2], "t"))))
-	must.SliceEmpty(t, table.BuildReport(epoch, "o", false).FreeTokens)
+	must.SliceEmpty(t, tokens(table.BuildReport(epoch, "o", false)))
 	table.Resume(StopShutdown)
 	table.Drain(StopFenced)
 	must.Eq(t, Superseded, reasonOf(table.Accept(epoch, ask(free[2], "t"))))
@@ -92,7 +115,7 @@
 // too late or starts at an agent that drains.
 func TestPrefetchedWorkWaits(t *testing.T) {
 	table := newTable(1, 3)
-	for i, token := range table.BuildReport(epoch, "o", false).FreeTokens {
+	for i, token := range tokens(table.BuildReport(epoch, "o", false)) {
 		must.NoError(t, table.Accept(epoch, ask(token, fmt.Sprint(i))))
 	}
 	may := func(now time.Time, id string, want bool, reason Reason) {
@@ -122,7 +145,7 @@
 	run := func(team string, cost uint64) error {
 		r := table.BuildReport(epoch, "o", false)
 		table.Acknowledge(r.Sequence)
-		a := ask(r.FreeTokens[0], fmt.Sprint(r.Sequence))
+		a := ask(tokens(r)[0], fmt.Sprint(r.Sequence))
 		a.Team = team
 		if err := table.Accept(epoch, a); err != nil {
 			return err
@@ -155,9 +178,9 @@
 	table.Resize(2, 0)
 	table.Resume(StopStarting)
 	r := table.BuildReport(epoch, "o", false)
-	must.NoError(t, table.Accept(epoch, ask(r.FreeTokens[0], "r")))
+	must.NoError(t, table.Accept(epoch, ask(tokens(r)[0], "r")))
 	table.Finish("r", Finished)
-	other := ask(r.FreeTokens[1], "s")
+	other := ask(tokens(r)[1], "s")
 	other.Team = "b"
 	must.Eq(t, TooManyTeams, reasonOf(table.Accept(epoch, other)))
 	table.Acknowledge(table.BuildReport(epoch, "o", false).Sequence)
@@ -167,7 +190,7 @@
 // Guards against numbers from an endpoint that make owners refuse every report.
 func TestChargesAreCapped(t *testing.T) {
 	table := newTable(1, 0)
-	must.NoError(t, table.Accept(epoch, ask(table.BuildReport(epoch, "o", false).FreeTokens[0], "r")))
+	must.NoError(t, table.Accept(epoch, ask(tokens(table.BuildReport(epoch, "o", false))[0], "r")))
 	for range 3 {
 		table.Charge("r", 1<<63)
 	}
@@ -247,7 +270,7 @@
 }
 
 func (m *machine) deliver(t *rapid.T, owner string, r *fleetpb.ReportRequest, brief bool) {
-	for _, token := range r.FreeTokens {
+	for _, token := range tokens(r) {
 		if at, ok := m.offered[token]; ok && m.now.Sub(at) > Lease {
 			t.Fatalf("token %s was listed again after its lease", token)
 		}
--- a/coordination/slots/table.go
+++ b/coordination/slots/table.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -47,8 +46,14 @@
 	stopSuperseded = StopSuperseded | StopFenced
 )
 
+// TokenName returns the name of a token of an agent instance.
+func TokenName(instance string, number uint64) string {
+	return instance + "-" + strconv.FormatUint(number, 10)
+}
+
 // token is a free token. offered is zero until a report lists it.
 type token struct {
+	number  uint64
 	name    string
 	owner   string
 	offered time.Time
@@ -119,6 +124,12 @@
 	}
 }
 
+// ContinueAfter makes the numbers of new tokens start after those of an earlier
+// table of the same instance.
+func (t *Table) ContinueAfter(earlier *Table) {
+	t.nextToken = max(t.nextToken, earlier.nextToken)
+}
+
 // Resize sets the number of slots and of prefetched requests. Requests that
 // were accepted keep their place; surplus free tokens are cancelled.
 func (t *Table) Resize(slots, prefetch uint32) {
@@ -189,8 +200,9 @@
 	for len(t.free) < room {
 		t.nextToken++
 		t.free = append(t.free, token{
-			name:  fmt.Sprintf("%s-%d", t.instance, t.nextToken),
-			owner: t.owner,
+			number: t.nextToken,
+			name:   TokenName(t.instance, t.nextToken),
+			owner:  t.owner,
 		})
 	}
 }
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -14,6 +14,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/coordination/slots"
 	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/state/configstore"
@@ -503,7 +504,6 @@
 		ConfigVersion: r.Sender.ConfigVersion,
 		StartedUnixMs: r.StartedUnixMs,
 		Sequence:      r.Sequence,
-		FreeTokens:    r.FreeTokens,
 		Running:       r.Running,
 		Full:          r.Full,
 		Draining:      r.Draining,
@@ -511,6 +511,9 @@
 		FencingNumber: r.FencingNumber,
 		VirtualTime:   r.VirtualTime,
 	}
+	for _, number := range r.FreeTokens {
+		out.FreeTokens = append(out.FreeTokens, slots.TokenName(r.Sender.Instance, number))
+	}
 	for _, c := range r.Counters {
 		out.Counters = append(out.Counters, fairqueue.Counter{
 			Team:        c.GetTeam(),
--- a/router/owner/owner_test.go
+++ b/router/owner/owner_test.go
@@ -161,7 +161,7 @@
 	return reply
 }
 
-func (x *fixture) report(t *testing.T, tokens ...string) *fleetpb.ReportReply {
+func (x *fixture) report(t *testing.T, tokens ...uint64) *fleetpb.ReportReply {
 	t.Helper()
 	x.seq++
 	reply, err := x.Report(t.Context(), &fleetpb.ReportRequest{
@@ -181,14 +181,14 @@
 func TestGrantsReachTheEntryRouter(t *testing.T) {
 	run(t, func(t *testing.T, x *fixture) {
 		must.SliceEmpty(t, x.sync(t, false, "r1", "r2").Refused)
-		x.report(t, "t1")
+		x.report(t, 1)
 		synctest.Wait()
 		must.Eq(t, []string{"r1"}, x.entry.requests())
 		a := x.entry.got[0]
 		must.Eq(t, agentAddress, a.AgentAddress)
-		must.Eq(t, "t1", a.SlotToken)
+		must.Eq(t, "agent-1", a.SlotToken)
 		must.Eq(t, 7, a.Weight)
-		x.report(t, "t2")
+		x.report(t, 2)
 		synctest.Wait()
 		must.Eq(t, []string{"r1", "r2"}, x.entry.requests())
 		must.Eq(t, 2, x.grants.Count())
@@ -202,7 +202,7 @@
 	run(t, func(t *testing.T, x *fixture) {
 		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_GONE, false)
 		x.sync(t, false, "r1", "r2")
-		x.report(t, "t1")
+		x.report(t, 1)
 		synctest.Wait()
 		must.Eq(t, []string{"r1", "r2"}, x.entry.requests())
 	})
@@ -213,13 +213,13 @@
 	run(t, func(t *testing.T, x *fixture) {
 		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, true)
 		x.sync(t, false, "r1")
-		x.report(t, "t1")
+		x.report(t, 1)
 		time.Sleep(dispatchTimeout + time.Millisecond)
 		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, false)
 		x.sync(t, true, "r1")
 		synctest.Wait()
 		must.SliceEmpty(t, x.entry.requests())
-		x.report(t, "t1")
+		x.report(t, 1)
 		synctest.Wait()
 		must.Eq(t, []string{"r1"}, x.entry.requests())
 	})
@@ -231,10 +231,10 @@
 	run(t, func(t *testing.T, x *fixture) {
 		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, true)
 		x.sync(t, false, "r1", "r2")
-		x.report(t, "t1")
+		x.report(t, 1)
 		synctest.Wait()
 		// The lane is busy with r1 while this grant waits.
-		x.report(t, "t1", "t2")
+		x.report(t, 1, 2)
 		time.Sleep(dispatchTimeout + time.Millisecond)
 		x.entry.set(fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, false)
 		synctest.Wait()
@@ -242,7 +242,7 @@
 		x.sync(t, true, "r2")
 		synctest.Wait()
 		must.Eq(t, []string{"r2"}, x.entry.requests())
-		must.Eq(t, "t2", x.entry.got[0].SlotToken)
+		must.Eq(t, "agent-2", x.entry.got[0].SlotToken)
 	})
 }
 
@@ -315,7 +315,7 @@
 			go func() {
 				_, _ = x.Withdraw(context.Background(), &fleetpb.WithdrawRequest{Sender: sender(entryAddress, "entry", 1), Service: "svc"})
 			}()
-			x.report(t, fmt.Sprint("t", i))
+			x.report(t, uint64(i))
 		}
 		synctest.Wait()
 		must.SliceContainsAll(t, ids, x.entry.requests())
