--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -14,6 +14,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/coordination/slots"
 	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/state/configstore"
@@ -149,15 +150,21 @@
 	}
 	now := o.opts.Clock()
 	tickets, refused := s.tickets(now, p, r)
+	wantFull := false
 	o.use(r.Service, s, func(sv *service) {
 		sv.heard = now
 		id := r.Sender
 		refused = append(refused, sv.queue.Sync(now, id.Address, id.Instance, r.Sequence, tickets, r.FullSync)...)
+		if d := r.Digest; d != nil {
+			held := fairqueue.Digest{Count: d.Count, Hash: d.Hash}
+			wantFull = sv.queue.Compare(now, id.Address, id.Instance, r.Sequence, held)
+		}
 	})
 	return &fleetpb.EnqueueReply{
 		Sender:       o.opts.Caller.Sender(),
 		OwnerAddress: o.otherOwner(r.Service),
 		Refused:      refused,
+		WantFull:     wantFull,
 	}, nil
 }
 
@@ -497,31 +504,26 @@
 		ConfigVersion: r.Sender.ConfigVersion,
 		StartedUnixMs: r.StartedUnixMs,
 		Sequence:      r.Sequence,
-		FreeTokens:    r.FreeTokens,
+		Running:       r.Running,
 		Full:          r.Full,
 		Draining:      r.Draining,
 		Capacity:      r.Capacity,
 		FencingNumber: r.FencingNumber,
 		VirtualTime:   r.VirtualTime,
 	}
-	for _, run := range r.Running {
-		out.Running = append(out.Running, fairqueue.Running{
-			Request: run.GetRequest(),
-			Team:    run.GetTeam(),
-			Token:   run.GetSlotToken(),
-			Hint:    run.GetHint(),
-			Metered: run.GetMetered(),
-			Weight:  run.GetWeight(),
-		})
+	for _, number := range r.FreeTokens {
+		out.FreeTokens = append(out.FreeTokens, slots.TokenName(r.Sender.Instance, number))
 	}
 	for _, c := range r.Counters {
 		out.Counters = append(out.Counters, fairqueue.Counter{
-			Team:       c.GetTeam(),
-			Cost:       c.GetCost(),
-			Normalized: c.GetNormalized(),
-			Base:       c.GetBase(),
-			Finished:   c.GetFinished(),
-			Failed:     c.GetFailed(),
+			Team:        c.GetTeam(),
+			Cost:        c.GetCost(),
+			Normalized:  c.GetNormalized(),
+			Base:        c.GetBase(),
+			Finished:    c.GetFinished(),
+			Failed:      c.GetFailed(),
+			Outstanding: c.GetOutstanding(),
+			Running:     c.GetRunning(),
 		})
 	}
 	return out
