Less memory per team, and one request held ready beside plain services

Go's default lets the heap double between collections.

The workloads and examples now let agents beside plain services hold one request ready.

--- a/agent/main.go
+++ b/agent/main.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return exitUsage
 	}
+	observability.BoundHeapGrowth()
 	log := observability.NewLogger(logTo, level, "agent")
 	a, err := New(s, log)
 	if err != nil {
--- a/testbed/bench/deploy.go
+++ b/testbed/bench/deploy.go
@@ -102,7 +102,7 @@
 		for i := range s.Endpoints {
 			o.Endpoints = append(o.Endpoints, objects.Endpoint{
 				Name: endpointName(s, i), Service: s.Name, Zone: w.Zones[i%len(w.Zones)],
-				Slots: s.Slots, Prefetch: v.Prefetch,
+				Slots: s.Slots, Prefetch: v.prefetch(s),
 				Fencing: objects.FencingIgnored, State: objects.EndpointActive,
 			})
 		}
@@ -142,7 +142,7 @@
 			}
 			for i := range s.Endpoints {
 				free, _, ok := d.FreeSlots(endpointName(s, i), owner)
-				if !ok || free != s.Slots+d.variant.Prefetch {
+				if !ok || free != s.Slots+d.variant.prefetch(s) {
 					return false
 				}
 			}
--- a/testbed/bench/experiment.go
+++ b/testbed/bench/experiment.go
@@ -55,7 +55,7 @@
 	result.addCounters(before, <-after)
 	for i, s := range samplers {
 		records := recordsOf(g.records, i)
-		result.Services = append(result.Services, summarize(w, i, d.variant.Prefetch, records, s.end()))
+		result.Services = append(result.Services, summarize(w, i, d.variant.prefetch(&w.Services[i]), records, s.end()))
 	}
 	time.Sleep(quietTime)
 	for i := range result.Services {
--- a/testbed/bench/workload.go
+++ b/testbed/bench/workload.go
@@ -40,7 +40,9 @@
 	Type      objects.ServiceType `yaml:"type"`
 	Endpoints int                 `yaml:"endpoints"`
 	// Slots is the number of slots of each endpoint.
-	Slots       uint32 `yaml:"slots"`
+	Slots uint32 `yaml:"slots"`
+	// Prefetch is the number of requests that an agent may hold ready. Default: 0.
+	Prefetch    uint32 `yaml:"prefetch"`
 	DefaultCost uint64 `yaml:"defaultCost"`
 	MaxCost     uint64 `yaml:"maxCost"`
 	// StepBase and StepPerSequence are the times of an engine's step.
