--- /dev/null
+++ b/testbed/e2e/drain_test.go
@@ -0,0 +1,29 @@
+package e2e
+
+import (
+	"testing"
+
+	"github.com/acaciaspar/acaciaspar/testbed/fleet"
+)
+
+// Guards against a planned stop that cuts answers which take longer than the
+// few seconds that a closing HTTP server waits anyway.
+func TestPlannedStopFinishesLongAnswers(t *testing.T) {
+	t.Parallel()
+	for name, pick := range map[string]func(d *deployment) []*fleet.Process{
+		"router": func(d *deployment) []*fleet.Process { return d.routers[:1] },
+		"agents": func(d *deployment) []*fleet.Process { return d.modelAgents },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, setup{routers: 2, teams: 2})
+			streams := d.openStreams(d.routers[0], 4, longStream)
+			for _, p := range pick(d) {
+				p.Stop()
+			}
+			for _, s := range streams {
+				mustWhole(t, s.prompt, s.tokens, s.Wait())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/testbed/e2e/overtake_test.go
@@ -0,0 +1,49 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/acaciaspar/acaciaspar/testbed/fleet"
+)
+
+// Guards against small teams that wait until the queue of a large one is empty.
+func TestSmallTeamsOvertakeAFlood(t *testing.T) {
+	t.Parallel()
+	const teams, flood, tokens = 9, 200, 40
+	d := deploy(t, setup{routers: 2, teams: teams})
+	var flooding []*stream
+	for i := range flood {
+		prompt := fmt.Sprintf("flood %d", i)
+		r := completion(d.routers[i%2], teamName(0), prompt, tokens)
+		flooding = append(flooding, &stream{Pending: d.Go(r), prompt: prompt, tokens: tokens})
+	}
+	d.Eventually("the flood waits at the owner", func() bool {
+		var n uint64
+		for _, team := range d.Status(d.Owner(modelService, d.routers...)).GetTeams() {
+			n += team.GetWaiting()
+		}
+		return n >= flood/2
+	})
+	var small []*fleet.Pending
+	for i := 1; i < teams; i++ {
+		small = append(small, d.Go(completion(d.routers[i%2], teamName(i), "small team", tokens)))
+	}
+	for _, p := range small {
+		mustWhole(t, "small team", tokens, p.Wait())
+	}
+	left := 0
+	for _, s := range flooding {
+		if !s.Done() {
+			left++
+		}
+	}
+	// Eight requests of small teams take turns with the flood on eight slots,
+	// so that a few rounds of the flood have ended at the most.
+	if left < flood/4 {
+		t.Fatalf("only %d of %d requests of the flood were left when the small teams had their answers", left, flood)
+	}
+	for _, s := range flooding {
+		mustWhole(t, s.prompt, s.tokens, s.Wait())
+	}
+}
