Count and log refused control calls and undecodable messages

Status, Trail and FetchConfig of another fleet or protocol version were refused without a trace, and so were calls whose body or path can't be read. The former now count in control.refused_messages, the latter in fleet.refused_messages, and both are logged once per source and minute.

--- a/router/control.go
+++ b/router/control.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
 
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 )
@@ -14,9 +18,40 @@
 	r *process
 }
 
+// check refuses messages of other fleets and of unknown protocol versions.
+func (c *control) check(s *fleetpb.Sender) error {
+	err := c.r.caller.Check(s)
+	if err != nil {
+		c.r.noteRefused("control.refused_messages", s.GetAddress(), err)
+	}
+	return err
+}
+
+// noteRefused counts a refused message and logs it once per source and minute.
+func (p *process) noteRefused(metric, source string, err error) {
+	metrics.GetOrRegisterCounter(metric, p.registry).Inc(1)
+	if p.refusals.Allow(time.Now(), source, err.Error()) {
+		p.log.Warn("message refused", "source", source, "error", err.Error())
+	}
+}
+
+// undecodable returns hooks that count calls that reach no service because
+// their bodies or paths are malformed.
+func (p *process) undecodable() *twirp.ServerHooks {
+	return &twirp.ServerHooks{
+		Error: func(ctx context.Context, err twirp.Error) context.Context {
+			if code := err.Code(); code == twirp.Malformed || code == twirp.BadRoute {
+				method, _ := twirp.MethodName(ctx)
+				p.noteRefused("fleet.refused_messages", "call of "+method, err)
+			}
+			return ctx
+		},
+	}
+}
+
 // FetchConfig implements fleetpb.Control.
 func (c *control) FetchConfig(ctx context.Context, in *fleetpb.FetchConfigRequest) (*fleetpb.FetchConfigReply, error) {
-	if err := c.r.caller.Check(in.Sender); err != nil {
+	if err := c.check(in.Sender); err != nil {
 		return nil, err
 	}
 	return c.r.follower.FetchConfig(ctx, in)
@@ -24,7 +59,7 @@
 
 // Status implements fleetpb.Control.
 func (c *control) Status(_ context.Context, in *fleetpb.StatusRequest) (*fleetpb.StatusReply, error) {
-	if err := c.r.caller.Check(in.Sender); err != nil {
+	if err := c.check(in.Sender); err != nil {
 		return nil, err
 	}
 	reply := &fleetpb.StatusReply{
@@ -47,7 +82,7 @@
 
 // Trail implements fleetpb.Control.
 func (c *control) Trail(_ context.Context, in *fleetpb.TrailRequest) (*fleetpb.TrailReply, error) {
-	if err := c.r.caller.Check(in.Sender); err != nil {
+	if err := c.check(in.Sender); err != nil {
 		return nil, err
 	}
 	reply := &fleetpb.TrailReply{Sender: c.r.caller.Sender()}
--- a/router/process.go
+++ b/router/process.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciaspar/acaciaspar/coordination/fairqueue"
@@ -64,6 +65,7 @@
 	log      *slog.Logger
 	registry metrics.Registry
 	tls      *tlsconf.Source
+	refusals observability.Limiter
 
 	store    *configstore.Store
 	caller   *fleetrpc.Caller
@@ -249,10 +251,11 @@
 
 func (p *process) composeServers(callerTLS, fleetTLS *tls.Config) {
 	fleet := http.NewServeMux()
-	fleet.Handle(fleetpb.OwnerPathPrefix, fleetpb.NewOwnerServer(p.owner))
-	fleet.Handle(fleetpb.EntryPathPrefix, fleetpb.NewEntryServer(p.entry))
-	fleet.Handle(fleetpb.MembersPathPrefix, fleetpb.NewMembersServer(p.gossip))
-	fleet.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(&control{p}))
+	hooks := twirp.WithServerHooks(p.undecodable())
+	fleet.Handle(fleetpb.OwnerPathPrefix, fleetpb.NewOwnerServer(p.owner, hooks))
+	fleet.Handle(fleetpb.EntryPathPrefix, fleetpb.NewEntryServer(p.entry, hooks))
+	fleet.Handle(fleetpb.MembersPathPrefix, fleetpb.NewMembersServer(p.gossip, hooks))
+	fleet.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(&control{p}, hooks))
 	p.fleet = fleethttp.NewServer(p.traffic.Handler(fleet), fleetTLS)
 
 	callers := http.NewServeMux()
