Leave user names and passwords out of printed settings

-print-settings and the faults of settings showed the credentials in log-url and hosts-url; they now show http://(set)@host. A router also reported the faults of these two in an order that changed from run to run; it is now fixed.

--- a/agent/settings.go
+++ b/agent/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/acaciaspar/acaciaspar/settings"
 	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
 )
 
@@ -51,7 +52,7 @@
 	}
 	for _, u := range []named{{"endpoint-url", s.EndpointURL}, {"hosts-url", s.HostsURL}, {"log-url", s.LogURL}} {
 		if u.value != "" && !isHTTPURL(u.value) {
-			fault("%s: %q is not an HTTP URL", u.name, u.value)
+			fault("%s: %q is not an HTTP URL", u.name, settings.Redact(u.value))
 		}
 	}
 	for _, r := range []named{{"fleet", s.Fleet}, {"endpoint", s.Endpoint}, {"endpoint-url", s.EndpointURL}} {
--- a/router/settings.go
+++ b/router/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/acaciaspar/acaciaspar/settings"
 	"github.com/acaciaspar/acaciaspar/transport/tlsconf"
 )
 
@@ -74,12 +75,12 @@
 			fault("peers: %w", err)
 		}
 	}
-	for name, raw := range map[string]string{"log-url": s.LogURL, "hosts-url": s.HostsURL} {
-		if raw == "" {
+	for _, setting := range []struct{ name, raw string }{{"log-url", s.LogURL}, {"hosts-url", s.HostsURL}} {
+		if setting.raw == "" {
 			continue
 		}
-		if u, err := url.Parse(raw); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			fault("%s: %q is not an HTTP URL", name, raw)
+		if u, err := url.Parse(setting.raw); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			fault("%s: %q is not an HTTP URL", setting.name, settings.Redact(setting.raw))
 		}
 	}
 	if s.LogURL == "" && s.Peers == "" && s.HostsURL == "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,7 @@
 	"io"
 	"os"
 	"reflect"
+	"regexp"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -143,11 +144,20 @@
 	return faults
 }
 
+// userInfo is the part of a URL that may hold a name and a password. A text
+// that isn't a valid URL may hold one as well.
+var userInfo = regexp.MustCompile(`//[^\s,]*@`)
+
+// Redact leaves user names and passwords out of the URLs in a text.
+func Redact(text string) string {
+	return userInfo.ReplaceAllString(text, "//(set)@")
+}
+
 // Values returns the settings in force, secrets replaced by "(set)".
 func (l *Loader) Values() []Value {
 	values := make([]Value, 0, len(l.fields))
 	for _, f := range l.fields {
-		text := f.textual.String()
+		text := Redact(f.textual.String())
 		if f.secret && text != "" {
 			text = "(set)"
 		}
