--- a/testbed/fleet/call.go
+++ b/testbed/fleet/call.go
@@ -28,6 +28,8 @@
 	Hint uint64
 	// Header holds further headers; it replaces those that the other fields set.
 	Header http.Header
+	// Chunked sends the body without its length.
+	Chunked bool
 	// Client sends the request in place of the fleet's own client, if set.
 	Client *http.Client
 }
@@ -129,6 +131,9 @@
 		p.answer.Err = err
 		return
 	}
+	if r.Chunked {
+		req.ContentLength = -1
+	}
 	req.Header.Set("Authorization", "Bearer "+Token(r.Team))
 	if r.Key != "" {
 		req.Header.Set("Idempotency-Key", r.Key)
