Every process test fails if a process logs a bearer token

The harness looks for tokens in each line that a process writes, also before a restart and beyond the lines that it keeps.

--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -63,6 +63,8 @@
 
 	mu        sync.Mutex
 	processes []*Process
+	// leaks names the processes that logged a bearer token.
+	leaks []string
 }
 
 // New starts the stand-ins of the log and the host list. logArgs are flags of
@@ -284,8 +286,23 @@
 	}
 }
 
-// end kills what still runs, reports processes that ended by themselves and
-// shows the logs of a failed run.
+// noteLeak records that a process logged a bearer token.
+func (f *Fleet) noteLeak(process string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Contains(f.leaks, process) {
+		f.leaks = append(f.leaks, process)
+	}
+}
+
+func (f *Fleet) leaked() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.leaks)
+}
+
+// end kills what still runs, reports processes that ended by themselves or
+// logged a token, and shows the logs of a failed run.
 func (f *Fleet) end() {
 	for _, p := range f.Processes() {
 		p.kill()
@@ -293,6 +310,9 @@
 			f.run.Errorf("%s ended by itself", p.Name)
 		}
 	}
+	for _, name := range f.leaked() {
+		f.run.Errorf("%s logged a bearer token", name)
+	}
 	if !f.run.Failed() {
 		return
 	}
--- a/testbed/fleet/objects.go
+++ b/testbed/fleet/objects.go
@@ -19,8 +19,12 @@
 	Shares    []objects.Share
 }
 
+// tokenPrefix starts every bearer token and occurs in no other text, so that
+// tokens are found in the logs.
+const tokenPrefix = "test-token-"
+
 // Token returns the bearer token that Team gives a team.
-func Token(team string) string { return "test-token-" + team }
+func Token(team string) string { return tokenPrefix + team }
 
 // Team adds a team and its shares, of the same weight, in services.
 func (o *Objects) Team(name string, weight uint64, services ...string) {
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -41,6 +41,8 @@
 // execution is one run of a process's binary. Its mutex guards the fields below it.
 type execution struct {
 	cmd *exec.Cmd
+	// leak is called for each line that holds a bearer token.
+	leak func()
 	// ended is closed once the process is gone and code is set.
 	ended chan struct{}
 	code  int
@@ -73,7 +75,11 @@
 // Start runs the process again with the same settings, after it has ended.
 func (p *Process) Start() {
 	p.fleet.run.Helper()
-	e := &execution{cmd: exec.Command(p.path, p.args...), ended: make(chan struct{})}
+	e := &execution{
+		cmd:   exec.Command(p.path, p.args...),
+		leak:  func() { p.fleet.noteLeak(p.Name) },
+		ended: make(chan struct{}),
+	}
 	e.cmd.Env = environment()
 	e.cmd.Stderr = e
 	e.cmd.Stdout = e
@@ -132,6 +138,9 @@
 }
 
 func (e *execution) line(text string) {
+	if strings.Contains(text, tokenPrefix) {
+		e.leak()
+	}
 	if len(e.lines) >= maxLogLines {
 		e.lines = e.lines[1:]
 	}
