Test that brief reports leave out and keep the right charges

The state machine of the table rarely reached a charge between a brief report and the next one: with the check of brief reports in Acknowledge removed, it passed. This test fails then.

--- a/coordination/slots/slots_test.go
+++ b/coordination/slots/slots_test.go
@@ -171,6 +171,35 @@
 	must.Eq(t, 25*Millionths, counters["e"].Normalized)
 }
 
+// Guards against brief reports that grow with the running requests, and against
+// charges that are lost because a brief report that leaves them out was
+// acknowledged.
+func TestBriefReport(t *testing.T) {
+	table := newTable(3, 0)
+	r := table.BuildReport(epoch, "o", false)
+	for i, team := range []string{"a", "b", "c"} {
+		a := ask(tokens(r)[i], team)
+		a.Team = team
+		must.NoError(t, table.Accept(epoch, a))
+	}
+	must.True(t, table.BuildBrief(epoch, "o").Full)
+	table.Acknowledge(table.BuildReport(epoch, "o", false).Sequence)
+	table.Charge("a", 3)
+	table.Charge("b", 4)
+	table.Finish("b", Finished)
+	brief := table.BuildBrief(epoch, "o")
+	must.Len(t, 1, brief.Counters)
+	must.Eq(t, "b", brief.Counters[0].Team)
+	must.Eq(t, 2, brief.Running)
+	table.Acknowledge(brief.Sequence)
+	must.SliceEmpty(t, table.BuildBrief(epoch, "o").Counters)
+	costs := map[string]uint64{}
+	for _, c := range table.BuildReport(epoch, "o", false).Counters {
+		costs[c.Team] = c.Cost
+	}
+	must.Eq(t, map[string]uint64{"a": 3, "b": 4}, costs)
+}
+
 // Guards against requests that are refused forever: an entry may be folded only
 // once the owner has its charge.
 func TestUnacknowledgedCountersAreNotFolded(t *testing.T) {
