Send shorter senders and fewer periodic messages

Every message and reply carried fleet, address, instance, zone and versions of its sender. Replies of the queue owner and the entry router now carry only the fleet and the versions, and dispatches leave out instance and zone, which the receiver doesn't use. Instances have 16 characters (80 random bits) instead of 26 and 36. A message with new tickets carries the digest, and a report for a free slot lists all changes, if the last sync or periodic report is 250 ms old; the next periodic one is then due 500 ms later.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
 	"errors"
 	"log/slog"
@@ -100,7 +99,7 @@
 	a.identity = fleetrpc.Identity{
 		Fleet:    s.Fleet,
 		Address:  s.Advertise,
-		Instance: rand.Text(),
+		Instance: fleetrpc.NewInstance(),
 		Zone:     s.Zone,
 	}
 	if a.identity.Address == "" {
--- a/agent/report.go
+++ b/agent/report.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// reportInterval is the longest time between two reports.
+	// reportInterval is the longest time between two reports of all changes.
 	reportInterval = 500 * time.Millisecond
 	// reportGap is the shortest time between two reports. It bounds the control
 	// traffic of an endpoint with many short requests.
@@ -39,6 +39,8 @@
 	owner    string
 	failures int
 	wantFull bool
+	// reported is the time of the last report of all changes.
+	reported time.Time
 	// superseded is the time of the last reply that said so.
 	superseded time.Time
 }
@@ -73,6 +75,7 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
+		brief := false
 		select {
 		case <-ctx.Done():
 			return nil
@@ -80,10 +83,16 @@
 			r.round(ctx, false)
 			close(done)
 		case <-r.kicked:
-			r.round(ctx, true)
+			// A report of all changes that is due soon goes out now, which saves a message.
+			brief = time.Since(r.reported) < reportInterval/2
+			r.round(ctx, brief)
 		case <-ticker.C:
 			r.round(ctx, false)
 		}
+		if !brief {
+			r.reported = time.Now()
+			ticker.Reset(reportInterval)
+		}
 		sleep(ctx, reportGap)
 	}
 }
--- a/router/entry/dispatch.go
+++ b/router/entry/dispatch.go
@@ -26,7 +26,7 @@
 	for _, a := range in.Assignments {
 		results = append(results, s.assign(in.Sender.Address, in.Service, a))
 	}
-	return &fleetpb.DispatchReply{Sender: s.o.Caller.Sender(), Results: results}, nil
+	return &fleetpb.DispatchReply{Sender: s.o.Caller.ReplySender(), Results: results}, nil
 }
 
 // assign hands an assignment to the waiting request. An assignment that was
--- a/router/entry/options.go
+++ b/router/entry/options.go
@@ -43,7 +43,7 @@
 	IdleTimeout time.Duration
 	// BodyTimeout bounds the time that a caller takes to send its body. Default: 30 s.
 	BodyTimeout time.Duration
-	// SyncInterval is the time between full syncs of waiting tickets. Default: 500 ms.
+	// SyncInterval is the longest time between syncs of waiting tickets. Default: 500 ms.
 	SyncInterval time.Duration
 }
 
--- a/router/entry/tickets.go
+++ b/router/entry/tickets.go
@@ -38,6 +38,8 @@
 	owner string
 	// named is another owner that the last reply named, or "".
 	named string
+	// syncedAt is the time of the last sync.
+	syncedAt time.Time
 }
 
 // linkOf returns the link of a service. The caller holds s.mu.
@@ -113,6 +115,10 @@
 			l.named = ""
 		}
 		s.exchange(l, next)
+		if next != freshOnly {
+			l.syncedAt = time.Now()
+			ticker.Reset(s.o.Limits.SyncInterval)
+		}
 		if next != freshOnly && s.stopLink(l) {
 			return
 		}
@@ -120,11 +126,16 @@
 	}
 }
 
-// nextExchange waits until there is something to tell and returns its extent.
+// nextExchange waits until there is something to tell and returns its extent. A
+// message with new tickets carries the digest as well if a sync is due soon,
+// which saves a message.
 func (s *Server) nextExchange(l *link, tick <-chan time.Time, changed <-chan struct{}) extent {
 	for {
 		select {
 		case <-l.wake:
+			if time.Since(l.syncedAt) >= s.o.Limits.SyncInterval/2 {
+				return digested
+			}
 			return freshOnly
 		case <-tick:
 			return digested
--- a/router/owner/dispatch.go
+++ b/router/owner/dispatch.go
@@ -150,11 +150,14 @@
 	ctx, cancel := context.WithTimeout(ctx, dispatchTimeout)
 	defer cancel()
 	reply, err := o.opts.Caller.Entry(key.router).Dispatch(ctx, &fleetpb.DispatchRequest{
-		Sender:      o.opts.Caller.Sender(),
+		Sender:      o.opts.Caller.AddressSender(),
 		Service:     key.service,
 		Assignments: assignments(batch),
 	})
-	if err != nil || o.check(reply.GetSender()) != nil || len(reply.Results) != len(batch) {
+	if err == nil {
+		err = o.checkFleet(reply.GetSender())
+	}
+	if err != nil || len(reply.Results) != len(batch) {
 		return results
 	}
 	for i, r := range reply.Results {
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -161,7 +161,7 @@
 		}
 	})
 	return &fleetpb.EnqueueReply{
-		Sender:       o.opts.Caller.Sender(),
+		Sender:       o.opts.Caller.ReplySender(),
 		OwnerAddress: o.otherOwner(r.Service),
 		Refused:      refused,
 		WantFull:     wantFull,
@@ -214,7 +214,7 @@
 			sv.queue.Withdraw(now, r.Sender.Address, r.Sender.Instance, r.Requests)
 		})
 	}
-	return &fleetpb.WithdrawReply{Sender: o.opts.Caller.Sender()}, nil
+	return &fleetpb.WithdrawReply{Sender: o.opts.Caller.ReplySender()}, nil
 }
 
 // Report takes the state of an agent.
@@ -242,7 +242,7 @@
 
 func (o *Owner) reportReply(name string, result fairqueue.ReportResult) *fleetpb.ReportReply {
 	reply := &fleetpb.ReportReply{
-		Sender:       o.opts.Caller.Sender(),
+		Sender:       o.opts.Caller.ReplySender(),
 		OwnerAddress: o.otherOwner(name),
 		WantFull:     result.WantFull,
 		Superseded:   result.Superseded,
@@ -262,7 +262,7 @@
 	}
 	routers := rendezvous.Rank(r.Sender.Address, append(o.opts.View.Live(), o.self))
 	return &fleetpb.OwnerReply{
-		Sender:       o.opts.Caller.Sender(),
+		Sender:       o.opts.Caller.ReplySender(),
 		OwnerAddress: o.opts.View.Owner(r.Service),
 		Routers:      routers[:min(len(routers), maxRoutersNamed)],
 	}, nil
@@ -270,8 +270,8 @@
 
 // check refuses messages of other fleets and those without an address or instance.
 func (o *Owner) check(s *fleetpb.Sender) error {
-	if err := o.opts.Caller.Check(s); err != nil {
-		return o.refuse(s, err)
+	if err := o.checkFleet(s); err != nil {
+		return err
 	}
 	if s.Address == "" || s.Instance == "" {
 		return o.refuse(s, twirp.InvalidArgumentError("sender", "has no address or no instance"))
@@ -279,6 +279,14 @@
 	return nil
 }
 
+// checkFleet refuses messages and replies of other fleets.
+func (o *Owner) checkFleet(s *fleetpb.Sender) error {
+	if err := o.opts.Caller.Check(s); err != nil {
+		return o.refuse(s, err)
+	}
+	return nil
+}
+
 // refuse counts a refused message and logs it once per source and minute.
 func (o *Owner) refuse(s *fleetpb.Sender, err error) error {
 	o.refused.Inc(1)
--- a/router/process.go
+++ b/router/process.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -138,7 +137,7 @@
 	}
 	p.traffic = fleethttp.NewTraffic(p.registry)
 	p.store = configstore.New()
-	identity := fleetrpc.Identity{Fleet: s.Fleet, Address: address, Instance: uuid.NewString(), Zone: s.Zone}
+	identity := fleetrpc.Identity{Fleet: s.Fleet, Address: address, Instance: fleetrpc.NewInstance(), Zone: s.Zone}
 	client := p.traffic.Client(fleethttp.NewClient(clientTLS))
 	p.caller = fleetrpc.NewCaller(identity, p.store, client, fleethttp.Scheme(clientTLS))
 	p.audit = audit.New(s.AuditTrails, p.log)
--- a/transport/fleetrpc/fleetrpc.go
+++ b/transport/fleetrpc/fleetrpc.go
@@ -4,6 +4,7 @@
 package fleetrpc
 
 import (
+	"crypto/rand"
 	"fmt"
 	"net/http"
 	"sync"
@@ -21,6 +22,13 @@
 // own, so the table is simply emptied when it is full.
 const maxClients = 16_384
 
+// instanceLength is the number of characters of an instance, 5 random bits
+// each. Every message carries one, so it isn't longer than needed: 80 bits.
+const instanceLength = 16
+
+// NewInstance returns the random identifier of a process.
+func NewInstance() string { return rand.Text()[:instanceLength] }
+
 // Identity tells other processes who sends.
 type Identity struct {
 	Fleet string
@@ -82,6 +90,24 @@
 	}
 }
 
+// ReplySender returns the sender of a reply that leaves now. The receiver has
+// called this process, so it knows the rest.
+func (c *Caller) ReplySender() *fleetpb.Sender {
+	return &fleetpb.Sender{
+		Fleet:         c.identity.Fleet,
+		ConfigVersion: c.config.Version(),
+		Protocol:      ProtocolVersion,
+	}
+}
+
+// AddressSender returns the sender of a message whose receiver keeps no state
+// about this process.
+func (c *Caller) AddressSender() *fleetpb.Sender {
+	s := c.ReplySender()
+	s.Address = c.identity.Address
+	return s
+}
+
 // Check refuses a message or reply of another fleet or of an unknown protocol
 // version, and notes the sender's configuration version. The error is a twirp
 // error with code invalid_argument.
