A router calls itself without a connection

The router that owns a queue sent its own tickets and dispatches to itself over HTTP/2 and counted each message twice, as caller and as server. It now calls its own services directly.

--- a/router/process.go
+++ b/router/process.go
@@ -143,6 +143,7 @@
 	p.audit = audit.New(s.AuditTrails, p.log)
 	p.composeCoordination()
 	p.composeEntry()
+	p.caller.SetLocal(fleetrpc.Local{Owner: p.owner, Entry: p.entry})
 	p.composeServers(callerTLS, fleetTLS)
 }
 
--- a/transport/fleetrpc/fleetrpc.go
+++ b/transport/fleetrpc/fleetrpc.go
@@ -49,6 +49,13 @@
 
 	mu      sync.Mutex
 	clients map[string]*clients
+	local   Local
+}
+
+// Local holds the services that this process serves itself.
+type Local struct {
+	Owner fleetpb.Owner
+	Entry fleetpb.Entry
 }
 
 type clients struct {
@@ -125,6 +132,16 @@
 	return nil
 }
 
+// SetLocal makes Owner and Entry return this process's own services for its own
+// address, so that calls to itself need no connection. It must come before the
+// first of them.
+func (c *Caller) SetLocal(l Local) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.local = l
+	delete(c.clients, c.identity.Address)
+}
+
 // Owner returns a client of the queue owner at address.
 func (c *Caller) Owner(address string) fleetpb.Owner { return c.get(address).owner }
 
@@ -153,6 +170,12 @@
 		members: fleetpb.NewMembersProtobufClient(url, c.http),
 		control: fleetpb.NewControlProtobufClient(url, c.http),
 	}
+	if address == c.identity.Address && c.local.Owner != nil {
+		made.owner = c.local.Owner
+	}
+	if address == c.identity.Address && c.local.Entry != nil {
+		made.entry = c.local.Entry
+	}
 	c.clients[address] = made
 	return made
 }
