--- a/testbed/bench/overhead.go
+++ b/testbed/bench/overhead.go
@@ -26,6 +26,9 @@
 	overheadSlots = 64
 	// warmUp is the number of calls that are not counted.
 	warmUp = 100
+	// directDuration keeps the direct calls of all rounds below the number of
+	// executions after which the plain service's stand-in refuses work.
+	directDuration = time.Second
 	// profileLines is the number of functions shown of a profile.
 	profileLines = 40
 )
@@ -58,6 +61,8 @@
 	RouterPerCore float64 `json:"routerRequestsPerCore"`
 	AgentPerCore  float64 `json:"agentRequestsPerCore"`
 	Failed        int     `json:"failed"`
+	// Failure is the latest failed call's answer or error.
+	Failure string `json:"failure,omitempty"`
 }
 
 // OverheadResult holds all rounds and the tops of the profiles.
@@ -88,6 +93,10 @@
 	client         *http.Client
 	direct, routed string
 	router, agent  *fleet.Process
+
+	mu sync.Mutex
+	// failure is the answer or the error of the latest failed call.
+	failure string
 }
 
 func newOverhead(run fleet.Runner, o OverheadOptions) *overhead {
@@ -124,18 +133,35 @@
 
 // call reports whether a call got the endpoint's answer.
 func (m *overhead) call(url string) bool {
+	err := m.send(url)
+	if err == nil {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failure = err.Error()
+	return false
+}
+
+func (m *overhead) send(url string) error {
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(`{"id":"wool"}`))
 	if err != nil {
-		return false
+		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+fleet.Token(overheadTeam))
 	resp, err := m.client.Do(req)
 	if err != nil {
-		return false
+		return err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	return nil
 }
 
 // round alternates direct and routed calls of one caller, so that both see the
@@ -148,14 +174,17 @@
 	}
 	r.Direct, r.Routed = percentiles(direct), percentiles(routed)
 	r.AddedP50, r.AddedP99 = r.Routed.P50-r.Direct.P50, r.Routed.P99-r.Direct.P99
-	r.PerSecondDirect, _ = m.saturate(m.direct)
+	r.PerSecondDirect, _ = m.saturate(m.direct, directDuration)
 	routerBefore, agentBefore := m.cpu(m.router), m.cpu(m.agent)
-	perSecond, failed := m.saturate(m.routed)
+	perSecond, failed := m.saturate(m.routed, m.options.Duration)
 	total := perSecond * m.options.Duration.Seconds()
 	r.PerSecond = perSecond
 	r.RouterPerCore = total / (m.cpu(m.router) - routerBefore).Seconds()
 	r.AgentPerCore = total / (m.cpu(m.agent) - agentBefore).Seconds()
 	r.Failed += failed
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.Failure = m.failure
 	return r
 }
 
@@ -177,8 +206,8 @@
 }
 
 // saturate keeps all callers busy and returns the calls per second.
-func (m *overhead) saturate(url string) (perSecond float64, failed int) {
-	ctx, cancel := context.WithTimeout(context.Background(), m.options.Duration)
+func (m *overhead) saturate(url string, duration time.Duration) (perSecond float64, failed int) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
 	done := make([]int, m.options.Callers)
 	bad := make([]int, m.options.Callers)
@@ -200,7 +229,7 @@
 		total += done[i]
 		failed += bad[i]
 	}
-	return float64(total) / m.options.Duration.Seconds(), failed
+	return float64(total) / duration.Seconds(), failed
 }
 
 // profile takes CPU profiles of router and agent while the callers are busy.
@@ -214,7 +243,7 @@
 		url := fmt.Sprintf("%s/debug/pprof/profile?seconds=%d", p.URL("admin"), max(1, int(m.options.Duration.Seconds())-1))
 		taking.Go(func() { errs <- download(url, path) })
 	}
-	m.saturate(m.routed)
+	m.saturate(m.routed, m.options.Duration)
 	taking.Wait()
 	for range paths {
 		if err := <-errs; err != nil {
