A starting router takes no lower version than its peers have in force

Without the log, a restarted router took the configuration of the first peer that answered, which may be behind the others: a version that it had in force before could be replaced by an older one. It now learns the versions of up to 64 peers first and puts nothing in force below the highest that it has heard of.

--- a/router/configfollow/follower.go
+++ b/router/configfollow/follower.go
@@ -303,7 +303,7 @@
 		config = &configstore.Config{Version: f.state.Version, Hash: f.state.Hash, Set: f.state.Set}
 	}
 	f.mu.Unlock()
-	if config == nil {
+	if config == nil || f.isBehindAtStart(config.Version) {
 		return
 	}
 	f.options.Store.Advance(config)
@@ -316,6 +316,13 @@
 
 // recover reads all retained records and continues from the state they lead
 // to. If they don't lead to a higher version, the peers are asked.
+// isBehindAtStart reports whether a process that has no configuration in force
+// yet has heard of a higher version than this. Before a restart it may have had
+// that version in force, and it must never go back.
+func (f *Follower) isBehindAtStart(version uint64) bool {
+	return f.options.Store.Current() == nil && version < f.options.Store.Wanted()
+}
+
 func (f *Follower) recover(ctx context.Context) error {
 	f.count("config.recoveries")
 	f.mu.Lock()
--- a/router/configfollow/follower_test.go
+++ b/router/configfollow/follower_test.go
@@ -81,6 +81,8 @@
 // node is one router as far as the configuration is concerned.
 type node struct {
 	fleetpb.Control
+	fleetpb.Owner
+	caller   *fleetrpc.Caller
 	follower *Follower
 	store    *configstore.Store
 	address  string
@@ -92,6 +94,10 @@
 	return n.follower.FetchConfig(ctx, r)
 }
 
+func (n *node) FindOwner(context.Context, *fleetpb.OwnerRequest) (*fleetpb.OwnerReply, error) {
+	return &fleetpb.OwnerReply{Sender: n.caller.Sender()}, nil
+}
+
 type nodeOptions struct {
 	shut   bool
 	silent bool
@@ -117,6 +123,7 @@
 	t.Cleanup(logServer.Close)
 	client := fleethttp.NewClient(nil)
 	caller := fleetrpc.NewCaller(fleetrpc.Identity{Fleet: o.fleet, Address: n.address}, n.store, client, "http")
+	n.caller = caller
 	n.follower = New(Options{
 		Store: n.store, Log: logclient.New(logServer.URL, logServer.Client()), Caller: caller,
 		Peers: func() []string {
@@ -131,7 +138,10 @@
 		Logger:       slog.New(slog.NewJSONHandler(io.MultiWriter(n.logs, testWriter{t}), nil)),
 		Metrics:      metrics.NewRegistry(),
 	})
-	server := fleethttp.NewServer(fleetpb.NewControlServer(n), nil)
+	mux := http.NewServeMux()
+	mux.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(n))
+	mux.Handle(fleetpb.OwnerPathPrefix, fleetpb.NewOwnerServer(n))
+	server := fleethttp.NewServer(mux, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
@@ -234,6 +244,30 @@
 	must.Eq(t, 0, b.logs.count(`"verdict":"refused"`))
 }
 
+// Guards against a restarted router that takes the configuration of the first
+// peer that answers while another has a higher version in force.
+func TestStartsWithTheHighestVersionOfItsPeers(t *testing.T) {
+	log := &logtest.Log{}
+	op := newOperator()
+	op.publish(t, log, 1)
+	var peers []*node
+	for range 8 {
+		behind := startNode(t, log, nodeOptions{})
+		behind.reaches(t, 1)
+		behind.gate.set(true)
+		peers = append(peers, behind)
+	}
+	op.publish(t, log, 2)
+	op.publish(t, log, 3)
+	ahead := startNode(t, log, nodeOptions{})
+	ahead.reaches(t, 3)
+	for range 5 {
+		restarted := startNode(t, log, nodeOptions{shut: true, peers: append(peers, ahead)})
+		eventually(t, func() bool { return restarted.store.Current() != nil })
+		must.Eq(t, 3, restarted.store.Version())
+	}
+}
+
 // Guards against a router that waits for a log that doesn't answer while a
 // peer has the configuration.
 func TestSilentLog(t *testing.T) {
--- a/router/configfollow/peers.go
+++ b/router/configfollow/peers.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,6 +21,8 @@
 	peerTimeout = time.Second
 	// peersAtOnce is the number of peers asked at the same time.
 	peersAtOnce = 3
+	// peersProbed is the number of peers whose versions are learned at the start.
+	peersProbed = 64
 	// logGrace is the time that a working log has to deliver a version before
 	// peers are asked. It avoids a fetch by every router at each publication.
 	logGrace = 500 * time.Millisecond
@@ -47,6 +50,9 @@
 		pause := logGrace / 10
 		if !f.logMayDeliver(since) {
 			pause = 0
+			if f.options.Store.Current() == nil {
+				f.probeVersions(ctx)
+			}
 			if !f.askPeers(ctx) {
 				pause = failures.NextBackOff()
 			}
@@ -87,10 +93,29 @@
 	return f.state == nil || (!f.behind && time.Since(f.logAnswered) < logWorking)
 }
 
+// probeVersions learns the versions that peers have in force, before the first
+// configuration is taken from one of them: the first to answer may be behind
+// the others.
+func (f *Follower) probeVersions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	for _, peer := range f.choosePeers(peersProbed) {
+		probes.Go(func() {
+			reply, err := f.options.Caller.Owner(peer).FindOwner(ctx, &fleetpb.OwnerRequest{Sender: f.options.Caller.Sender()})
+			if err == nil {
+				// Check notes the sender's version in the store.
+				_ = f.options.Caller.Check(reply.GetSender())
+			}
+		})
+	}
+	probes.Wait()
+}
+
 // askPeers asks some peers at the same time and reports whether one of their
 // replies was taken.
 func (f *Follower) askPeers(ctx context.Context) bool {
-	peers := f.choosePeers()
+	peers := f.choosePeers(peersAtOnce)
 	results := make(chan bool, len(peers))
 	for _, peer := range peers {
 		go func() { results <- f.askPeer(ctx, peer) }()
@@ -102,11 +127,12 @@
 	return taken
 }
 
-func (f *Follower) choosePeers() []string {
+// choosePeers returns up to n peers in random order.
+func (f *Follower) choosePeers(n int) []string {
 	own := f.options.Caller.Identity().Address
 	peers := slices.DeleteFunc(slices.Clone(f.options.Peers()), func(a string) bool { return a == own })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(len(peers), peersAtOnce)]
+	return peers[:min(len(peers), n)]
 }
 
 func (f *Follower) askPeer(ctx context.Context, peer string) bool {
