Routers refuse control messages above 8 MiB

The body of a control message was read without a limit.

The cases of TestBadMessagesToRouters about listed running requests use the sums by team that replaced the list; the bounds they exceed are the same.

--- a/router/process.go
+++ b/router/process.go
@@ -50,6 +50,10 @@
 	// callerMaxStreams bounds the requests in progress on one caller's HTTP/2 connection.
 	callerMaxStreams = 1_000
 
+	// maxControlBytes bounds the body of a control message. The largest are full
+	// syncs of tickets and full reports of an agent, 1 to 2 MiB at their limits.
+	maxControlBytes = 8 << 20
+
 	// snapshotDutyKey selects the router that appends snapshots.
 	snapshotDutyKey = "config-snapshot"
 )
@@ -256,7 +260,7 @@
 	fleet.Handle(fleetpb.EntryPathPrefix, fleetpb.NewEntryServer(p.entry, hooks))
 	fleet.Handle(fleetpb.MembersPathPrefix, fleetpb.NewMembersServer(p.gossip, hooks))
 	fleet.Handle(fleetpb.ControlPathPrefix, fleetpb.NewControlServer(&control{p}, hooks))
-	p.fleet = fleethttp.NewServer(p.traffic.Handler(fleet), fleetTLS)
+	p.fleet = fleethttp.NewServer(p.traffic.Handler(http.MaxBytesHandler(fleet, maxControlBytes)), fleetTLS)
 
 	callers := http.NewServeMux()
 	callers.HandleFunc("GET /healthz", p.serveHealth)
--- a/testbed/e2e/bad_messages_test.go
+++ b/testbed/e2e/bad_messages_test.go
@@ -110,6 +110,11 @@
 	}
 	must.Eq(t, before, d.Metric(router, "fleet.refused_messages"))
 
+	// A well-formed message above the limit of 8 MiB must not be held in memory.
+	oversized := &fleetpb.WithdrawRequest{Sender: f.sender(nil), Service: modelService, Requests: []string{strings.Repeat("x", 9<<20)}}
+	_, err := owner.Withdraw(ctx, oversized)
+	must.Error(t, err)
+
 	for _, s := range streams {
 		mustWhole(t, s.prompt, s.tokens, s.Wait())
 	}
@@ -146,17 +151,18 @@
 	}{
 		{"counter goes down", "counter went down", func(r *fleetpb.ReportRequest) { r.Counters = counters(9) }},
 		{"cost of all time", "impossible cost", func(r *fleetpb.ReportRequest) { r.Counters = counters(1 << 63) }},
-		{"cost of a running request", "impossible cost", func(r *fleetpb.ReportRequest) {
-			r.Running = []*fleetpb.Running{{Request: "r", Team: teamName(0), SlotToken: "t", Weight: 1, Metered: 1 << 63}}
+		{"hints of a running request", "impossible cost", func(r *fleetpb.ReportRequest) {
+			r.Running = 1
+			r.Counters = []*fleetpb.TeamCounter{{Team: teamName(0), Cost: 10, Normalized: 10, Running: 1, Outstanding: 1 << 63}}
 		}},
-		{"running request without a weight", "impossible cost", func(r *fleetpb.ReportRequest) {
-			r.Running = []*fleetpb.Running{{Request: "r", Team: teamName(0), SlotToken: "t"}}
+		{"hints without a running request", "impossible cost", func(r *fleetpb.ReportRequest) {
+			r.Counters = []*fleetpb.TeamCounter{{Team: teamName(0), Cost: 10, Normalized: 10, Outstanding: 1}}
 		}},
 		{"normalized cost above the cost", "impossible cost", func(r *fleetpb.ReportRequest) {
 			r.Counters = []*fleetpb.TeamCounter{{Team: teamName(0), Cost: 10, Normalized: 1 << 60}}
 		}},
 		{"virtual time", "impossible cost", func(r *fleetpb.ReportRequest) { r.VirtualTime = 1 << 63 }},
-		{"token listed twice", "listed twice", func(r *fleetpb.ReportRequest) { r.FreeTokens = []string{"t", "t"} }},
+		{"token listed twice", "listed twice", func(r *fleetpb.ReportRequest) { r.FreeTokens = []uint64{7, 7} }},
 		{"unknown endpoint", "unknown endpoint", func(r *fleetpb.ReportRequest) { r.Endpoint = "nowhere" }},
 		{"endpoint of another service", "unknown endpoint", func(r *fleetpb.ReportRequest) { r.Endpoint = plainService + "-1" }},
 		{"unknown service", "unknown service", func(r *fleetpb.ReportRequest) { r.Service = "nothing" }},
