--- a/agent/agent.go
+++ b/agent/agent.go
@@ -173,6 +173,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return ignoreClosed(fleethttp.Serve(a.fleetServer, a.fleetListener)) })
 	group.Go(func() error { return ignoreClosed(a.adminServer.Serve(a.adminListener)) })
+	group.Go(func() error { observability.ManageHeap(ctx); return nil })
 	group.Go(func() error { return a.reporter.run(ctx) })
 	group.Go(func() error { return a.followConfig(ctx) })
 	group.Go(func() error { return a.followHosts(ctx) })
--- a/agent/main.go
+++ b/agent/main.go
@@ -63,11 +63,10 @@
 }
 
 func serve(s Settings, logTo io.Writer) int {
-	level, err := s.logLevel()
+	level, err := settings.LogLevel(s.LogLevel)
 	if err != nil {
 		return exitUsage
 	}
-	observability.BoundHeapGrowth()
 	log := observability.NewLogger(logTo, level, "agent")
 	a, err := New(s, log)
 	if err != nil {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -1,11 +1,6 @@
 package agent
 
 import (
-	"fmt"
-	"log/slog"
-	"net"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/settings"
@@ -43,72 +38,34 @@
 	if s.Version {
 		return nil
 	}
-	var faults []error
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
-	for _, a := range s.addresses() {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			fault("%s: %w", a.name, err)
-		}
-	}
-	for _, u := range []named{{"endpoint-url", s.EndpointURL}, {"hosts-url", s.HostsURL}, {"log-url", s.LogURL}} {
-		if u.value != "" && !isHTTPURL(u.value) {
-			fault("%s: %q is not an HTTP URL", u.name, settings.Redact(u.value))
-		}
+	var faults settings.Faults
+	faults.Address("listen", s.Listen)
+	faults.Address("admin-listen", s.AdminListen)
+	faults.OptionalAddress("advertise", s.Advertise)
+	for _, router := range s.routers() {
+		faults.Address("routers", router)
 	}
-	for _, r := range []named{{"fleet", s.Fleet}, {"endpoint", s.Endpoint}, {"endpoint-url", s.EndpointURL}} {
+	faults.OptionalURL("endpoint-url", s.EndpointURL)
+	faults.OptionalURL("hosts-url", s.HostsURL)
+	faults.OptionalURL("log-url", s.LogURL)
+	for _, r := range []struct{ name, value string }{{"fleet", s.Fleet}, {"endpoint", s.Endpoint}, {"endpoint-url", s.EndpointURL}} {
 		if r.value == "" {
-			fault("%s must be set", r.name)
+			faults.Add("%s must be set", r.name)
 		}
 	}
 	if len(s.routers()) == 0 && s.HostsURL == "" {
-		fault("routers or hosts-url must be set, or the agent finds no router")
+		faults.Add("routers or hosts-url must be set, or the agent finds no router")
 	}
 	if s.StartTimeout <= 0 || s.DrainTimeout <= 0 {
-		fault("start-timeout and drain-timeout must be positive")
-	}
-	if err := s.tlsFiles().Validate(); err != nil {
-		faults = append(faults, err)
+		faults.Add("start-timeout and drain-timeout must be positive")
 	}
-	if _, err := s.logLevel(); err != nil {
-		fault("log-level: %w", err)
-	}
-	return faults
+	faults.AddError(s.tlsFiles().Validate())
+	faults.LogLevel(s.LogLevel)
+	return faults.All()
 }
 
-type named struct{ name, value string }
-
-func (s *Settings) addresses() []named {
-	all := []named{{"listen", s.Listen}, {"admin-listen", s.AdminListen}}
-	if s.Advertise != "" {
-		all = append(all, named{"advertise", s.Advertise})
-	}
-	for _, router := range s.routers() {
-		all = append(all, named{"routers", router})
-	}
-	return all
-}
-
-func isHTTPURL(raw string) bool {
-	u, err := url.Parse(raw)
-	return err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
-}
-
-func (s *Settings) routers() []string {
-	var routers []string
-	for router := range strings.SplitSeq(s.Routers, ",") {
-		if router = strings.TrimSpace(router); router != "" {
-			routers = append(routers, router)
-		}
-	}
-	return routers
-}
+func (s *Settings) routers() []string { return settings.List(s.Routers) }
 
 func (s *Settings) tlsFiles() tlsconf.Files {
 	return tlsconf.Files{Certificate: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}
 }
-
-func (s *Settings) logLevel() (slog.Level, error) {
-	var level slog.Level
-	err := level.UnmarshalText([]byte(s.LogLevel))
-	return level, err
-}
--- a/operator/app.go
+++ b/operator/app.go
@@ -93,29 +93,19 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() []error {
-	var faults []error
+	var faults settings.Faults
 	if s.Timeout <= 0 {
-		faults = append(faults, fmt.Errorf("timeout must be above 0"))
+		faults.Add("timeout must be above 0")
 	}
-	if err := s.tlsFiles().Validate(); err != nil {
-		faults = append(faults, err)
-	}
-	return faults
+	faults.AddError(s.tlsFiles().Validate())
+	return faults.All()
 }
 
 func (s *Settings) tlsFiles() tlsconf.Files {
 	return tlsconf.Files{Certificate: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}
 }
 
-func (s *Settings) routers() []string {
-	var addresses []string
-	for _, address := range strings.Split(s.Routers, ",") {
-		if address = strings.TrimSpace(address); address != "" {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
-}
+func (s *Settings) routers() []string { return settings.List(s.Routers) }
 
 // command implements subcommands.Command.
 type command struct {
--- a/router/command.go
+++ b/router/command.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/settings"
 )
 
@@ -58,7 +57,6 @@
 		}
 		return subcommands.ExitSuccess
 	}
-	observability.BoundHeapGrowth()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/router/process.go
+++ b/router/process.go
@@ -26,6 +26,7 @@
 	"github.com/acaciaspar/acaciaspar/router/gossip"
 	"github.com/acaciaspar/acaciaspar/router/keyclaim"
 	"github.com/acaciaspar/acaciaspar/router/owner"
+	"github.com/acaciaspar/acaciaspar/settings"
 	"github.com/acaciaspar/acaciaspar/state/audit"
 	"github.com/acaciaspar/acaciaspar/state/configstore"
 	"github.com/acaciaspar/acaciaspar/transport/fleethttp"
@@ -93,7 +94,7 @@
 // Run runs a router until the first signal has been followed by a drain, or
 // until the second. It writes JSON log lines to out.
 func Run(ctx context.Context, s *Settings, out io.Writer, signals <-chan os.Signal) error {
-	level, err := s.logLevel()
+	level, err := settings.LogLevel(s.LogLevel)
 	if err != nil {
 		return eris.Wrap(err, "log level")
 	}
@@ -305,6 +306,7 @@
 	group.Go(func() error { return serve(p.callers, ls.callers) })
 	group.Go(func() error { return serve(p.fleet, ls.fleet) })
 	group.Go(func() error { return serve(p.admin, ls.admin) })
+	group.Go(func() error { observability.ManageHeap(work); return nil })
 	group.Go(func() error { return ignoreCanceled(p.gossip.Run(work)) })
 	group.Go(func() error { return ignoreCanceled(p.follower.Run(work)) })
 	group.Go(func() error { return ignoreCanceled(p.owner.Run(work)) })
--- a/router/settings.go
+++ b/router/settings.go
@@ -1,11 +1,6 @@
 package router
 
 import (
-	"fmt"
-	"log/slog"
-	"net"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/settings"
@@ -55,95 +50,60 @@
 
 // Validate reports every fault of the settings.
 func (s *Settings) Validate() []error {
-	var faults []error
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
-	addresses := map[string]string{"listen": s.Listen, "fleet-listen": s.FleetListen, "admin-listen": s.AdminListen}
-	if s.Advertise != "" {
-		addresses["advertise"] = s.Advertise
+	var faults settings.Faults
+	s.validateAddresses(&faults)
+	s.validateLimits(&faults)
+	if _, ok := orderings[s.Ordering]; !ok {
+		faults.Add("ordering: %q is not fair, fcfs or router-fair", s.Ordering)
 	}
-	for _, name := range []string{"listen", "fleet-listen", "admin-listen", "advertise"} {
-		address, ok := addresses[name]
-		if !ok {
-			continue
-		}
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			fault("%s: %w", name, err)
-		}
+	if _, ok := placements[s.Placement]; !ok {
+		faults.Add("placement: %q is not affinity or random", s.Placement)
 	}
+	faults.AddError(s.tlsFiles().Validate())
+	faults.LogLevel(s.LogLevel)
+	return faults.All()
+}
+
+func (s *Settings) validateAddresses(faults *settings.Faults) {
+	faults.Address("listen", s.Listen)
+	faults.Address("fleet-listen", s.FleetListen)
+	faults.Address("admin-listen", s.AdminListen)
+	faults.OptionalAddress("advertise", s.Advertise)
 	for _, peer := range s.peers() {
-		if _, _, err := net.SplitHostPort(peer); err != nil {
-			fault("peers: %w", err)
-		}
-	}
-	for _, setting := range []struct{ name, raw string }{{"log-url", s.LogURL}, {"hosts-url", s.HostsURL}} {
-		if setting.raw == "" {
-			continue
-		}
-		if u, err := url.Parse(setting.raw); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			fault("%s: %q is not an HTTP URL", setting.name, settings.Redact(setting.raw))
-		}
+		faults.Address("peers", peer)
 	}
+	faults.OptionalURL("log-url", s.LogURL)
+	faults.OptionalURL("hosts-url", s.HostsURL)
 	if s.LogURL == "" && s.Peers == "" && s.HostsURL == "" {
-		fault("log-url, peers or hosts-url must be set, or the router never gets a configuration")
+		faults.Add("log-url, peers or hosts-url must be set, or the router never gets a configuration")
 	}
 	if s.Fleet == "" {
-		fault("fleet must not be empty")
-	}
-	positive := []struct {
-		name  string
-		value int64
-	}{
-		{"max-body", s.MaxBody}, {"max-held-body", s.MaxHeldBody},
-		{"team-queue-count", int64(s.TeamQueueCount)}, {"team-queue-bytes", s.TeamQueueBytes},
-		{"queue-timeout", int64(s.QueueTimeout)}, {"answer-timeout", int64(s.AnswerTimeout)},
-		{"answer-idle-timeout", int64(s.IdleTimeout)}, {"body-timeout", int64(s.BodyTimeout)},
-		{"drain-timeout", int64(s.DrainTimeout)}, {"key-window", int64(s.KeyWindow)},
-		{"key-timeout", int64(s.KeyTimeout)}, {"snapshot-every", int64(s.SnapshotEvery)},
-		{"snapshot-interval", int64(s.SnapshotInterval)}, {"audit-trails", int64(s.AuditTrails)},
-	}
-	for _, p := range positive {
-		if p.value <= 0 {
-			fault("%s must be positive", p.name)
-		}
-	}
-	if s.MaxHeldBody < s.MaxBody {
-		fault("max-held-body must not be below max-body")
-	}
-	switch s.Ordering {
-	case "fair", "fcfs", "router-fair":
-	default:
-		fault("ordering: %q is not fair, fcfs or router-fair", s.Ordering)
+		faults.Add("fleet must not be empty")
 	}
-	switch s.Placement {
-	case "affinity", "random":
-	default:
-		fault("placement: %q is not affinity or random", s.Placement)
-	}
-	if err := s.tlsFiles().Validate(); err != nil {
-		faults = append(faults, err)
-	}
-	if _, err := s.logLevel(); err != nil {
-		fault("log-level: %w", err)
-	}
-	return faults
 }
 
-func (s *Settings) peers() []string {
-	var peers []string
-	for peer := range strings.SplitSeq(s.Peers, ",") {
-		if peer = strings.TrimSpace(peer); peer != "" {
-			peers = append(peers, peer)
-		}
+func (s *Settings) validateLimits(faults *settings.Faults) {
+	faults.Positive("max-body", s.MaxBody)
+	faults.Positive("max-held-body", s.MaxHeldBody)
+	faults.Positive("team-queue-count", int64(s.TeamQueueCount))
+	faults.Positive("team-queue-bytes", s.TeamQueueBytes)
+	faults.Positive("queue-timeout", int64(s.QueueTimeout))
+	faults.Positive("answer-timeout", int64(s.AnswerTimeout))
+	faults.Positive("answer-idle-timeout", int64(s.IdleTimeout))
+	faults.Positive("body-timeout", int64(s.BodyTimeout))
+	faults.Positive("drain-timeout", int64(s.DrainTimeout))
+	faults.Positive("key-window", int64(s.KeyWindow))
+	faults.Positive("key-timeout", int64(s.KeyTimeout))
+	faults.Positive("snapshot-every", int64(s.SnapshotEvery))
+	faults.Positive("snapshot-interval", int64(s.SnapshotInterval))
+	faults.Positive("audit-trails", int64(s.AuditTrails))
+	if s.MaxHeldBody < s.MaxBody {
+		faults.Add("max-held-body must not be below max-body")
 	}
-	return peers
 }
 
+func (s *Settings) peers() []string { return settings.List(s.Peers) }
+
 func (s *Settings) tlsFiles() tlsconf.Files {
 	return tlsconf.Files{Certificate: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}
 }
-
-func (s *Settings) logLevel() (slog.Level, error) {
-	var level slog.Level
-	err := level.UnmarshalText([]byte(s.LogLevel))
-	return level, err
-}
