--- a/transport/fleethttp/fleethttp.go
+++ b/transport/fleethttp/fleethttp.go
@@ -19,6 +19,9 @@
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// clientIdleTimeout closes connections that carry no request. Every open one
+	// is pinged each second, and a router sends to any of the fleet's agents.
+	clientIdleTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// maxStreams bounds the requests in progress per connection.
 	maxStreams = 10_000
@@ -79,7 +82,7 @@
 			Protocols:           protocols,
 			HTTP2:               http2Config(),
 			DisableCompression:  true,
-			IdleConnTimeout:     idleTimeout,
+			IdleConnTimeout:     clientIdleTimeout,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
