--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,5 @@
 # Builds, checks and runs acaciaspar. See README.md.
 GO ?= go
-MODULES := . ./testbed
 
 .PHONY: build test lint generate demo bench clean
 
--- a/router/entry/fake_test.go
+++ b/router/entry/fake_test.go
@@ -46,16 +46,14 @@
 		},
 	}
 	other := &objects.Service{Name: "other", Type: objects.PlainService, Operations: []objects.Operation{{Name: "run", Path: "/run"}}}
-	teams := []*objects.Team{
-		{Name: "harbour", TokenSHA256: []string{hashOf("harbour-token")}},
-		{Name: "quarry", TokenSHA256: []string{hashOf("quarry-token")}},
-	}
-	shares := []*objects.Share{
-		{Name: "s1", Team: "harbour", Service: "post-desk", Weight: 3},
-		{Name: "s2", Team: "quarry", Service: "post-desk", Weight: 1},
-	}
+	set := objects.NewSet(desk, other,
+		&objects.Team{Name: "harbour", TokenSHA256: []string{hashOf("harbour-token")}},
+		&objects.Team{Name: "quarry", TokenSHA256: []string{hashOf("quarry-token")}},
+		&objects.Share{Name: "s1", Team: "harbour", Service: "post-desk", Weight: 3},
+		&objects.Share{Name: "s2", Team: "quarry", Service: "post-desk", Weight: 1},
+	)
 	store := configstore.New()
-	store.Advance(&configstore.Config{Version: 1, Set: objects.Assemble(teams, []*objects.Service{desk, other}, nil, shares)})
+	store.Advance(&configstore.Config{Version: 1, Set: set})
 	return store
 }
 
--- a/testbed/standin/engine/engine.go
+++ b/testbed/standin/engine/engine.go
@@ -12,6 +12,10 @@
 // disconnects cancels its sequence. A token is a word; the answer repeats the
 // prompt's words, so that a test can tell whose answer it got.
 //
+// Changes of the prefix cache are published at GET /kv-events?after=SEQUENCE with
+// the event names of vLLM, late and with gaps. vLLM publishes them over a message
+// socket; HTTP stands in for that here.
+//
 // The endpoints below /standin are no part of the published interface: GET
 // /standin/executions and GET /standin/busy.
 //
@@ -39,6 +43,8 @@
 	DefaultTokens   int           `flag:"default-tokens" default:"16" usage:"length of an answer without max_tokens"`
 	MaxTokens       int           `flag:"max-tokens" default:"8192" usage:"longest answer"`
 	MetricsLag      time.Duration `flag:"metrics-lag" default:"1s" usage:"largest age of the reported load"`
+	CacheEventLag   time.Duration `flag:"cache-event-lag" default:"1s" usage:"age at which cache events are published"`
+	LoseCacheEvent  int           `flag:"lose-cache-event" default:"10" usage:"each event whose number is a multiple of this is lost; 0 loses none"`
 	CheckFencing    bool          `flag:"check-fencing" usage:"refuse older fencing numbers"`
 }
 
@@ -54,7 +60,7 @@
 	positive("step-base", o.StepBase > 0)
 	positive("default-tokens", o.DefaultTokens > 0)
 	positive("max-tokens", o.MaxTokens > 0)
-	if o.StepPerSequence < 0 || o.PrefillPerToken < 0 || o.CacheTokens < 0 || o.MetricsLag < 0 {
+	if o.StepPerSequence < 0 || o.PrefillPerToken < 0 || o.CacheTokens < 0 || o.MetricsLag < 0 || o.CacheEventLag < 0 || o.LoseCacheEvent < 0 {
 		faults = append(faults, fmt.Errorf("times and sizes must not be negative"))
 	}
 	return faults
@@ -104,9 +110,12 @@
 
 // New returns an idle engine; Run drives it.
 func New(options Options) *Engine {
+	cache := newPrefixCache(options.CacheTokens)
+	cache.events.lag = options.CacheEventLag
+	cache.events.loseEvery = options.LoseCacheEvent
 	return &Engine{
 		options: options,
-		cache:   newPrefixCache(options.CacheTokens),
+		cache:   cache,
 		work:    make(chan struct{}, 1),
 	}
 }
@@ -240,3 +249,9 @@
 	}
 	return all
 }
+
+func (e *Engine) cacheEvents(after int) []CacheEvent {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.events.after(after)
+}
--- a/testbed/standin/engine/engine_test.go
+++ b/testbed/standin/engine/engine_test.go
@@ -116,6 +116,29 @@
 	must.Eq(t, 0, cache.use(a))
 }
 
+// Guards against cache events that come at once or without gaps, which would
+// hide faults of their readers.
+func TestCacheEventsAreLateAndHaveGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := newPrefixCache(32)
+		cache.events.lag = time.Second
+		cache.events.loseEvery = 2
+		cache.use(strings.Fields(strings.Repeat("a ", 16) + strings.Repeat("b ", 16)))
+		time.Sleep(time.Second - time.Nanosecond)
+		must.Eq(t, 0, len(cache.events.after(0)))
+		cache.use(strings.Fields(strings.Repeat("c ", 16)))
+		time.Sleep(time.Nanosecond)
+		events := cache.events.after(0)
+		must.Eq(t, 1, len(events))
+		must.Eq(t, blockStored, events[0].Type)
+		time.Sleep(time.Second)
+		events = cache.events.after(events[0].Sequence)
+		must.Eq(t, 1, len(events))
+		must.Eq(t, 3, events[0].Sequence)
+		must.Eq(t, blockRemoved, events[0].Type)
+	})
+}
+
 // Guards against work that goes on after the caller has gone.
 func TestDisconnectCancels(t *testing.T) {
 	bubble(t, options(), func(t *testing.T, e *Engine) {
--- a/testbed/standin/engine/http.go
+++ b/testbed/standin/engine/http.go
@@ -26,6 +26,11 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		e.writeMetrics(w, load.get(time.Now(), e))
 	})
+	mux.HandleFunc("GET /kv-events", func(w http.ResponseWriter, r *http.Request) {
+		// Without a number, all events are returned.
+		after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+		httpjson.OK(w, e.cacheEvents(after))
+	})
 	mux.HandleFunc("GET /standin/executions", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.OK(w, e.Executions())
 	})
--- a/testbed/standin/engine/prefixcache.go
+++ b/testbed/standin/engine/prefixcache.go
@@ -17,6 +17,7 @@
 	capacity int
 	order    *list.List
 	blocks   map[uint64]*list.Element
+	events   cacheEvents
 }
 
 func newPrefixCache(capacityTokens int) *prefixCache {
@@ -57,7 +58,9 @@
 		oldest := c.order.Back()
 		c.order.Remove(oldest)
 		delete(c.blocks, oldest.Value.(uint64))
+		c.events.add(blockRemoved, oldest.Value.(uint64))
 	}
 	c.blocks[block] = c.order.PushFront(block)
+	c.events.add(blockStored, block)
 	return false
 }
