--- a/testbed/cmd/acaciaspar-bench/overhead.go
+++ b/testbed/cmd/acaciaspar-bench/overhead.go
@@ -54,10 +54,5 @@
 		return failed(err)
 	}
 	bench.WriteOverhead(os.Stdout, result)
-	if c.options.JSON != "" {
-		if err := bench.WriteJSON(c.options.JSON, result); err != nil {
-			return failed(err)
-		}
-	}
-	return subcommands.ExitSuccess
+	return finish(c.options.JSON, result)
 }
--- a/testbed/cmd/acaciaspar-bench/run.go
+++ b/testbed/cmd/acaciaspar-bench/run.go
@@ -97,12 +97,7 @@
 			return failed(err)
 		}
 	}
-	if c.options.JSON != "" {
-		if err := bench.WriteJSON(c.options.JSON, results); err != nil {
-			return failed(err)
-		}
-	}
-	return subcommands.ExitSuccess
+	return finish(c.options.JSON, results)
 }
 
 func selected(names string) ([]bench.Variant, error) {
@@ -121,6 +116,17 @@
 	return out, nil
 }
 
+// finish writes the results as JSON if a file is named, and returns the exit status.
+func finish(path string, results any) subcommands.ExitStatus {
+	if path == "" {
+		return subcommands.ExitSuccess
+	}
+	if err := bench.WriteJSON(path, results); err != nil {
+		return failed(err)
+	}
+	return subcommands.ExitSuccess
+}
+
 func failed(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "acaciaspar-bench:", err)
 	return subcommands.ExitFailure
--- a/testbed/cmd/acaciaspar-bench/slopes.go
+++ b/testbed/cmd/acaciaspar-bench/slopes.go
@@ -55,11 +55,5 @@
 	}
 	lines := bench.Fit(points)
 	bench.WriteSlopes(os.Stdout, points, lines)
-	if c.options.JSON != "" {
-		result := map[string]any{"points": points, "lines": lines}
-		if err := bench.WriteJSON(c.options.JSON, result); err != nil {
-			return failed(err)
-		}
-	}
-	return subcommands.ExitSuccess
+	return finish(c.options.JSON, map[string]any{"points": points, "lines": lines})
 }
