Add the direct router and the platform adapter

Routers send to endpoints themselves: routes, registered endpoints, keys, deadlines, resumed streams, shared load reports, fair shares and placement are new features of the product; platform/ only translates.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	mkdir -p bin/tools
 	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
-		--twirp_out=. --twirp_opt=paths=source_relative protocol/fleetpb/fleet.proto
+		--twirp_out=. --twirp_opt=paths=source_relative protocol/fleetpb/fleet.proto protocol/fleetpb/direct.proto
 
 demo: build
 	scripts/demo.sh
--- a/cmd/acaciaspar/main.go
+++ b/cmd/acaciaspar/main.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/acaciaspar/acaciaspar/operator"
+	"github.com/acaciaspar/acaciaspar/platform"
 	"github.com/acaciaspar/acaciaspar/router"
 )
 
@@ -21,6 +22,7 @@
 	commander.Register(commander.CommandsCommand(), "")
 	operator.Register(commander, operator.NewApp())
 	commander.Register(router.Command(), "fleet")
+	commander.Register(platform.Command(), "fleet")
 	// Parse ends the process with code 2 on a fault.
 	_ = flags.Parse(os.Args[1:])
 	os.Exit(int(commander.Execute(context.Background())))
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -24,11 +24,44 @@
 	retries  int64
 }
 
-// Budget is the retry budget of one router. It is not safe for concurrent use.
+// Limits bound the retries per Window.
+type Limits struct {
+	// Floor is the number of retries that need no requests.
+	Floor float64
+	// Fraction is the share of the requests that may be retried.
+	Fraction float64
+}
+
+// DefaultLimits are the limits of a router that nobody configured.
+func DefaultLimits() Limits { return Limits{Floor: Floor, Fraction: Fraction} }
+
+// Divide returns one router's part of limits that a fleet of n routers shares.
+// The fraction stays, since each router counts its own requests.
+func (l Limits) Divide(n int) Limits {
+	return Limits{Floor: l.Floor / float64(n), Fraction: l.Fraction}
+}
+
+// Budget is the retry budget of one router; the zero value has DefaultLimits.
+// It is not safe for concurrent use.
 type Budget struct {
+	limits  *Limits
 	buckets [retryBuckets]bucket
 }
 
+// NewBudget returns a budget with limits.
+func NewBudget(limits Limits) *Budget { return &Budget{limits: &limits} }
+
+// SetLimits replaces the limits; counts stay.
+func (b *Budget) SetLimits(limits Limits) { b.limits = &limits }
+
+func (b *Budget) allowed(requests int64) float64 {
+	limits := DefaultLimits()
+	if b.limits != nil {
+		limits = *b.limits
+	}
+	return limits.Floor + limits.Fraction*float64(requests)
+}
+
 // Request counts a new request.
 func (b *Budget) Request(now time.Time) {
 	b.at(now).requests++
@@ -50,7 +83,7 @@
 			retries += bk.retries
 		}
 	}
-	if float64(retries+1) > Floor+Fraction*float64(requests) {
+	if float64(retries+1) > b.allowed(requests) {
 		return false
 	}
 	current.retries++
--- /dev/null
+++ b/direct/dispatch/share.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
+)
+
+const (
+	// usageLifetime is the age at which a peer's counts no longer hold.
+	usageLifetime = 2 * time.Second
+	// minAllowance is what a team far above its share still gets of an engine's
+	// room, so that no engine is idle while its requests wait.
+	minAllowance = 0.2
+	// fullExcess is the multiple of its share at which a team is held to
+	// minAllowance.
+	fullExcess = 2.0
+)
+
+// allowance scales the room that a team's request may use: 1 up to the team's
+// max-min share, falling to minAllowance at fullExcess times the share.
+func (d *Dispatcher) allowance(now time.Time, name string) float64 {
+	if name == "" {
+		return 1
+	}
+	d.refreshLevel(now)
+	if d.level <= 0 {
+		return 1
+	}
+	hash := TeamHash(name)
+	used := d.team(now, name).window.Sum(now).Started
+	for _, p := range d.peers {
+		if now.Sub(p.heard) <= usageLifetime {
+			used += p.teams[hash].Started
+		}
+	}
+	excess := float64(used) / float64(d.level)
+	if excess <= 1 {
+		return 1
+	}
+	return max(minAllowance, 1-(1-minAllowance)*(excess-1)/(fullExcess-1))
+}
+
+// refreshLevel derives the max-min level from what all teams asked for. The
+// capacity is what the engines did lately, at least the operators' figure.
+func (d *Dispatcher) refreshLevel(now time.Time) {
+	if now.Sub(d.levelTime) < shareRefresh {
+		return
+	}
+	d.levelTime = now
+	totals := map[uint64]fairshare.Usage{}
+	for name, t := range d.teams {
+		totals[TeamHash(name)] = t.window.Sum(now)
+	}
+	for _, p := range d.peers {
+		if now.Sub(p.heard) > usageLifetime {
+			continue
+		}
+		for hash, u := range p.teams {
+			totals[hash] = totals[hash].Add(u)
+		}
+	}
+	demands := make([]int64, 0, len(totals))
+	var started int64
+	for _, u := range totals {
+		demands = append(demands, u.Asked)
+		started += u.Started
+	}
+	capacity := max(int64(d.capacity*fairshare.Span.Seconds()), started)
+	d.level = fairshare.Level(demands, capacity)
+}
+
+// Report is this router's work and the teams' counts, for its peers.
+type Report struct {
+	Loads  map[string]endpointload.Load
+	Teams  map[string]fairshare.Usage
+	Placed []Placed
+}
+
+// Report returns the current report and forgets the placements in it.
+func (d *Dispatcher) Report(now time.Time) Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := Report{Loads: d.loads.Own(), Teams: map[string]fairshare.Usage{}, Placed: d.placed}
+	d.placed = nil
+	for name, t := range d.teams {
+		if u := t.window.Sum(now); u != (fairshare.Usage{}) {
+			r.Teams[name] = u
+		}
+	}
+	return r
+}
+
+// PeerReport is a report as received from a peer.
+type PeerReport struct {
+	Instance string
+	Sequence uint64
+	Loads    map[uint64]endpointload.Load
+	Teams    map[uint64]fairshare.Usage
+	Placed   []Placed
+}
+
+// Learn takes a peer's report. It ignores one that was overtaken.
+func (d *Dispatcher) Learn(now time.Time, r PeerReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loads.PeerReport(now, r.Instance, r.Sequence, r.Loads) {
+		return
+	}
+	d.peers[r.Instance] = peerUsage{heard: now, teams: r.Teams}
+	for _, p := range r.Placed {
+		d.loads.PlacedAt(now, p.Endpoint, p.Part)
+	}
+}
--- /dev/null
+++ b/direct/entry/log.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
+)
+
+// logEnd writes the line of a request's end.
+func (r *request) logEnd(status int, reason string, more ...slog.Attr) {
+	attrs := []slog.Attr{
+		slog.String("request", r.id), slog.Int("status", status), slog.String("reason", reason),
+		slog.Int64("after_ms", time.Since(r.arrived).Milliseconds()), slog.Int("sends", r.sends),
+	}
+	if r.table != nil {
+		attrs = append(attrs, slog.Uint64("config", r.table.Version))
+	}
+	if r.route != nil {
+		attrs = append(attrs, slog.String("route", r.route.Name), slog.String("team", r.team))
+	}
+	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "request ended", append(attrs, more...)...)
+}
+
+// logRefusal writes the inputs of the decision that no endpoint takes a request.
+func (r *request) logRefusal(refusal *dispatch.Refusal) {
+	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "no endpoint takes the request",
+		slog.String("request", r.id), slog.String("service", r.service.Name), slog.String("team", r.team),
+		slog.String("reason", string(refusal.Reason)), slog.Float64("allowance", refusal.Allowance),
+		slog.Int64("excess_ms", refusal.Waiting.Milliseconds()), slog.Int("candidates", refusal.Candidates),
+		slog.Int64("units", r.cost.Units()))
+}
--- /dev/null
+++ b/direct/follow/follower.go
@@ -0,0 +1,327 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciaspar/acaciaspar/observability"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+	"github.com/acaciaspar/acaciaspar/state/routing"
+)
+
+const (
+	// readWait is how long the store holds a read without records. It also
+	// bounds how long a read on a connection that fell silent goes unnoticed.
+	readWait = 4 * time.Second
+	// callMargin is added to the wait for the time limit of a call.
+	callMargin = 1500 * time.Millisecond
+	// listTimeout bounds one listing.
+	listTimeout = 4 * time.Second
+	// endpointInterval is the least time between two reads of the endpoints,
+	// which write several heartbeats a second. It leaves more than half of the
+	// shortest drain bound of 2 s for the read itself.
+	endpointInterval = 700 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed call.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = time.Second
+	// peerInterval is the interval at which peers are asked for what they know
+	// and this router doesn't.
+	peerInterval = 200 * time.Millisecond
+	// announceInterval is the pause before a failed announcement is repeated.
+	announceInterval = 2 * time.Second
+)
+
+// Follower is safe for use by several goroutines. Its mutex serializes the
+// application of records and is taken before those of the tables.
+type Follower struct {
+	store     Store
+	decoder   Decoder
+	peers     Peers
+	routes    *routing.Store
+	endpoints *registry.Table
+	log       *slog.Logger
+	calls     metrics.Counter
+	bad       metrics.Counter
+	// OnChange runs after records were applied.
+	OnChange func()
+
+	mu      sync.Mutex
+	limiter observability.Limiter
+	mirrors [2]*mirror.Topic
+	// away counts the topics whose latest call to the store failed.
+	away [2]atomic.Bool
+	// listed is set once a topic was read as a whole.
+	listed [2]atomic.Bool
+}
+
+// Options are the collaborators of a Follower.
+type Options struct {
+	Store     Store
+	Decoder   Decoder
+	Peers     Peers
+	Routes    *routing.Store
+	Endpoints *registry.Table
+	Log       *slog.Logger
+	Metrics   metrics.Registry
+}
+
+// New returns a follower; Run starts it.
+func New(o Options) *Follower {
+	return &Follower{
+		store: o.Store, decoder: o.Decoder, peers: o.Peers, routes: o.Routes, endpoints: o.Endpoints, log: o.Log,
+		calls:    metrics.GetOrRegisterCounter("direct.store_calls", o.Metrics),
+		bad:      metrics.GetOrRegisterCounter("direct.bad_records", o.Metrics),
+		OnChange: func() {},
+		mirrors:  [2]*mirror.Topic{mirror.NewTopic(), mirror.NewTopic()},
+	}
+}
+
+// Mirror returns the mirror of a topic.
+func (f *Follower) Mirror(topic Topic) *mirror.Topic { return f.mirrors[topic] }
+
+// Ready reports whether a configuration is in force and the endpoints are known.
+func (f *Follower) Ready() bool { return f.routes.Current() != nil && f.listed[Endpoints].Load() }
+
+// Run follows the store and the peers until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.followTopic(ctx, Configuration, 0) })
+	group.Go(func() error { return f.followTopic(ctx, Endpoints, endpointInterval) })
+	group.Go(func() error { return f.followPeers(ctx) })
+	return group.Wait()
+}
+
+// followTopic lists a topic and then reads on from there.
+func (f *Follower) followTopic(ctx context.Context, topic Topic, interval time.Duration) error {
+	backoff := firstBackoff
+	next := int64(-1)
+	for ctx.Err() == nil {
+		began := time.Now()
+		var err error
+		if next < 0 {
+			next, err = f.list(ctx, topic)
+		} else {
+			next, err = f.read(ctx, topic, next)
+		}
+		switch {
+		case err == nil:
+			f.storeBack(topic)
+			backoff = firstBackoff
+			pause(ctx, interval-time.Since(began))
+		case errors.Is(err, ErrForgotten):
+			f.log.Info("the store dropped records; listing the topic again", "topic", topic.String(), "from", next)
+			next = -1
+		default:
+			f.storeLost(topic, err)
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(backoff)))
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *Follower) list(ctx context.Context, topic Topic) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	f.calls.Inc(1)
+	records, next, err := f.store.List(call, topic)
+	if err != nil {
+		return -1, err
+	}
+	removals := f.mirrors[topic].Missing(records, next)
+	f.Apply(topic, append(records, removals...))
+	f.mirrors[topic].Skip(next)
+	f.listed[topic].Store(true)
+	return next, nil
+}
+
+func (f *Follower) read(ctx context.Context, topic Topic, from int64) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, readWait+callMargin)
+	defer cancel()
+	f.calls.Inc(1)
+	records, next, err := f.store.Read(call, topic, from, readWait)
+	if err != nil {
+		return from, err
+	}
+	f.Apply(topic, records)
+	f.mirrors[topic].Skip(next)
+	return next, nil
+}
+
+// Apply takes records from the store or from a peer.
+func (f *Follower) Apply(topic Topic, records []mirror.Record) {
+	f.mu.Lock()
+	fresh := f.mirrors[topic].Apply(records)
+	for _, r := range fresh {
+		if topic == Configuration {
+			f.applyConfig(r)
+		} else {
+			f.applyEndpoint(r)
+		}
+	}
+	f.mu.Unlock()
+	if len(fresh) > 0 {
+		f.OnChange()
+	}
+}
+
+func (f *Follower) applyConfig(r mirror.Record) {
+	if r.Removal() {
+		return
+	}
+	config, err := f.decoder.Config(r)
+	if err != nil {
+		f.badRecord(r, err)
+		return
+	}
+	if config == nil {
+		return
+	}
+	table, err := routing.Compile(config)
+	if err != nil {
+		f.badRecord(r, err)
+		return
+	}
+	if f.routes.Advance(table) {
+		f.log.Info("configuration in force", "version", table.Version, "offset", r.Offset, "routes", len(config.Routes))
+	}
+}
+
+func (f *Follower) applyEndpoint(r mirror.Record) {
+	now := time.Now()
+	if r.Removal() {
+		f.endpoints.Remove(r.Key, now)
+		f.log.Info("endpoint entry removed", "endpoint", r.Key, "offset", r.Offset)
+		return
+	}
+	endpoint, err := f.decoder.Endpoint(r)
+	if err != nil {
+		f.badRecord(r, err)
+		f.endpoints.Remove(r.Key, now)
+		return
+	}
+	known, ok := f.endpoints.Lookup(endpoint.ID)
+	if !ok || known.State != endpoint.State || !known.Started.Equal(endpoint.Started) {
+		f.log.Info("endpoint entry changed", "endpoint", endpoint.ID, "service", endpoint.Service,
+			"draining", endpoint.State == registry.Draining, "address", endpoint.Address, "offset", r.Offset)
+	}
+	f.endpoints.Put(endpoint)
+}
+
+func (f *Follower) badRecord(r mirror.Record, err error) {
+	f.bad.Inc(1)
+	if f.limiter.Allow(time.Now(), r.Key, "bad record") {
+		f.log.Warn("record ignored", "key", r.Key, "offset", r.Offset, "error", err.Error())
+	}
+}
+
+func (f *Follower) storeLost(topic Topic, err error) {
+	if topic == Endpoints {
+		f.endpoints.StoreLost()
+	}
+	if !f.away[topic].Swap(true) {
+		f.log.Warn("the store does not answer", "topic", topic.String(), "error", err.Error())
+	}
+}
+
+func (f *Follower) storeBack(topic Topic) {
+	if topic == Endpoints {
+		f.endpoints.StoreBack(time.Now())
+	}
+	if f.away[topic].Swap(false) {
+		f.log.Info("the store answers again", "topic", topic.String())
+	}
+}
+
+// followPeers takes from peers what they know and this router doesn't.
+func (f *Follower) followPeers(ctx context.Context) error {
+	ticker := time.NewTicker(peerInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		f.endpoints.Expire(time.Now())
+		for _, topic := range []Topic{Configuration, Endpoints} {
+			f.askPeers(ctx, topic)
+		}
+	}
+}
+
+// askPeers asks only while the store fails, or for a configuration that a peer
+// has in force and that the store should have sent by now.
+func (f *Follower) askPeers(ctx context.Context, topic Topic) {
+	if topic == Endpoints && !f.away[topic].Load() {
+		return
+	}
+	records, err := f.peers.Records(ctx, topic, f.mirrors[topic].Next())
+	if err != nil {
+		if f.limiter.Allow(time.Now(), topic.String(), "peer") {
+			f.log.Warn("a peer did not send its records", "topic", topic.String(), "error", err.Error())
+		}
+		return
+	}
+	if len(records) > 0 {
+		f.log.Info("records taken from a peer", "topic", topic.String(), "records", len(records))
+		f.Apply(topic, records)
+		f.listed[topic].Store(true)
+	}
+}
+
+// Announce writes this router's address to the store, until it is acknowledged.
+func (f *Follower) Announce(ctx context.Context, name, address string) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callMargin)
+		f.calls.Inc(1)
+		err := f.store.Announce(call, name, address)
+		cancel()
+		if err == nil {
+			return
+		}
+		if f.limiter.Allow(time.Now(), "announce", "store") {
+			f.log.Warn("this router is not announced yet", "error", err.Error())
+		}
+		pause(ctx, announceInterval)
+	}
+}
+
+// ListMembers returns the announced addresses of all routers.
+func (f *Follower) ListMembers(ctx context.Context) ([]string, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	f.calls.Inc(1)
+	records, _, err := f.store.List(call, Members)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, 0, len(records))
+	for _, r := range records {
+		if !r.Removal() {
+			addresses = append(addresses, string(r.Value))
+		}
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/direct/mesh/server.go
@@ -0,0 +1,37 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/acaciaspar/acaciaspar/direct/follow"
+	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+)
+
+// mirrorServer implements fleetpb.Mirror.
+type mirrorServer struct{ versions Versions }
+
+// Handler serves this router's records to its peers.
+func (m *Mesh) Handler() http.Handler {
+	return fleetpb.NewMirrorServer(&mirrorServer{versions: m.versions})
+}
+
+// FetchRecords implements fleetpb.Mirror.
+func (s *mirrorServer) FetchRecords(_ context.Context, in *fleetpb.RecordsRequest) (*fleetpb.RecordsReply, error) {
+	var topic follow.Topic
+	switch in.Topic {
+	case fleetpb.Topic_TOPIC_CONFIGURATION:
+		topic = follow.Configuration
+	case fleetpb.Topic_TOPIC_ENDPOINTS:
+		topic = follow.Endpoints
+	default:
+		return nil, twirp.InvalidArgumentError("topic", "is unknown")
+	}
+	reply := &fleetpb.RecordsReply{}
+	for _, r := range s.versions.Mirror(topic).Since(in.From) {
+		reply.Records = append(reply.Records, &fleetpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/direct/process.go
@@ -0,0 +1,376 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciaspar/acaciaspar/coordination/placement"
+	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
+	"github.com/acaciaspar/acaciaspar/direct/entry"
+	"github.com/acaciaspar/acaciaspar/direct/follow"
+	"github.com/acaciaspar/acaciaspar/direct/mesh"
+	"github.com/acaciaspar/acaciaspar/observability"
+	"github.com/acaciaspar/acaciaspar/protocol/dialect"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+	"github.com/acaciaspar/acaciaspar/state/routing"
+	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
+	"github.com/acaciaspar/acaciaspar/transport/fleetrpc"
+)
+
+const (
+	// dialTimeout bounds a connection to an endpoint: twice the longest round
+	// trip between zones plus a slow accept, well below latency targets.
+	dialTimeout = 250 * time.Millisecond
+	// headerTimeout bounds the headers of a request before limits are known.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above every idle limit that callers are told.
+	idleTimeout = 2 * time.Minute
+	// headerBytes bounds a request's headers.
+	headerBytes = 32 << 10
+	// sweepInterval is the interval of the clean-up of pools and tables.
+	sweepInterval = time.Second
+	// reservedDescriptors are kept for files, the store and other routers.
+	reservedDescriptors = 300
+	// collectPercent keeps the heap near the live data: memory is paid for.
+	collectPercent = 60
+	// memoryFraction is the part of the memory that the Go runtime may use;
+	// the rest is for received bytes in the kernel.
+	memoryFraction = 0.6
+	// bodyMemoryFraction is the part of the memory for request bodies.
+	bodyMemoryFraction = 0.2
+	// membersInterval is the interval at which a router that hears no other
+	// lists the announced ones again.
+	membersInterval = 5 * time.Second
+	// drainPoll is the interval at which a stop looks for its end.
+	drainPoll = 50 * time.Millisecond
+	// drainMinimum is the least time that a stopping router still serves: the
+	// balancer needs two checks, one second apart, to leave it out.
+	drainMinimum = 3200 * time.Millisecond
+	// drainMargin is kept between the end of a stop and its time limit.
+	drainMargin = 300 * time.Millisecond
+)
+
+// Options are what a deployment supplies.
+type Options struct {
+	Settings Settings
+	Store    follow.Store
+	Decoder  follow.Decoder
+	Dialect  dialect.Dialect
+	Output   io.Writer
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
+	// Signals delivers SIGTERM, SIGINT and SIGHUP.
+	Signals <-chan os.Signal
+	// Reload reads the settings again after SIGHUP; nil if there is nothing to read.
+	Reload func() error
+}
+
+type process struct {
+	options    Options
+	log        *slog.Logger
+	metrics    metrics.Registry
+	routes     *routing.Store
+	endpoints  *registry.Table
+	dispatcher *dispatch.Dispatcher
+	pool       *endpointhttp.Pool
+	handler    *entry.Handler
+	follower   *follow.Follower
+	mesh       *mesh.Mesh
+	listeners  listeners
+	stopping   chan struct{}
+}
+
+type listeners struct {
+	traffic, ready, fleet, metrics net.Listener
+	datagrams                      *net.UDPConn
+}
+
+// Run runs a router until a stop signal, then drains it.
+func Run(ctx context.Context, options Options) error {
+	p, closeLog, err := newProcess(options)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryFraction * float64(options.Settings.MemoryBytes)))
+	p.log.Info("start", "name", options.Settings.Name, "zone", options.Settings.Zone,
+		"traffic", p.listeners.traffic.Addr().String(), "ready", p.listeners.ready.Addr().String(),
+		"fleet", p.listeners.fleet.Addr().String())
+	return p.run(ctx)
+}
+
+func newProcess(o Options) (*process, func(), error) {
+	writer := observability.NewAsyncWriter(o.Output)
+	registry := metrics.NewRegistry()
+	level := o.Settings.LogLevel
+	logger := observability.NewBoundedLogger(writer, level, "direct-router", o.Settings.LogLinesPerSecond, registry)
+	p := &process{options: o, log: logger, metrics: registry, stopping: make(chan struct{})}
+	if err := p.listeners.open(&o.Settings); err != nil {
+		writer.Close()
+		return nil, nil, err
+	}
+	p.compose()
+	return p, writer.Close, nil
+}
+
+func (l *listeners) open(s *Settings) error {
+	for _, item := range []struct {
+		address string
+		target  *net.Listener
+	}{{s.Listen, &l.traffic}, {s.ReadyListen, &l.ready}, {s.FleetListen, &l.fleet}, {s.MetricsListen, &l.metrics}} {
+		if item.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp4", item.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", item.address)
+		}
+		*item.target = listener
+	}
+	address, err := net.ResolveUDPAddr("udp4", l.fleet.Addr().String())
+	if err != nil {
+		return eris.Wrap(err, "address for datagrams")
+	}
+	if l.datagrams, err = net.ListenUDP("udp4", address); err != nil {
+		return eris.Wrapf(err, "listen for datagrams on %s", address)
+	}
+	return nil
+}
+
+func (p *process) compose() {
+	s := &p.options.Settings
+	p.routes = &routing.Store{}
+	p.endpoints = registry.NewTable()
+	limits := retry.Limits{Floor: s.RetryFloor, Fraction: s.RetryFraction}
+	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
+	p.pool = endpointhttp.NewPool(dialTimeout)
+	p.handler = &entry.Handler{
+		Routes: p.routes, Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect,
+		Log: p.log, Metrics: entry.NewMetrics(p.metrics),
+		MaxHeldBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
+		Room:         int64(s.Descriptors-reservedDescriptors) / 3,
+	}
+	versions := mesh.Versions{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) }}
+	p.mesh = mesh.New(fleetrpc.NewInstance(), p.listeners.fleet.Addr().String(), p.listeners.datagrams,
+		p.dispatcher, versions, p.log, p.metrics)
+	p.mesh.Add(s.peerList()...)
+	p.follower = follow.New(follow.Options{
+		Store: p.options.Store, Decoder: p.options.Decoder, Peers: p.mesh,
+		Routes: p.routes, Endpoints: p.endpoints, Log: p.log, Metrics: p.metrics,
+	})
+	p.follower.OnChange = p.changed
+}
+
+func (p *process) configVersion() uint64 {
+	if t := p.routes.Current(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// changed tells the dispatcher of new endpoints and limits.
+func (p *process) changed() {
+	table := p.routes.Current()
+	if table == nil {
+		return
+	}
+	engines := 0
+	for _, e := range p.endpoints.All() {
+		p.dispatcher.Restarted(e.ID, e.Started)
+		if service := table.Service(e.Service); service != nil && service.Engine != nil && e.State == registry.Ready {
+			engines++
+		}
+	}
+	p.dispatcher.SetCapacity(table.Limits.TokensPerSecond, engines)
+}
+
+// errStopped ends the process's goroutines after a planned stop.
+var errStopped = errors.New("stopped")
+
+func (p *process) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	traffic := &http.Server{
+		Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
+	}
+	serve(ctx, group, traffic, limitListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors))
+	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
+	serve(ctx, group, p.server(p.mesh.Handler()), p.listeners.fleet)
+	if p.listeners.metrics != nil {
+		serve(ctx, group, p.server(observability.Handler(p.metrics)), p.listeners.metrics)
+	}
+	group.Go(func() error { return p.follower.Run(ctx) })
+	group.Go(func() error { return p.mesh.Send(ctx) })
+	group.Go(func() error { return p.mesh.Receive(ctx) })
+	group.Go(func() error { return p.join(ctx) })
+	group.Go(func() error { return p.sweep(ctx) })
+	group.Go(func() error { return p.awaitStop(ctx, traffic) })
+	err := group.Wait()
+	if errors.Is(err, errStopped) {
+		p.log.Info("stopped")
+		return nil
+	}
+	p.log.Error("stopped by a fault", "error", err.Error())
+	return err
+}
+
+func (p *process) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func serve(ctx context.Context, group *errgroup.Group, s *http.Server, l net.Listener) {
+	group.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+}
+
+// readiness answers 200 while this router should get new connections.
+func (p *process) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != p.options.ReadyPath {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		select {
+		case <-p.stopping:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		default:
+		}
+		if !p.follower.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// join announces this router and learns the others from the store.
+func (p *process) join(ctx context.Context) error {
+	s := &p.options.Settings
+	p.follower.Announce(ctx, s.Name, p.listeners.fleet.Addr().String())
+	ticker := time.NewTicker(membersInterval)
+	defer ticker.Stop()
+	for {
+		if p.mesh.Live() == 0 {
+			if addresses, err := p.follower.ListMembers(ctx); err != nil {
+				p.log.Warn("other routers not listed", "error", err.Error())
+			} else {
+				p.mesh.Add(addresses...)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *process) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			p.pool.Sweep(func(instance string) bool {
+				_, ok := p.endpoints.Lookup(instance)
+				return ok
+			})
+			p.dispatcher.Tidy(now)
+			idle, dialed := p.pool.Stats()
+			metrics.GetOrRegisterGauge("direct.idle_connections", p.metrics).Update(int64(idle))
+			metrics.GetOrRegisterGauge("direct.connections_opened", p.metrics).Update(int64(dialed))
+			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
+		}
+	}
+}
+
+// awaitStop waits for a stop signal and drains the process.
+func (p *process) awaitStop(ctx context.Context, traffic *http.Server) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-p.options.Signals:
+			if s == syscall.SIGHUP {
+				p.reload()
+				continue
+			}
+			p.log.Info("stop", "signal", s.String(), "in_flight", p.handler.InFlight())
+			p.drain(ctx, traffic)
+			return errStopped
+		}
+	}
+}
+
+func (p *process) reload() {
+	if p.options.Reload == nil {
+		p.log.Info("reload", "result", "nothing to read")
+		return
+	}
+	if err := p.options.Reload(); err != nil {
+		p.log.Warn("reload", "result", "settings kept", "error", err.Error())
+		return
+	}
+	p.log.Info("reload", "result", "settings read")
+}
+
+// drain serves what is in progress until it has ended or the time is over.
+func (p *process) drain(ctx context.Context, traffic *http.Server) {
+	began := time.Now()
+	end := began.Add(p.options.Settings.DrainTimeout - drainMargin)
+	close(p.stopping)
+	p.mesh.Leave()
+	p.handler.Drain(began, end)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			idle := p.handler.InFlight() == 0 && now.Sub(began) >= drainMinimum
+			if idle {
+				p.shutdown(traffic, end)
+				return
+			}
+			if now.After(end) {
+				p.log.Warn("time limit of the stop reached", "in_flight", p.handler.InFlight())
+				return
+			}
+		}
+	}
+}
+
+// shutdown closes the listener and idle connections and waits for the rest.
+func (p *process) shutdown(traffic *http.Server, end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := traffic.Shutdown(ctx); err != nil {
+		p.log.Warn("connections were still open at the end", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/direct/settings.go
@@ -0,0 +1,72 @@
+package direct
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"time"
+)
+
+// Settings are the settings of a direct router.
+type Settings struct {
+	Name              string        `flag:"name" usage:"name of this router; unique in the fleet"`
+	Zone              string        `flag:"zone" usage:"availability zone of this router"`
+	Listen            string        `flag:"listen" default:"127.0.0.1:0" usage:"address of the traffic interface"`
+	ReadyListen       string        `flag:"ready-listen" default:"127.0.0.1:0" usage:"address of the readiness check"`
+	FleetListen       string        `flag:"fleet-listen" default:"127.0.0.1:0" usage:"address for other routers, TCP and UDP"`
+	MetricsListen     string        `flag:"metrics-listen" usage:"address of the metrics; empty for none"`
+	Peers             string        `flag:"peers" usage:"addresses of other routers, comma-separated"`
+	DrainTimeout      time.Duration `flag:"drain-timeout" default:"15m" usage:"longest time of a planned stop"`
+	MemoryBytes       int64         `flag:"memory-bytes" default:"536870912" usage:"memory that this process may use, in bytes"`
+	Descriptors       int           `flag:"descriptors" default:"4096" usage:"file descriptors that this process may use"`
+	RetryFraction     float64       `flag:"retry-fraction" default:"0.1" usage:"part of a service's requests that may be sent again"`
+	RetryFloor        float64       `flag:"retry-floor" default:"10" usage:"sends again per 10 s that the fleet may make besides"`
+	LogLinesPerSecond int           `flag:"log-lines-per-second" default:"500" usage:"log lines per second and message; more are counted only"`
+	LogLevel          slog.Level    `flag:"log-level" default:"INFO" usage:"DEBUG, INFO, WARN or ERROR"`
+}
+
+// minMemory and minDescriptors are what a router needs at the least.
+const (
+	minMemory      = 64 << 20
+	minDescriptors = 256
+)
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() []error {
+	var faults []error
+	for name, address := range map[string]string{
+		"listen": s.Listen, "ready-listen": s.ReadyListen, "fleet-listen": s.FleetListen, "metrics-listen": s.MetricsListen,
+	} {
+		if address == "" && name == "metrics-listen" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	if s.MemoryBytes < minMemory {
+		faults = append(faults, fmt.Errorf("memory-bytes: %d is below %d", s.MemoryBytes, minMemory))
+	}
+	if s.Descriptors < minDescriptors {
+		faults = append(faults, fmt.Errorf("descriptors: %d is below %d", s.Descriptors, minDescriptors))
+	}
+	if s.DrainTimeout <= 0 {
+		faults = append(faults, errors.New("drain-timeout: must be positive"))
+	}
+	if s.RetryFraction < 0 || s.RetryFraction > 1 {
+		faults = append(faults, fmt.Errorf("retry-fraction: %v is not between 0 and 1", s.RetryFraction))
+	}
+	if s.RetryFloor < 0 {
+		faults = append(faults, errors.New("retry-floor: must not be negative"))
+	}
+	return faults
+}
+
+func (s *Settings) peerList() []string {
+	if s.Peers == "" {
+		return nil
+	}
+	return strings.Split(s.Peers, ",")
+}
--- /dev/null
+++ b/state/registry/registry.go
@@ -0,0 +1,162 @@
+// Package registry holds the endpoints that registered themselves. Table owns
+// their states and decides when an endpoint whose entry vanished counts as
+// gone: at once in steady state, and only after a grace while the store is
+// recovering from an outage, because live endpoints then register again.
+package registry
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// State is the registered state of an endpoint.
+type State int
+
+const (
+	// Ready endpoints take work.
+	Ready State = iota
+	// Draining endpoints finish what they have.
+	Draining
+)
+
+// Endpoint is one registered endpoint instance.
+type Endpoint struct {
+	// ID identifies the instance.
+	ID      string
+	Service string
+	// Address is IP and port.
+	Address string
+	Zone    string
+	Slots   int
+	State   State
+	// Started is the instance's start; a change means that it lost its memory.
+	Started time.Time
+}
+
+// RecoveryGrace is how long entries that lapsed during an outage of the store
+// count as present after its return. Live endpoints are back within about 2 s.
+const RecoveryGrace = 2500 * time.Millisecond
+
+// Table is safe for use by several goroutines. Its mutex is never held while
+// others are taken.
+type Table struct {
+	mu        sync.Mutex
+	endpoints map[string]*entry
+	// recovered is the end of the latest outage of the store.
+	recovered time.Time
+	outage    bool
+}
+
+type entry struct {
+	endpoint Endpoint
+	// removeAt is set while a vanished entry waits for the end of the grace.
+	removeAt time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{endpoints: map[string]*entry{}} }
+
+// Put adds or replaces an endpoint.
+func (t *Table) Put(e Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endpoints[e.ID] = &entry{endpoint: e}
+}
+
+// Remove drops an endpoint whose entry vanished.
+func (t *Table) Remove(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	if t.recovering(now) && e.endpoint.State == Ready {
+		if e.removeAt.IsZero() {
+			e.removeAt = t.graceEnd(now)
+		}
+		return
+	}
+	delete(t.endpoints, id)
+}
+
+// StoreLost notes that the store does not answer.
+func (t *Table) StoreLost() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outage = true
+}
+
+// StoreBack notes the return of the store after an outage.
+func (t *Table) StoreBack(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		t.recovered = now
+	}
+	t.outage = false
+}
+
+func (t *Table) recovering(now time.Time) bool {
+	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryGrace)))
+}
+
+func (t *Table) graceEnd(now time.Time) time.Time {
+	if t.outage {
+		return now.Add(RecoveryGrace)
+	}
+	return t.recovered.Add(RecoveryGrace)
+}
+
+// Expire removes the endpoints whose grace has passed. While the store is
+// away nothing expires.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return
+	}
+	for id, e := range t.endpoints {
+		if !e.removeAt.IsZero() && now.After(e.removeAt) && !now.Before(t.recovered.Add(RecoveryGrace)) {
+			delete(t.endpoints, id)
+		}
+	}
+}
+
+// Ready returns the endpoints of a service that take work, ordered by ID.
+func (t *Table) Ready(service string) []Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Endpoint
+	for _, e := range t.endpoints {
+		if e.endpoint.Service == service && e.endpoint.State == Ready {
+			list = append(list, e.endpoint)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Lookup returns an endpoint by ID.
+func (t *Table) Lookup(id string) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil {
+		return Endpoint{}, false
+	}
+	return e.endpoint, true
+}
+
+// All returns every endpoint, ordered by ID.
+func (t *Table) All() []Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Endpoint, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		list = append(list, e.endpoint)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/state/routing/table.go
@@ -0,0 +1,144 @@
+package routing
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// Table is a compiled configuration. It is immutable.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	routes   map[string][]*Route
+	services map[string]*Service
+	keys     map[string]*Team
+	teams    int
+}
+
+// Compile checks a configuration and builds its table.
+func Compile(c *Config) (*Table, error) {
+	t := &Table{
+		Version:  c.Version,
+		Limits:   c.Limits,
+		routes:   map[string][]*Route{},
+		services: map[string]*Service{},
+		keys:     map[string]*Team{},
+		teams:    len(c.Teams),
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		if err := t.addRoute(&c.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range c.Teams {
+		for _, key := range c.Teams[i].Keys {
+			t.keys[key] = &c.Teams[i]
+		}
+	}
+	for _, routes := range t.routes {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) addRoute(r *Route) error {
+	var total float64
+	for _, d := range r.Destinations {
+		if d.Weight < 0 {
+			return eris.Errorf("route %q: negative weight of service %q", r.Name, d.Service)
+		}
+		if t.services[d.Service] == nil {
+			return eris.Errorf("route %q: unknown service %q", r.Name, d.Service)
+		}
+		total += d.Weight
+	}
+	if total <= 0 {
+		return eris.Errorf("route %q: no service with a positive weight", r.Name)
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		return eris.Errorf("route %q: path prefix %q doesn't begin with a slash", r.Name, r.PathPrefix)
+	}
+	host := NormalizeHost(r.Host)
+	t.routes[host] = append(t.routes[host], r)
+	return nil
+}
+
+// NormalizeHost lowers the case of a Host header and removes its port.
+func NormalizeHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Match returns the route with the longest prefix of path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.routes[NormalizeHost(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// TeamOf returns the team that holds a key, or nil.
+func (t *Table) TeamOf(key string) *Team { return t.keys[key] }
+
+// RequiresKeys reports whether the configuration has teams at all.
+func (t *Table) RequiresKeys() bool { return t.teams > 0 }
+
+// Pick selects a destination for a uniform number in [0, 1).
+func (r *Route) Pick(uniform float64) string {
+	var total float64
+	for _, d := range r.Destinations {
+		total += d.Weight
+	}
+	point := uniform * total
+	last := ""
+	for _, d := range r.Destinations {
+		if d.Weight == 0 {
+			continue
+		}
+		last = d.Service
+		if point < d.Weight {
+			return d.Service
+		}
+		point -= d.Weight
+	}
+	return last
+}
+
+// Repeatable reports whether a request of this route may run again after it
+// may have run.
+func (r *Route) Repeatable() bool {
+	return r.Semantics == Idempotent || (r.Semantics == Stream && r.Resumable)
+}
+
+// Store holds the table in force. It is safe for use by several goroutines.
+type Store struct{ current atomic.Pointer[Table] }
+
+// Current returns the table in force, or nil before the first.
+func (s *Store) Current() *Table { return s.current.Load() }
+
+// Advance puts t in force unless its version is at or below the one in force.
+func (s *Store) Advance(t *Table) bool {
+	for {
+		old := s.current.Load()
+		if old != nil && t.Version <= old.Version {
+			return false
+		}
+		if s.current.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
