Notice the store's return at once, and read the endpoints without a pause

A router that the store had refused went on with a read that waits up to 4 s, so the outage ended for it only with the next record, and the removal of an endpoint then fell into the grace for lapsed entries. Ruled out: a slow read of the endpoints; its record arrived 3 ms after the store's acknowledgement. After a failed call the next read doesn't wait. Endpoint entries change rarely, so the pause of 700 ms between reads is not needed.

--- /dev/null
+++ b/coordination/fairshare/fairshare_test.go
@@ -0,0 +1,42 @@
+package fairshare
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// Guards against a level above the capacity and against a level that leaves
+// capacity unused while a demand is unmet.
+func TestLevelIsMaxMinFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Int64Range(0, 10_000), 1, 30).Draw(t, "demands")
+		capacity := rapid.Int64Range(0, 100_000).Draw(t, "capacity")
+		level := Level(demands, capacity)
+		var taken, asked int64
+		for _, d := range demands {
+			taken += min(d, level)
+			asked += d
+		}
+		if asked <= capacity && taken != asked {
+			t.Fatalf("demands %v fit %d, but the level is %d", demands, capacity, level)
+		}
+		if asked > capacity && (taken > capacity || taken+int64(len(demands)) <= capacity) {
+			t.Fatalf("level %d takes %d of %d", level, taken, capacity)
+		}
+	})
+}
+
+// Guards against counts that outlive the window or that it forgets early.
+func TestWindowCountsTheLatestSpan(t *testing.T) {
+	var w Window
+	now := time.Unix(1_700_000_000, 0)
+	w.Ask(now, 5)
+	w.Start(now, 3)
+	must.Eq(t, Usage{Asked: 5, Started: 3}, w.Sum(now.Add(Span-bucketWidth)))
+	must.Eq(t, Usage{}, w.Sum(now.Add(Span)))
+	w.Ask(now.Add(Span), 7)
+	must.Eq(t, Usage{Asked: 7}, w.Sum(now.Add(Span)))
+}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -26,10 +26,9 @@
 	callMargin = 1500 * time.Millisecond
 	// listTimeout bounds one listing.
 	listTimeout = 4 * time.Second
-	// endpointInterval is the least time between two reads of the endpoints,
-	// which write several heartbeats a second. It leaves more than half of the
-	// shortest drain bound of 2 s for the read itself.
-	endpointInterval = 700 * time.Millisecond
+	// readInterval is the least time between two reads of a topic, so that
+	// records that come together cost one call.
+	readInterval = 50 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
@@ -94,14 +93,14 @@
 // Run follows the store and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return f.followTopic(ctx, Configuration, 0) })
-	group.Go(func() error { return f.followTopic(ctx, Endpoints, endpointInterval) })
+	group.Go(func() error { return f.followTopic(ctx, Configuration) })
+	group.Go(func() error { return f.followTopic(ctx, Endpoints) })
 	group.Go(func() error { return f.followPeers(ctx) })
 	return group.Wait()
 }
 
 // followTopic lists a topic and then reads on from there.
-func (f *Follower) followTopic(ctx context.Context, topic Topic, interval time.Duration) error {
+func (f *Follower) followTopic(ctx context.Context, topic Topic) error {
 	backoff := firstBackoff
 	next := int64(-1)
 	for ctx.Err() == nil {
@@ -116,7 +115,7 @@
 		case err == nil:
 			f.storeBack(topic)
 			backoff = firstBackoff
-			pause(ctx, interval-time.Since(began))
+			pause(ctx, readInterval-time.Since(began))
 		case errors.Is(err, ErrForgotten):
 			f.log.Info("the store dropped records; listing the topic again", "topic", topic.String(), "from", next)
 			next = -1
@@ -160,7 +159,12 @@
 	call, cancel := context.WithTimeout(ctx, readWait+callMargin)
 	defer cancel()
 	f.calls.Inc(1)
-	records, next, err := f.store.Read(call, topic, from, readWait)
+	wait := readWait
+	if f.away[topic].Load() {
+		// The end of an outage must be noticed at once, not with the next record.
+		wait = 0
+	}
+	records, next, err := f.store.Read(call, topic, from, wait)
 	if err != nil {
 		return from, err
 	}
--- /dev/null
+++ b/state/registry/registry_test.go
@@ -0,0 +1,78 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ready(id string) Endpoint { return Endpoint{ID: id, Service: "s", State: Ready} }
+
+func ids(list []Endpoint) []string {
+	names := []string{}
+	for _, e := range list {
+		names = append(names, e.ID)
+	}
+	return names
+}
+
+// Guards against work for an endpoint whose entry vanished in steady state.
+func TestRemovalIsImmediateInSteadyState(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	table.Remove("a", start)
+	must.Eq(t, []string{}, ids(table.Ready("s")))
+}
+
+// Guards against losing all endpoints whose entries lapsed while the store was
+// away, and against keeping those that don't register again.
+func TestLapsedEntriesHaveAGraceAfterAnOutage(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	table.Put(ready("b"))
+	table.StoreLost()
+	table.StoreBack(start)
+	table.Remove("a", start.Add(100*time.Millisecond))
+	table.Remove("b", start.Add(100*time.Millisecond))
+	must.Eq(t, []string{"a", "b"}, ids(table.Ready("s")))
+	table.Put(ready("a"))
+	table.Expire(start.Add(RecoveryGrace + time.Millisecond))
+	must.Eq(t, []string{"a"}, ids(table.Ready("s")))
+}
+
+// Guards against a grace that outlasts the recovery: an endpoint that leaves
+// later is gone at once.
+func TestGraceEndsAfterRecovery(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	table.StoreLost()
+	table.StoreBack(start)
+	table.Remove("a", start.Add(RecoveryGrace+time.Second))
+	must.Eq(t, []string{}, ids(table.Ready("s")))
+}
+
+// Guards against work for an endpoint that said it was draining before its
+// entry lapsed.
+func TestDrainingEndpointHasNoGrace(t *testing.T) {
+	table := NewTable()
+	draining := ready("a")
+	draining.State = Draining
+	table.Put(draining)
+	table.StoreLost()
+	table.Remove("a", start)
+	_, ok := table.Lookup("a")
+	must.False(t, ok)
+}
+
+// Guards against expiry by a clock alone while the store is away.
+func TestNothingExpiresDuringAnOutage(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	table.StoreLost()
+	table.Remove("a", start)
+	table.Expire(start.Add(time.Minute))
+	must.Eq(t, []string{"a"}, ids(table.Ready("s")))
+}
