--- /dev/null
+++ b/direct/directtest/endpoint.go
@@ -0,0 +1,108 @@
+package directtest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/acaciaspar/acaciaspar/protocol/dialect"
+)
+
+// Call is one request as an endpoint received it.
+type Call struct {
+	*http.Request
+	BodyText string
+}
+
+// ID returns the request's identifier.
+func (c *Call) ID() string { return c.Header.Get(dialect.Default().RequestID) }
+
+// Script answers one request on a connection. It returns false to close it.
+type Script func(c net.Conn, call *Call) bool
+
+// Endpoint is a scripted endpoint. It records every request it received.
+type Endpoint struct {
+	Address string
+
+	mu     sync.Mutex
+	calls  []*Call
+	script Script
+}
+
+// NewEndpoint starts an endpoint that ends with the test.
+func NewEndpoint(t *testing.T, script Script) *Endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &Endpoint{Address: l.Addr().String(), script: script}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *Endpoint) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		in, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(in.Body)
+		if err != nil {
+			return
+		}
+		call := &Call{Request: in, BodyText: string(body)}
+		e.mu.Lock()
+		e.calls = append(e.calls, call)
+		e.mu.Unlock()
+		if !e.script(c, call) {
+			return
+		}
+	}
+}
+
+// Calls returns the requests received so far.
+func (e *Endpoint) Calls() []*Call {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*Call(nil), e.calls...)
+}
+
+// Answer writes a whole answer with the endpoint's signature.
+func Answer(c net.Conn, call *Call, status int, body string, headers ...string) {
+	d := dialect.Default()
+	lines := append([]string{d.RequestID + ": " + call.ID(), d.Signature + ": sig"}, headers...)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), strings.Join(lines, "\r\n"), len(body), body)
+}
+
+// BeginStream writes the headers of a stream of events in chunks.
+func BeginStream(c net.Conn, call *Call) {
+	d := dialect.Default()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		d.RequestID, call.ID(), d.Signature)
+}
+
+// Chunk writes a part of a stream; the empty text ends it.
+func Chunk(c net.Conn, text string) {
+	_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+}
+
+// Event returns one event of a stream.
+func Event(id int) string { return fmt.Sprintf("id: %d\ndata: piece-%d\n\n", id, id) }
