Drop an endpoint that may have lapsed before its drain bound passes

A router that the store had refused took the removals from a peer and kept the endpoints until 2.5 s after its own return to the store, although the store had been up for all others. Ruled out: late removals; they were read within 90 ms. An entry that may have lapsed is now kept for 1.7 s after its removal was read, whatever the state of the outage, which is below every drain bound.

--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -1,7 +1,7 @@
 // Package registry holds the endpoints that registered themselves. Table owns
 // their states and decides when an endpoint whose entry vanished counts as
-// gone: at once in steady state, and only after a grace while the store is
-// recovering from an outage, because live endpoints then register again.
+// gone: at once in steady state, and after a grace during an outage of the
+// store and its recovery, because live endpoints then register again.
 package registry
 
 import (
@@ -34,9 +34,16 @@
 	Started time.Time
 }
 
-// RecoveryGrace is how long entries that lapsed during an outage of the store
-// count as present after its return. Live endpoints are back within about 2 s.
-const RecoveryGrace = 2500 * time.Millisecond
+const (
+	// RecoveryTime is how long after an outage of the store a vanished entry
+	// may have lapsed in it: live endpoints register again within about 2 s.
+	RecoveryTime = 2500 * time.Millisecond
+	// LapseGrace is how long an entry that may have lapsed counts as present
+	// after its removal was read. It is shorter than the shortest drain bound,
+	// 2 s, because the endpoint may as well have left on purpose, and the
+	// outage may have been one of this router only.
+	LapseGrace = 1700 * time.Millisecond
+)
 
 // Table is safe for use by several goroutines. Its mutex is never held while
 // others are taken.
@@ -74,7 +81,7 @@
 	}
 	if t.recovering(now) && e.endpoint.State == Ready {
 		if e.removeAt.IsZero() {
-			e.removeAt = t.graceEnd(now)
+			e.removeAt = now.Add(LapseGrace)
 		}
 		return
 	}
@@ -99,26 +106,15 @@
 }
 
 func (t *Table) recovering(now time.Time) bool {
-	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryGrace)))
+	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryTime)))
 }
 
-func (t *Table) graceEnd(now time.Time) time.Time {
-	if t.outage {
-		return now.Add(RecoveryGrace)
-	}
-	return t.recovered.Add(RecoveryGrace)
-}
-
-// Expire removes the endpoints whose grace has passed. While the store is
-// away nothing expires.
+// Expire removes the endpoints whose grace has passed.
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.outage {
-		return
-	}
 	for id, e := range t.endpoints {
-		if !e.removeAt.IsZero() && now.After(e.removeAt) && !now.Before(t.recovered.Add(RecoveryGrace)) {
+		if !e.removeAt.IsZero() && now.After(e.removeAt) {
 			delete(t.endpoints, id)
 		}
 	}
