--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -1,6 +1,7 @@
 // Package placement decides which model engine runs a request, or that none
-// can in time. It answers three load patterns: prompts that share long parts
-// (stay where the part is cached), bursts (no engine gets a backlog that
+// can in time. It answers four load patterns: prompts that share long parts
+// (stay where the part is cached), more of them than the engines can read
+// (turn away what would be read twice), bursts (no engine gets a backlog that
 // pushes first events past their target), and long answers (no engine gets so
 // many at once that none ends in time). It owns no state.
 package placement
@@ -25,6 +26,11 @@
 	// MissWeight is the price of reading a cached part again elsewhere,
 	// relative to its reading time.
 	MissWeight float64
+	// ColdFactor weighs the reading time of shared parts that are not cached
+	// against the backlog's limit. Under load a prompt then waits for the
+	// engine that has its parts, or is turned away, and doesn't take the
+	// capacity of two requests at another engine.
+	ColdFactor float64
 	// MissFloor is the least price in tokens of leaving the cached prefix.
 	MissFloor int64
 	// RunningWeight is the cost of one request in progress in prompt tokens.
@@ -38,8 +44,9 @@
 	return Policy{
 		TargetFraction: 0.5,
 		MaxBacklog:     250 * time.Millisecond,
-		MaxRunning:     0.75,
-		MissWeight:     1.5,
+		MaxRunning:     0.4,
+		MissWeight:     4,
+		ColdFactor:     2.5,
 		MissFloor:      3000,
 		RunningWeight:  100,
 		ZoneTokens:     150,
@@ -66,8 +73,11 @@
 }
 
 // Wait returns the expected time until the engine begins a request.
-func (c *Candidate) Wait() time.Duration {
-	return time.Duration(float64(c.Pending) / c.Rate * float64(time.Millisecond))
+func (c *Candidate) Wait() time.Duration { return c.reading(float64(c.Pending)) }
+
+// reading returns the time in which the engine reads tokens.
+func (c *Candidate) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / c.Rate * float64(time.Millisecond))
 }
 
 // Demand describes a request.
@@ -91,7 +101,7 @@
 	shortest := time.Duration(-1)
 	for i := range candidates {
 		c := &candidates[i]
-		excess := c.Wait() - limit
+		excess := c.Wait() + c.reading(p.ColdFactor*float64(c.Missing)) - limit
 		maxRunning := int(float64(c.Slots) * p.MaxRunning * (0.5 + 0.5*d.Allowance))
 		if c.Running >= maxRunning {
 			excess = max(excess, time.Duration(c.Running-maxRunning+1)*slotTurn)
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+)
+
+func engines(n int) []Candidate {
+	list := make([]Candidate, n)
+	for i := range list {
+		list[i] = Candidate{ID: string(rune('a' + i)), Slots: 64, Rate: 50, SameZone: true}
+	}
+	return list
+}
+
+func demand(shared, own int64) Demand {
+	return Demand{
+		Cost:   prompt.Cost{Shared: []prompt.Part{{Key: 1, Tokens: shared}}, Own: own, Generated: 300},
+		Target: time.Second, Remaining: 15 * time.Second, Allowance: 1,
+	}
+}
+
+// Guards against leaving the cached prefix for a small difference in load.
+func TestPrefixGoesBeforeSmallDifferencesInLoad(t *testing.T) {
+	c := engines(3)
+	c[1].Missing, c[2].Missing = 5000, 5000
+	c[0].Pending = 6000
+	index, _, ok := Choose(DefaultPolicy(), demand(5000, 6000), c)
+	must.True(t, ok)
+	must.Eq(t, 0, index)
+}
+
+// Guards against a hot prefix that waits while other engines are idle.
+func TestHotPrefixSpreadsOnceItsEngineIsBusy(t *testing.T) {
+	c := engines(3)
+	c[1].Missing, c[2].Missing = 1000, 1000
+	c[0].Pending = 30000
+	index, _, ok := Choose(DefaultPolicy(), demand(1000, 6000), c)
+	must.True(t, ok)
+	must.Eq(t, 1, index)
+}
+
+// Guards against prompts read twice while the engines are short of time: with
+// a backlog everywhere, the request is turned away and not sent to an engine
+// that must read the shared part again.
+func TestUnderLoadNothingIsReadTwice(t *testing.T) {
+	c := engines(3)
+	for i := range c {
+		c[i].Pending, c[i].Missing = 8000, 5000
+	}
+	c[0].Missing, c[0].Pending = 0, 14000
+	_, wait, ok := Choose(DefaultPolicy(), demand(5000, 6000), c)
+	must.False(t, ok)
+	must.Positive(t, wait)
+}
+
+// Guards against first events past their target: the backlog ahead stays below
+// the limit for every choice.
+func TestBacklogStaysBelowTheLimit(t *testing.T) {
+	p := DefaultPolicy()
+	for _, target := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+		c := engines(4)
+		d := demand(0, 500)
+		d.Target = target
+		for range 10_000 {
+			index, _, ok := Choose(p, d, c)
+			if !ok {
+				break
+			}
+			must.LessEq(t, min(time.Duration(p.TargetFraction*float64(target)), p.MaxBacklog), c[index].Wait())
+			c[index].Pending += d.Cost.Own
+		}
+		for i := range c {
+			must.Greater(t, 2000, c[i].Pending)
+		}
+	}
+}
+
+// Guards against batches so full that no long answer ends in time.
+func TestBatchIsNotFilled(t *testing.T) {
+	p := DefaultPolicy()
+	c := engines(2)
+	n := 0
+	for {
+		index, _, ok := Choose(p, demand(0, 1), c)
+		if !ok {
+			break
+		}
+		c[index].Running++
+		n++
+	}
+	must.Eq(t, 2*int(64*p.MaxRunning), n)
+}
+
+// Guards against a team above its share that takes the room of the others, and
+// against idle engines that turn it away.
+func TestAllowanceLeavesRoom(t *testing.T) {
+	d := demand(0, 500)
+	d.Allowance = 0.2
+	c := engines(1)
+	_, _, ok := Choose(DefaultPolicy(), d, c)
+	must.True(t, ok)
+	c[0].Pending = 5000
+	_, _, ok = Choose(DefaultPolicy(), d, c)
+	must.False(t, ok)
+	d.Allowance = 1
+	_, _, ok = Choose(DefaultPolicy(), d, c)
+	must.True(t, ok)
+}
+
+// Guards against a failing engine that draws work because it looks idle.
+func TestFailingEngineLooksExpensive(t *testing.T) {
+	c := engines(2)
+	c[0].Suspect = 0.5
+	c[1].Pending = 10000
+	index, _, ok := Choose(DefaultPolicy(), demand(0, 500), c)
+	must.True(t, ok)
+	must.Eq(t, 1, index)
+}
--- a/direct/dispatch/share.go
+++ b/direct/dispatch/share.go
@@ -42,8 +42,10 @@
 	return max(minAllowance, 1-(1-minAllowance)*(excess-1)/(fullExcess-1))
 }
 
-// refreshLevel derives the max-min level from what all teams asked for. The
-// capacity is what the engines did lately, at least the operators' figure.
+// refreshLevel derives the max-min level from what all teams asked for and
+// the operators' token rate; without one, from what was started lately. The
+// engines can do more than that rate: what is left goes to requests above
+// their team's share, in the room that allowance leaves them.
 func (d *Dispatcher) refreshLevel(now time.Time) {
 	if now.Sub(d.levelTime) < shareRefresh {
 		return
@@ -67,7 +69,10 @@
 		demands = append(demands, u.Asked)
 		started += u.Started
 	}
-	capacity := max(int64(d.capacity*fairshare.Span.Seconds()), started)
+	capacity := int64(d.capacity * fairshare.Span.Seconds())
+	if capacity == 0 {
+		capacity = started
+	}
 	d.level = fairshare.Level(demands, capacity)
 }
 
