Read records in time that the store did not announce

The store took a record while its waiting reads heard nothing; one router's read that was sent 10 ms before the record waited 3.5 s, until the next record. Ruled out: the connection (the same read returned both records), a wrong offset (the read returned the missed record first).

--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -21,6 +21,7 @@
 	logs   map[follow.Topic][]mirror.Record
 	first  map[follow.Topic]int64
 	away   bool
+	deaf   bool
 	notify chan struct{}
 	reads  int
 }
@@ -39,6 +40,9 @@
 }
 
 func (s *Store) wake() {
+	if s.deaf {
+		return
+	}
 	close(s.notify)
 	s.notify = make(chan struct{})
 }
@@ -51,6 +55,13 @@
 	s.wake()
 }
 
+// SetDeaf makes reads that wait miss new records.
+func (s *Store) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
 // Forget drops the history of a topic; the newest record of each key stays.
 func (s *Store) Forget(topic follow.Topic) {
 	s.mu.Lock()
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// readWait is how long the store holds a read without records. It also
-	// bounds how long a read on a connection that fell silent goes unnoticed.
-	readWait = 4 * time.Second
 	// callMargin is added to the wait for the time limit of a call.
 	callMargin = 1500 * time.Millisecond
 	// listTimeout bounds one listing.
@@ -42,6 +39,7 @@
 // Follower is safe for use by several goroutines. Its mutex serializes the
 // application of records and is taken before those of the tables.
 type Follower struct {
+	readWait  time.Duration
 	store     Store
 	decoder   Decoder
 	peers     Peers
@@ -64,6 +62,10 @@
 
 // Options are the collaborators of a Follower.
 type Options struct {
+	// ReadWait is how long the store holds a read without records. It also
+	// bounds how late a record is read that the store failed to announce, so
+	// it must be shorter than the bounds on configuration and draining.
+	ReadWait  time.Duration
 	Store     Store
 	Decoder   Decoder
 	Peers     Peers
@@ -76,7 +78,7 @@
 // New returns a follower; Run starts it.
 func New(o Options) *Follower {
 	return &Follower{
-		store: o.Store, decoder: o.Decoder, peers: o.Peers, routes: o.Routes, endpoints: o.Endpoints, log: o.Log,
+		readWait: o.ReadWait, store: o.Store, decoder: o.Decoder, peers: o.Peers, routes: o.Routes, endpoints: o.Endpoints, log: o.Log,
 		calls:    metrics.GetOrRegisterCounter("direct.store_calls", o.Metrics),
 		bad:      metrics.GetOrRegisterCounter("direct.bad_records", o.Metrics),
 		OnChange: func() {},
@@ -156,10 +158,10 @@
 }
 
 func (f *Follower) read(ctx context.Context, topic Topic, from int64) (int64, error) {
-	call, cancel := context.WithTimeout(ctx, readWait+callMargin)
+	call, cancel := context.WithTimeout(ctx, f.readWait+callMargin)
 	defer cancel()
 	f.calls.Inc(1)
-	wait := readWait
+	wait := f.readWait
 	if f.away[topic].Load() {
 		// The end of an outage must be noticed at once, not with the next record.
 		wait = 0
@@ -275,12 +277,9 @@
 	}
 }
 
-// askPeers asks only while the store fails, or for a configuration that a peer
-// has in force and that the store should have sent by now.
+// askPeers takes records that a peer has and that the store should have sent
+// this router by now.
 func (f *Follower) askPeers(ctx context.Context, topic Topic) {
-	if topic == Endpoints && !f.away[topic].Load() {
-		return
-	}
 	records, err := f.peers.Records(ctx, topic, f.mirrors[topic].Next())
 	if err != nil {
 		if f.limiter.Allow(time.Now(), topic.String(), "peer") {
--- a/direct/process.go
+++ b/direct/process.go
@@ -170,7 +170,7 @@
 		p.dispatcher, versions, p.log, p.metrics)
 	p.mesh.Add(s.peerList()...)
 	p.follower = follow.New(follow.Options{
-		Store: p.options.Store, Decoder: p.options.Decoder, Peers: p.mesh,
+		ReadWait: s.StoreWait, Store: p.options.Store, Decoder: p.options.Decoder, Peers: p.mesh,
 		Routes: p.routes, Endpoints: p.endpoints, Log: p.log, Metrics: p.metrics,
 	})
 	p.follower.OnChange = p.changed
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -18,6 +18,7 @@
 	FleetListen       string        `flag:"fleet-listen" default:"127.0.0.1:0" usage:"address for other routers, TCP and UDP"`
 	MetricsListen     string        `flag:"metrics-listen" usage:"address of the metrics; empty for none"`
 	Peers             string        `flag:"peers" usage:"addresses of other routers, comma-separated"`
+	StoreWait         time.Duration `flag:"store-wait" default:"1200ms" usage:"how long the store holds a read; below the bounds on configuration and draining"`
 	DrainTimeout      time.Duration `flag:"drain-timeout" default:"15m" usage:"longest time of a planned stop"`
 	MemoryBytes       int64         `flag:"memory-bytes" default:"536870912" usage:"memory that this process may use, in bytes"`
 	Descriptors       int           `flag:"descriptors" default:"4096" usage:"file descriptors that this process may use"`
@@ -55,6 +56,9 @@
 	if s.DrainTimeout <= 0 {
 		faults = append(faults, errors.New("drain-timeout: must be positive"))
 	}
+	if s.StoreWait <= 0 {
+		faults = append(faults, errors.New("store-wait: must be positive"))
+	}
 	if s.RetryFraction < 0 || s.RetryFraction > 1 {
 		faults = append(faults, fmt.Errorf("retry-fraction: %v is not between 0 and 1", s.RetryFraction))
 	}
