--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -77,7 +77,6 @@
 	// runs counts the endpoints that may have run it.
 	runs    int
 	exclude []string
-	trail   []slog.Attr
 }
 
 // ServeHTTP implements http.Handler.
