--- a/coordination/endpointload/state.go
+++ b/coordination/endpointload/state.go
@@ -37,6 +37,8 @@
 
 // endpoint is the state of one endpoint at this router.
 type endpoint struct {
+	// hash stands for the endpoint in reports.
+	hash     uint64
 	started  time.Time
 	pending  int64
 	running  int
@@ -50,8 +52,8 @@
 	backoff   time.Duration
 }
 
-func newEndpoint(started time.Time) *endpoint {
-	return &endpoint{started: started, parts: map[uint64]time.Time{}}
+func newEndpoint(hash uint64, started time.Time) *endpoint {
+	return &endpoint{hash: hash, started: started, parts: map[uint64]time.Time{}}
 }
 
 func (e *endpoint) missing(now time.Time, shared []prompt.Part) int64 {
--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -17,10 +17,16 @@
 // peerLifetime is the silence after which a peer's load is forgotten.
 const peerLifetime = 1500 * time.Millisecond
 
+// forgetPeer is the silence after which a peer's sequence is forgotten.
+const forgetPeer = 30 * time.Second
+
 // Table is the state of all endpoints. It is not safe for concurrent use.
 type Table struct {
 	endpoints map[string]*endpoint
 	peers     map[string]*peer
+	// others sums the loads of all peers by endpoint, so that a view costs the
+	// same in a large fleet.
+	others map[uint64]Load
 	// defaultRate is used for an engine that was not yet observed.
 	defaultRate float64
 }
@@ -33,7 +39,7 @@
 
 // NewTable returns an empty table. defaultRate is in prompt tokens per ms.
 func NewTable(defaultRate float64) *Table {
-	return &Table{endpoints: map[string]*endpoint{}, peers: map[string]*peer{}, defaultRate: clampRate(defaultRate)}
+	return &Table{endpoints: map[string]*endpoint{}, peers: map[string]*peer{}, others: map[uint64]Load{}, defaultRate: clampRate(defaultRate)}
 }
 
 // SetDefaultRate sets the rate of engines that were not yet observed.
@@ -47,7 +53,7 @@
 func (t *Table) endpoint(id string) *endpoint {
 	e := t.endpoints[id]
 	if e == nil {
-		e = newEndpoint(time.Time{})
+		e = newEndpoint(Hash(id), time.Time{})
 		t.endpoints[id] = e
 	}
 	return e
@@ -97,15 +103,9 @@
 	if v.Rate == 0 {
 		v.Rate = t.defaultRate
 	}
-	hash := Hash(id)
-	for _, p := range t.peers {
-		if now.Sub(p.heard) > peerLifetime {
-			continue
-		}
-		l := p.loads[hash]
-		v.Pending += l.Pending
-		v.Running += l.Running
-	}
+	others := t.others[e.hash]
+	v.Pending += others.Pending
+	v.Running += others.Running
 	return v
 }
 
@@ -222,24 +222,45 @@
 	if sequence <= p.sequence {
 		return false
 	}
+	t.addOthers(p.loads, -1)
+	t.addOthers(loads, 1)
 	p.sequence, p.heard, p.loads = sequence, now, loads
 	return true
 }
 
+func (t *Table) addOthers(loads map[uint64]Load, sign int) {
+	for hash, l := range loads {
+		sum := t.others[hash]
+		sum.Pending += int64(sign) * l.Pending
+		sum.Running += sign * l.Running
+		if sum == (Load{}) {
+			delete(t.others, hash)
+		} else {
+			t.others[hash] = sum
+		}
+	}
+}
+
 // PlacedAt notes that a peer placed a part at an endpoint.
 func (t *Table) PlacedAt(now time.Time, hash, part uint64) {
-	for id, e := range t.endpoints {
-		if Hash(id) == hash {
+	for _, e := range t.endpoints {
+		if e.hash == hash {
 			e.remember(now, []prompt.Part{{Key: part}})
 			return
 		}
 	}
 }
 
-// ExpirePeers forgets peers that have long been silent.
+// ExpirePeers drops the loads of peers that are silent, and after a longer
+// silence the peers themselves.
 func (t *Table) ExpirePeers(now time.Time) {
 	for instance, p := range t.peers {
-		if now.Sub(p.heard) > 20*peerLifetime {
+		silence := now.Sub(p.heard)
+		if silence > peerLifetime {
+			t.addOthers(p.loads, -1)
+			p.loads = nil
+		}
+		if silence > forgetPeer {
 			delete(t.peers, instance)
 		}
 	}
--- a/direct/directtest/endpoint.go
+++ b/direct/directtest/endpoint.go
@@ -35,7 +35,7 @@
 }
 
 // NewEndpoint starts an endpoint that ends with the test.
-func NewEndpoint(t *testing.T, script Script) *Endpoint {
+func NewEndpoint(t testing.TB, script Script) *Endpoint {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -267,24 +268,15 @@
 	if len(job.Exclude) == 0 {
 		return ready
 	}
-	kept := ready[:0]
+	kept := make([]registry.Endpoint, 0, len(ready))
 	for _, e := range ready {
-		if !contains(job.Exclude, e.ID) {
+		if !slices.Contains(job.Exclude, e.ID) {
 			kept = append(kept, e)
 		}
 	}
 	return kept
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Plain places a request for a plain service: the endpoint with the least
 // work in progress, with a price for failures and for another zone.
 func (d *Dispatcher) Plain(now time.Time, job *Job) (*Assignment, *Refusal) {
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -32,7 +32,7 @@
 
 // router is a traffic interface in front of scripted endpoints.
 type router struct {
-	t         *testing.T
+	t         testing.TB
 	handler   *entry.Handler
 	endpoints *registry.Table
 	server    *httptest.Server
@@ -63,7 +63,7 @@
 	}
 }
 
-func newRouter(t *testing.T) *router {
+func newRouter(t testing.TB) *router {
 	t.Helper()
 	r := &router{t: t, endpoints: registry.NewTable()}
 	table, err := routing.Compile(config())
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -265,9 +265,9 @@
 }
 
 // refuse answers a request that certainly has not run.
-func (r *request) refuse(status int, reason string, retryAfter time.Duration) {
+func (r *request) refuse(status int, reason string, retryAfter time.Duration, inputs ...slog.Attr) {
 	r.h.Metrics.Refused.Inc(1)
-	r.finish(status, outcome.New(outcome.NotRun, status, r.id, reason), retryAfter)
+	r.finish(status, outcome.New(outcome.NotRun, status, r.id, reason), retryAfter, inputs...)
 }
 
 // fail answers a request that may have run.
@@ -276,14 +276,14 @@
 	r.finish(status, outcome.New(kind, status, r.id, reason), 0)
 }
 
-func (r *request) finish(status int, o outcome.Outcome, retryAfter time.Duration) {
+func (r *request) finish(status int, o outcome.Outcome, retryAfter time.Duration, inputs ...slog.Attr) {
 	if retryAfter > 0 {
 		r.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	if r.id != "" {
 		r.w.Header().Set(r.h.Dialect.RequestID, r.id)
 	}
-	r.logEnd(status, o.Reason, slog.Duration("retry_after", retryAfter))
+	r.logEnd(status, o.Reason, append(inputs, slog.Int64("retry_after_ms", retryAfter.Milliseconds()))...)
 	if err := o.Write(r.w); err != nil {
 		r.h.Log.Debug("caller left before its answer", "request", r.id, "error", err.Error())
 	}
--- a/direct/entry/log.go
+++ b/direct/entry/log.go
@@ -23,11 +23,11 @@
 	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "request ended", append(attrs, more...)...)
 }
 
-// logRefusal writes the inputs of the decision that no endpoint takes a request.
-func (r *request) logRefusal(refusal *dispatch.Refusal) {
-	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "no endpoint takes the request",
-		slog.String("request", r.id), slog.String("service", r.service.Name), slog.String("team", r.team),
-		slog.String("reason", string(refusal.Reason)), slog.Float64("allowance", refusal.Allowance),
+// refusalInputs are the inputs of the decision that no endpoint takes a request.
+func (r *request) refusalInputs(refusal *dispatch.Refusal) []slog.Attr {
+	return []slog.Attr{
+		slog.String("service", r.service.Name), slog.Float64("allowance", refusal.Allowance),
 		slog.Int64("excess_ms", refusal.Waiting.Milliseconds()), slog.Int("candidates", refusal.Candidates),
-		slog.Int64("units", r.cost.Units()))
+		slog.Int64("units", r.cost.Units()),
+	}
 }
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -84,7 +84,6 @@
 
 // noPlace answers a request that no endpoint takes.
 func (r *request) noPlace(refusal *dispatch.Refusal) {
-	r.logRefusal(refusal)
 	if r.runs > 0 {
 		r.giveUp("no other endpoint takes the request")
 		return
@@ -93,7 +92,7 @@
 	if refusal.Reason == dispatch.OverShare {
 		status = http.StatusTooManyRequests
 	}
-	r.refuse(status, string(refusal.Reason), refusal.RetryAfter)
+	r.refuse(status, string(refusal.Reason), refusal.RetryAfter, r.refusalInputs(refusal)...)
 }
 
 // sendPatiently cuts the wait of a request that another endpoint may run as
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -32,6 +32,9 @@
 	// peerInterval is the interval at which peers are asked for what they know
 	// and this router doesn't.
 	peerInterval = 200 * time.Millisecond
+	// readerInterval is the interval at which a router that leaves the reading
+	// to others looks whether it still may.
+	readerInterval = 100 * time.Millisecond
 	// announceInterval is the pause before a failed announcement is repeated.
 	announceInterval = 2 * time.Second
 )
@@ -56,8 +59,12 @@
 	mirrors [2]*mirror.Topic
 	// away counts the topics whose latest call to the store failed.
 	away [2]atomic.Bool
-	// listed is set once a topic was read as a whole.
+	// listed is set while a topic can be read on from what the mirror knows.
 	listed [2]atomic.Bool
+	// known is set once a topic was taken as a whole, from the store or a peer.
+	known [2]atomic.Bool
+	// reading is set while the store answers this router's reads of a topic.
+	reading [2]atomic.Bool
 }
 
 // Options are the collaborators of a Follower.
@@ -90,7 +97,12 @@
 func (f *Follower) Mirror(topic Topic) *mirror.Topic { return f.mirrors[topic] }
 
 // Ready reports whether a configuration is in force and the endpoints are known.
-func (f *Follower) Ready() bool { return f.routes.Current() != nil && f.listed[Endpoints].Load() }
+func (f *Follower) Ready() bool { return f.routes.Current() != nil && f.known[Endpoints].Load() }
+
+// ReadsStore reports whether this router itself follows the store now.
+func (f *Follower) ReadsStore() bool {
+	return f.reading[Configuration].Load() && f.reading[Endpoints].Load()
+}
 
 // Run follows the store and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -101,17 +113,22 @@
 	return group.Wait()
 }
 
-// followTopic lists a topic and then reads on from there.
+// followTopic lists a topic and then reads on from there, while this router
+// is one that reads the store.
 func (f *Follower) followTopic(ctx context.Context, topic Topic) error {
 	backoff := firstBackoff
-	next := int64(-1)
 	for ctx.Err() == nil {
+		if f.listed[topic].Load() && !f.peers.Reader() {
+			f.reading[topic].Store(false)
+			pause(ctx, readerInterval)
+			continue
+		}
 		began := time.Now()
 		var err error
-		if next < 0 {
-			next, err = f.list(ctx, topic)
+		if f.listed[topic].Load() {
+			err = f.read(ctx, topic)
 		} else {
-			next, err = f.read(ctx, topic, next)
+			err = f.list(ctx, topic)
 		}
 		switch {
 		case err == nil:
@@ -119,8 +136,8 @@
 			backoff = firstBackoff
 			pause(ctx, readInterval-time.Since(began))
 		case errors.Is(err, ErrForgotten):
-			f.log.Info("the store dropped records; listing the topic again", "topic", topic.String(), "from", next)
-			next = -1
+			f.log.Info("the store dropped records; listing the topic again", "topic", topic.String())
+			f.listed[topic].Store(false)
 		default:
 			f.storeLost(topic, err)
 			pause(ctx, time.Duration((0.5+rand.Float64())*float64(backoff)))
@@ -142,22 +159,23 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context, topic Topic) (int64, error) {
+func (f *Follower) list(ctx context.Context, topic Topic) error {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.calls.Inc(1)
 	records, next, err := f.store.List(call, topic)
 	if err != nil {
-		return -1, err
+		return err
 	}
 	removals := f.mirrors[topic].Missing(records, next)
 	f.Apply(topic, append(records, removals...))
 	f.mirrors[topic].Skip(next)
 	f.listed[topic].Store(true)
-	return next, nil
+	f.known[topic].Store(true)
+	return nil
 }
 
-func (f *Follower) read(ctx context.Context, topic Topic, from int64) (int64, error) {
+func (f *Follower) read(ctx context.Context, topic Topic) error {
 	call, cancel := context.WithTimeout(ctx, f.readWait+callMargin)
 	defer cancel()
 	f.calls.Inc(1)
@@ -166,13 +184,13 @@
 		// The end of an outage must be noticed at once, not with the next record.
 		wait = 0
 	}
-	records, next, err := f.store.Read(call, topic, from, wait)
+	records, next, err := f.store.Read(call, topic, f.mirrors[topic].Next(), wait)
 	if err != nil {
-		return from, err
+		return err
 	}
 	f.Apply(topic, records)
 	f.mirrors[topic].Skip(next)
-	return next, nil
+	return nil
 }
 
 // Apply takes records from the store or from a peer.
@@ -246,6 +264,7 @@
 	if topic == Endpoints {
 		f.endpoints.StoreLost()
 	}
+	f.reading[topic].Store(false)
 	if !f.away[topic].Swap(true) {
 		f.log.Warn("the store does not answer", "topic", topic.String(), "error", err.Error())
 	}
@@ -255,6 +274,7 @@
 	if topic == Endpoints {
 		f.endpoints.StoreBack(time.Now())
 	}
+	f.reading[topic].Store(true)
 	if f.away[topic].Swap(false) {
 		f.log.Info("the store answers again", "topic", topic.String())
 	}
@@ -280,7 +300,7 @@
 // askPeers takes records that a peer has and that the store should have sent
 // this router by now.
 func (f *Follower) askPeers(ctx context.Context, topic Topic) {
-	records, err := f.peers.Records(ctx, topic, f.mirrors[topic].Next())
+	records, next, err := f.peers.Records(ctx, topic, f.mirrors[topic].Next())
 	if err != nil {
 		if f.limiter.Allow(time.Now(), topic.String(), "peer") {
 			f.log.Warn("a peer did not send its records", "topic", topic.String(), "error", err.Error())
@@ -290,8 +310,9 @@
 	if len(records) > 0 {
 		f.log.Info("records taken from a peer", "topic", topic.String(), "records", len(records))
 		f.Apply(topic, records)
-		f.listed[topic].Store(true)
+		f.known[topic].Store(true)
 	}
+	f.mirrors[topic].Skip(next)
 }
 
 // Announce writes this router's address to the store, until it is acknowledged.
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -19,16 +19,21 @@
 )
 
 // peers stands for the other routers; they know what store holds.
-type peers struct{ store *directtest.Store }
+type peers struct {
+	store *directtest.Store
+	// relied is set if this router leaves the reading to them.
+	relied bool
+}
 
-func (p peers) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, error) {
+func (p peers) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, int64, error) {
 	if p.store == nil {
-		return nil, nil
+		return nil, next, nil
 	}
-	records, _, err := p.store.Read(ctx, topic, max(next, 0), 0)
-	return records, err
+	return p.store.Read(ctx, topic, next, 0)
 }
 
+func (p peers) Reader() bool { return !p.relied }
+
 const readWait = 1200 * time.Millisecond
 
 type fixture struct {
@@ -40,11 +45,15 @@
 
 // play runs a follower in a bubble of fake time.
 func play(t *testing.T, others *directtest.Store, test func(f *fixture)) {
+	playAs(t, others, false, test)
+}
+
+func playAs(t *testing.T, others *directtest.Store, relied bool, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{store: directtest.NewStore(), routes: &routing.Store{}, endpoints: registry.NewTable()}
 		f.follower = follow.New(follow.Options{
 			ReadWait: readWait,
-			Store:    f.store, Decoder: directtest.Decoder{}, Peers: peers{others}, Routes: f.routes,
+			Store:    f.store, Decoder: directtest.Decoder{}, Peers: peers{store: others, relied: relied}, Routes: f.routes,
 			Endpoints: f.endpoints, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -186,6 +195,25 @@
 	})
 }
 
+// Guards against a large fleet in which every router pays for its own reads,
+// and against records that come late to those that don't read.
+func TestRouterThatReliesOnReadersDoesNotCallTheStore(t *testing.T) {
+	others := directtest.NewStore()
+	playAs(t, others, true, func(f *fixture) {
+		f.store.Append(follow.Configuration, "config", config(1))
+		others.Append(follow.Configuration, "config", config(1))
+		time.Sleep(time.Second)
+		must.Eq(t, 1, f.version())
+		others.Append(follow.Configuration, "config", config(2))
+		others.Append(follow.Endpoints, "a", endpoint("a"))
+		time.Sleep(300 * time.Millisecond)
+		must.Eq(t, 2, f.version())
+		must.Eq(t, 1, f.ready())
+		must.Eq(t, 0, f.store.Reads())
+		must.False(t, f.follower.ReadsStore())
+	})
+}
+
 // Guards against polling: calls to the store are paid for.
 func TestQuietStoreIsReadRarely(t *testing.T) {
 	play(t, nil, func(f *fixture) {
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -50,7 +50,9 @@
 
 // Peers gives access to other routers' mirrors.
 type Peers interface {
-	// Records returns what a peer that knows more than next has from next on.
-	// Without such a peer it returns nothing.
-	Records(ctx context.Context, topic Topic, next int64) ([]mirror.Record, error)
+	// Records returns what a peer that knows more than next has from next on,
+	// and the offset after it. Without such a peer it returns nothing and next.
+	Records(ctx context.Context, topic Topic, next int64) ([]mirror.Record, int64, error)
+	// Reader reports whether this router should read the store itself.
+	Reader() bool
 }
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
+	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
@@ -75,6 +77,8 @@
 type Versions struct {
 	ConfigVersion func() uint64
 	Mirror        func(follow.Topic) *mirror.Topic
+	// ReadsStore reports whether this router reads the store itself now.
+	ReadsStore func() bool
 }
 
 type peer struct {
@@ -82,6 +86,7 @@
 	// learned is when the address became known, heard the latest report.
 	learned, heard time.Time
 	next           [2]int64
+	readsStore     bool
 }
 
 // New returns a mesh that sends and receives on conn. address is where other
@@ -262,7 +267,7 @@
 	m.mu.Unlock()
 	message := &fleetpb.LoadReport{
 		Instance: m.instance, Address: m.address, Sequence: sequence, Leaving: leaving,
-		ConfigVersion: m.versions.ConfigVersion(),
+		ConfigVersion: m.versions.ConfigVersion(), ReadsStore: m.versions.ReadsStore(),
 		ConfigNext:    m.versions.Mirror(follow.Configuration).Next(),
 		EndpointsNext: m.versions.Mirror(follow.Endpoints).Next(),
 	}
@@ -321,6 +326,7 @@
 	if p := m.peers[report.Address]; p != nil {
 		p.heard = now
 		p.next = [2]int64{report.ConfigNext, report.EndpointsNext}
+		p.readsStore = report.ReadsStore && !report.Leaving
 	}
 	m.mu.Unlock()
 	m.dispatcher.Learn(now, decode(&report))
@@ -345,25 +351,66 @@
 }
 
 // Records implements follow.Peers.
-func (m *Mesh) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, error) {
+func (m *Mesh) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, int64, error) {
 	address := m.ahead(topic, next)
 	if address == "" {
-		return nil, nil
+		return nil, next, nil
 	}
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	client := fleetpb.NewMirrorProtobufClient("http://"+address, m.client)
 	reply, err := client.FetchRecords(call, &fleetpb.RecordsRequest{Topic: wireTopic(topic), From: next})
 	if err != nil {
-		return nil, eris.Wrapf(err, "fetch records from %s", address)
+		return nil, next, eris.Wrapf(err, "fetch records from %s", address)
 	}
 	records := make([]mirror.Record, 0, len(reply.Records))
 	for _, r := range reply.Records {
 		records = append(records, mirror.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
-	return records, nil
+	return records, max(reply.Next, next), nil
 }
 
+const (
+	// readers is the number of routers of a large fleet that read the store
+	// for all. Two may fail at once.
+	readers = 3
+	// enoughReaders is the number of heard readers on which a router relies.
+	enoughReaders = 2
+	// smallFleet is the number of routers up to which all read the store.
+	smallFleet = 8
+	// readerSilence is the silence after which a router no longer relies on a
+	// reader; reports come at least every 400 ms.
+	readerSilence = time.Second
+)
+
+// Reader implements follow.Peers: whether this router should read the store
+// itself. In a large fleet a few routers, the same ones in every router's view,
+// read for all, since calls to the store are paid for.
+func (m *Mesh) Reader() bool {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fleet := []string{m.address}
+	reading := 0
+	for address, p := range m.peers {
+		if now.Sub(p.heard) > readerSilence {
+			continue
+		}
+		fleet = append(fleet, address)
+		if p.readsStore {
+			reading++
+		}
+	}
+	if len(fleet) <= smallFleet || reading < enoughReaders {
+		return true
+	}
+	ranked := rendezvous.Rank(readersKey, fleet)
+	return slices.Contains(ranked[:readers], m.address)
+}
+
+// readersKey is the rendezvous key of the readers of the store.
+const readersKey = "store-readers"
+
 // ahead returns one of the peers that know more than next, at random.
 func (m *Mesh) ahead(topic follow.Topic, next int64) string {
 	now := time.Now()
--- a/direct/mesh/server.go
+++ b/direct/mesh/server.go
@@ -29,8 +29,9 @@
 	default:
 		return nil, twirp.InvalidArgumentError("topic", "is unknown")
 	}
-	reply := &fleetpb.RecordsReply{}
-	for _, r := range s.versions.Mirror(topic).Since(in.From) {
+	mirror := s.versions.Mirror(topic)
+	reply := &fleetpb.RecordsReply{Next: mirror.Next()}
+	for _, r := range mirror.Since(in.From) {
 		reply.Records = append(reply.Records, &fleetpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
 	return reply, nil
--- a/direct/process.go
+++ b/direct/process.go
@@ -165,7 +165,8 @@
 		MaxHeldBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
 		Room:         int64(s.Descriptors-reservedDescriptors) / 3,
 	}
-	versions := mesh.Versions{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) }}
+	versions := mesh.Versions{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) },
+		ReadsStore: func() bool { return p.follower.ReadsStore() }}
 	p.mesh = mesh.New(fleetrpc.NewInstance(), p.listeners.fleet.Addr().String(), p.listeners.datagrams,
 		p.dispatcher, versions, p.log, p.metrics)
 	p.mesh.Add(s.peerList()...)
--- a/observability/bounded.go
+++ b/observability/bounded.go
@@ -10,8 +10,12 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// asyncLines is the number of lines that wait for a slow output.
-const asyncLines = 4096
+const (
+	// asyncLines is the number of lines that wait for a slow output.
+	asyncLines = 4096
+	// asyncBatch is the size in bytes up to which waiting lines share a write.
+	asyncBatch = 32 << 10
+)
 
 // AsyncWriter writes lines without blocking its callers; lines beyond
 // asyncLines are dropped and counted.
@@ -25,16 +29,24 @@
 // NewAsyncWriter returns a writer to w; Close flushes it.
 func NewAsyncWriter(w io.Writer) *AsyncWriter {
 	a := &AsyncWriter{lines: make(chan []byte, asyncLines), done: make(chan struct{}), Dropped: metrics.NewCounter()}
-	go func() {
-		defer close(a.done)
-		for line := range a.lines {
-			// An output that fails can't be reported anywhere.
-			_, _ = w.Write(line)
-		}
-	}()
+	go a.copyTo(w)
 	return a
 }
 
+// copyTo writes the lines that wait together.
+func (a *AsyncWriter) copyTo(w io.Writer) {
+	defer close(a.done)
+	var batch []byte
+	for line := range a.lines {
+		batch = append(batch[:0], line...)
+		for len(batch) < asyncBatch && len(a.lines) > 0 {
+			batch = append(batch, <-a.lines...)
+		}
+		// An output that fails can't be reported anywhere.
+		_, _ = w.Write(batch)
+	}
+}
+
 // Write implements io.Writer. It never blocks.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	copied := make([]byte, len(line))
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -53,6 +53,8 @@
 	// recovered is the end of the latest outage of the store.
 	recovered time.Time
 	outage    bool
+	// ready caches the lists that Ready returns; a change empties it.
+	ready map[string][]Endpoint
 }
 
 type entry struct {
@@ -68,6 +70,10 @@
 func (t *Table) Put(e Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	known := t.endpoints[e.ID]
+	if known == nil || known.endpoint != e {
+		t.ready = nil
+	}
 	t.endpoints[e.ID] = &entry{endpoint: e}
 }
 
@@ -85,6 +91,7 @@
 		}
 		return
 	}
+	t.ready = nil
 	delete(t.endpoints, id)
 }
 
@@ -115,22 +122,31 @@
 	defer t.mu.Unlock()
 	for id, e := range t.endpoints {
 		if !e.removeAt.IsZero() && now.After(e.removeAt) {
+			t.ready = nil
 			delete(t.endpoints, id)
 		}
 	}
 }
 
-// Ready returns the endpoints of a service that take work, ordered by ID.
+// Ready returns the endpoints of a service that take work, ordered by ID. The
+// list is shared and must not be changed.
 func (t *Table) Ready(service string) []Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []Endpoint
+	if list, ok := t.ready[service]; ok {
+		return list
+	}
+	if t.ready == nil {
+		t.ready = map[string][]Endpoint{}
+	}
+	list := []Endpoint{}
 	for _, e := range t.endpoints {
 		if e.endpoint.Service == service && e.endpoint.State == Ready {
 			list = append(list, e.endpoint)
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	t.ready[service] = list
 	return list
 }
 
