--- /dev/null
+++ b/direct/dispatch/bench_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
+	"github.com/acaciaspar/acaciaspar/coordination/placement"
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+// BenchmarkDecision measures one refused placement among 55 engines with 29
+// peers, the size of the grown deployments.
+func BenchmarkDecision(b *testing.B) {
+	table := registry.NewTable()
+	loads := map[uint64]endpointload.Load{}
+	for i := range 55 {
+		id := fmt.Sprintf("e%d", i)
+		table.Put(registry.Endpoint{ID: id, Service: "s", Slots: 64})
+		loads[endpointload.Hash(id)] = endpointload.Load{Pending: 1000, Running: 2}
+	}
+	d := New("z", table, placement.DefaultPolicy(), retry.DefaultLimits())
+	d.SetCapacity(1e6, 55)
+	now := time.Now()
+	teams := map[uint64]fairshare.Usage{}
+	for i := range 30 {
+		teams[TeamHash(fmt.Sprint(i))] = fairshare.Usage{Asked: 100000, Started: 80000}
+	}
+	for i := range 29 {
+		d.Learn(now, PeerReport{Instance: fmt.Sprint(i), Sequence: 1, Loads: loads, Teams: teams})
+	}
+	job := &Job{Service: "s", Team: "1", Cost: prompt.Parse("aa:500,bb:5000,cc:600", "6100,300", ""), Target: time.Second}
+	for b.Loop() {
+		if _, refusal := d.Engine(now, job); refusal == nil {
+			b.Fatal("placed")
+		}
+	}
+}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -51,6 +51,9 @@
 	level     int64
 	levelTime time.Time
 	placed    []Placed
+	// candidateRoom and usableRoom are reused by each placement.
+	candidateRoom []placement.Candidate
+	usableRoom    []int
 }
 
 type team struct {
@@ -164,14 +167,13 @@
 
 // Engine places a request for a model engine.
 func (d *Dispatcher) Engine(now time.Time, job *Job) (*Assignment, *Refusal) {
-	endpoints := d.candidates(job)
+	endpoints := d.ready(job)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	allowance := d.allowance(now, job.Team)
 	home := homeOf(job.Cost.Affinity(), endpoints)
-	candidates := make([]placement.Candidate, 0, len(endpoints))
-	usable := make([]registry.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
+	candidates, usable := d.candidateRoom[:0], d.usableRoom[:0]
+	for i, e := range endpoints {
 		v := d.loads.View(now, e.ID, job.Cost.Shared)
 		if !v.Usable {
 			continue
@@ -179,12 +181,13 @@
 		if e.ID == home {
 			v.Missing = 0
 		}
-		usable = append(usable, e)
+		usable = append(usable, i)
 		candidates = append(candidates, placement.Candidate{
 			ID: e.ID, Pending: v.Pending, Running: v.Running, Slots: e.Slots, Missing: v.Missing,
 			Rate: v.Rate, SameZone: e.Zone == d.zone, Suspect: v.Suspect,
 		})
 	}
+	d.candidateRoom, d.usableRoom = candidates, usable
 	if len(candidates) == 0 {
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointPause, Allowance: allowance}
 	}
@@ -193,7 +196,7 @@
 	if !ok {
 		return nil, refuse(allowance, wait, len(candidates))
 	}
-	chosen := usable[index]
+	chosen := endpoints[usable[index]]
 	if chosen.ID != home && job.Cost.Affinity() != 0 {
 		d.notePlaced(chosen.ID, job.Cost)
 	}
@@ -263,7 +266,7 @@
 	}
 }
 
-func (d *Dispatcher) candidates(job *Job) []registry.Endpoint {
+func (d *Dispatcher) ready(job *Job) []registry.Endpoint {
 	ready := d.registry.Ready(job.Service)
 	if len(job.Exclude) == 0 {
 		return ready
@@ -280,7 +283,7 @@
 // Plain places a request for a plain service: the endpoint with the least
 // work in progress, with a price for failures and for another zone.
 func (d *Dispatcher) Plain(now time.Time, job *Job) (*Assignment, *Refusal) {
-	endpoints := d.candidates(job)
+	endpoints := d.ready(job)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	best, bestScore, usable := -1, 0.0, 0
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -36,8 +36,15 @@
 	handler   *entry.Handler
 	endpoints *registry.Table
 	server    *httptest.Server
+	overload  overload
 }
 
+// overload is an entry.Overload that a test sets.
+type overload struct{ shed, crowded atomic.Bool }
+
+func (o *overload) Shed() bool    { return o.shed.Load() }
+func (o *overload) Crowded() bool { return o.crowded.Load() }
+
 func route(name, path string, semantics routing.Semantics, service string) routing.Route {
 	return routing.Route{
 		Name: name, Host: "shop.example", PathPrefix: path, Semantics: semantics, Attempts: 2, Public: name == "public",
@@ -74,9 +81,11 @@
 		Routes: routes, Dialect: headers, Log: slog.New(slog.DiscardHandler),
 		Dispatcher: dispatch.New("z", r.endpoints, placement.DefaultPolicy(), retry.Limits{Floor: 100, Fraction: 0.2}),
 		Pool:       endpointhttp.NewPool(time.Second), Metrics: entry.NewMetrics(metrics.NewRegistry()),
-		MaxHeldBytes: 8 << 20, Room: 100,
+		MaxHeldBytes: 8 << 20, Room: 100, Overload: &r.overload,
 	}
-	r.server = httptest.NewServer(r.handler)
+	r.server = httptest.NewUnstartedServer(r.handler)
+	r.server.Config.ConnContext = entry.ConnContext
+	r.server.Start()
 	t.Cleanup(r.server.Close)
 	return r
 }
@@ -434,3 +443,41 @@
 	must.Eq(t, "outer", e.Calls()[0].ID())
 	must.Eq(t, inner, e.Calls()[0].BodyText)
 }
+
+// Guards against a busy router that sends on requests whose callers have left
+// while they waited to be read.
+func TestCallerThatHungUpIsNotServed(t *testing.T) {
+	r := newRouter(t)
+	e := r.add("e1", "plain", ok)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp4", l.Addr().String())
+	must.NoError(t, err)
+	conn, err := l.Accept()
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, caller.Close())
+	time.Sleep(50 * time.Millisecond)
+	in := r.request(http.MethodPost, "/order/1", "x")
+	in.RequestURI = "/order/1"
+	in = in.WithContext(entry.ConnContext(t.Context(), conn))
+	func() {
+		defer func() { must.Eq[any](t, http.ErrAbortHandler, recover()) }()
+		r.handler.ServeHTTP(httptest.NewRecorder(), in)
+	}()
+	must.Len(t, 0, e.Calls())
+}
+
+// Guards against an overloaded router that works on more than it can finish.
+func TestOverloadedRouterRefusesAtOnce(t *testing.T) {
+	r := newRouter(t)
+	e := r.add("e1", "plain", ok)
+	r.overload.shed.Store(true)
+	r.overload.crowded.Store(true)
+	got := r.post("/order/1")
+	must.Eq(t, http.StatusServiceUnavailable, got.status)
+	must.NotEq(t, "", got.header.Get("Retry-After"))
+	must.True(t, got.closed)
+	must.Len(t, 0, e.Calls())
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
+	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
 )
 
 const (
@@ -47,12 +49,30 @@
 	MaxHeldBytes int64
 	// Room bounds the requests in progress.
 	Room int64
+	// Overload says how short of time and descriptors the process is.
+	Overload Overload
 
 	held     atomic.Int64
 	inFlight atomic.Int64
 	drain    drainState
 }
 
+// Overload says how short of time and descriptors the process is.
+type Overload interface {
+	// Shed decides whether to refuse a request without reading it whole.
+	Shed() bool
+	// Crowded reports whether many connections are open.
+	Crowded() bool
+}
+
+type connKey struct{}
+
+// ConnContext keeps the caller's connection for its requests; it belongs into
+// the http.Server that serves the handler.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -88,8 +108,9 @@
 	if h.drain.started() {
 		w.Header().Set("Connection", "close")
 	}
-	if n > h.Room {
-		r.refuse(http.StatusServiceUnavailable, "too many requests in progress", notReadyPause)
+	if n > h.Room || h.Overload.Shed() {
+		h.Metrics.Shed.Inc(1)
+		r.refuse(http.StatusServiceUnavailable, "the router is overloaded", notReadyPause)
 		return
 	}
 	if !r.resolve() {
@@ -102,6 +123,9 @@
 		return
 	}
 	defer h.held.Add(-int64(len(r.body)))
+	if r.hungUp() {
+		r.callerLeft(errHungUp)
+	}
 	r.forward()
 }
 
@@ -193,7 +217,7 @@
 	control := http.NewResponseController(r.w)
 	// A server without read deadlines still has the limit of the request's context.
 	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyTimeout), r.deadline))
-	body, err := io.ReadAll(io.LimitReader(r.in.Body, limit+1))
+	body, err := readAll(r.in.Body, r.in.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		r.bodyFailed(err)
@@ -208,6 +232,17 @@
 	return true
 }
 
+// readAll reads a body of a stated or, if length is negative, unknown length.
+// It reads at most one byte more than limit.
+func readAll(in io.Reader, length, limit int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(in, limit+1))
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(in, body)
+	return body, err
+}
+
 // defaultBodyBytes bounds a body where the configuration states no limit.
 const defaultBodyBytes = 4 << 20
 
@@ -264,6 +299,15 @@
 	}
 }
 
+var errHungUp = errors.New("the caller closed the connection before its request was placed")
+
+// hungUp looks at the caller's connection itself: on a busy host the server
+// notices its end only later than the request is sent on.
+func (r *request) hungUp() bool {
+	c, ok := r.in.Context().Value(connKey{}).(net.Conn)
+	return ok && sockpeek.Look(c) == sockpeek.Closed
+}
+
 // refuse answers a request that certainly has not run.
 func (r *request) refuse(status int, reason string, retryAfter time.Duration, inputs ...slog.Attr) {
 	r.h.Metrics.Refused.Inc(1)
@@ -277,6 +321,9 @@
 }
 
 func (r *request) finish(status int, o outcome.Outcome, retryAfter time.Duration, inputs ...slog.Attr) {
+	if r.h.Overload.Crowded() {
+		r.w.Header().Set("Connection", "close")
+	}
 	if retryAfter > 0 {
 		r.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
--- a/direct/entry/metrics.go
+++ b/direct/entry/metrics.go
@@ -14,6 +14,8 @@
 	Failed     metrics.Counter
 	CallerGone metrics.Counter
 	Resumed    metrics.Counter
+	// Shed counts the requests refused for want of processor time or room.
+	Shed metrics.Counter
 	// Latency is the time to the end of the answer, FirstEvent to a stream's
 	// first event, both in nanoseconds.
 	Latency    metrics.Timer
@@ -31,6 +33,7 @@
 		Failed:     counter("failed"),
 		CallerGone: counter("caller_gone"),
 		Resumed:    counter("resumed"),
+		Shed:       counter("shed"),
 		Latency:    metrics.GetOrRegisterTimer("direct.latency", registry),
 		FirstEvent: metrics.GetOrRegisterTimer("direct.first_event", registry),
 	}
--- a/direct/listener.go
+++ b/direct/listener.go
@@ -1,25 +1,47 @@
 package direct
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/acaciaspar/acaciaspar/direct/overload"
 )
 
 // callerShare is the part of the descriptors that callers' connections may
 // use; a request needs one more towards an endpoint.
 const callerShare = 2
 
+// crowdedShare is the part of the room for callers beyond which refused
+// callers lose their connections.
+const crowdedShare = 4
+
 // boundedListener closes connections beyond a limit at once, so that the
-// process never runs out of descriptors.
+// process never runs out of descriptors, and those that it has no time for, so
+// that the others are answered in time.
 type boundedListener struct {
 	net.Listener
-	room chan struct{}
+	room    chan struct{}
+	monitor *overload.Monitor
+	shed    metrics.Counter
 }
 
-func limitListener(l net.Listener, descriptors int) net.Listener {
-	return &boundedListener{Listener: l, room: make(chan struct{}, max(descriptors/callerShare, 1))}
+func limitListener(l net.Listener, descriptors int, monitor *overload.Monitor, registry metrics.Registry) *boundedListener {
+	return &boundedListener{
+		Listener: l, room: make(chan struct{}, max(descriptors/callerShare, 1)), monitor: monitor,
+		shed: metrics.GetOrRegisterCounter("direct.connections_shed", registry),
+	}
 }
 
+// Shed implements entry.Overload.
+func (l *boundedListener) Shed() bool { return l.monitor.Shed() }
+
+// Crowded implements entry.Overload.
+func (l *boundedListener) Crowded() bool { return len(l.room) > cap(l.room)/crowdedShare }
+
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
@@ -27,10 +49,16 @@
 		if err != nil {
 			return nil, err
 		}
+		if l.monitor.Shed() {
+			l.shed.Inc(1)
+			_ = c.Close()
+			continue
+		}
 		select {
 		case l.room <- struct{}{}:
 			return &boundedConn{Conn: c, release: sync.OnceFunc(func() { <-l.room })}, nil
 		default:
+			l.shed.Inc(1)
 			_ = c.Close()
 		}
 	}
@@ -46,3 +74,12 @@
 	c.release()
 	return c.Conn.Close()
 }
+
+// SyscallConn implements syscall.Conn, for looks at the socket.
+func (c *boundedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -235,7 +235,7 @@
 		if now.Sub(p.heard) < countedFor {
 			routers++
 		}
-		if now.Sub(p.heard) < silentAfter || sequence%silentEvery == 1 {
+		if silence < silentAfter || sequence%silentEvery == 1 {
 			targets = append(targets, p.address)
 		}
 	}
--- a/direct/process.go
+++ b/direct/process.go
@@ -22,6 +22,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/entry"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/mesh"
+	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
@@ -45,8 +46,6 @@
 	sweepInterval = time.Second
 	// reservedDescriptors are kept for files, the store and other routers.
 	reservedDescriptors = 300
-	// collectPercent keeps the heap near the live data: memory is paid for.
-	collectPercent = 60
 	// memoryFraction is the part of the memory that the Go runtime may use;
 	// the rest is for received bytes in the kernel.
 	memoryFraction = 0.6
@@ -91,6 +90,7 @@
 	follower   *follow.Follower
 	mesh       *mesh.Mesh
 	listeners  listeners
+	monitor    overload.Monitor
 	stopping   chan struct{}
 }
 
@@ -106,7 +106,6 @@
 		return err
 	}
 	defer closeLog()
-	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(options.Settings.MemoryBytes)))
 	p.log.Info("start", "name", options.Settings.Name, "zone", options.Settings.Zone,
 		"traffic", p.listeners.traffic.Addr().String(), "ready", p.listeners.ready.Addr().String(),
@@ -207,14 +206,19 @@
 	group, ctx := errgroup.WithContext(ctx)
 	traffic := &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
+		ConnContext: entry.ConnContext,
+		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
 	}
-	serve(ctx, group, traffic, limitListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors))
+	listener := limitListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, p.metrics)
+	p.handler.Overload = listener
+	serve(ctx, group, traffic, listener)
 	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
 	serve(ctx, group, p.server(p.mesh.Handler()), p.listeners.fleet)
 	if p.listeners.metrics != nil {
 		serve(ctx, group, p.server(observability.Handler(p.metrics)), p.listeners.metrics)
 	}
+	group.Go(func() error { observability.ManageHeap(ctx); return ctx.Err() })
+	group.Go(func() error { return p.monitor.Run(ctx) })
 	group.Go(func() error { return p.follower.Run(ctx) })
 	group.Go(func() error { return p.mesh.Send(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
@@ -305,6 +309,7 @@
 			idle, dialed := p.pool.Stats()
 			metrics.GetOrRegisterGauge("direct.idle_connections", p.metrics).Update(int64(idle))
 			metrics.GetOrRegisterGauge("direct.connections_opened", p.metrics).Update(int64(dialed))
+			metrics.GetOrRegisterGauge("direct.lateness_ms", p.metrics).Update(p.monitor.Lateness().Milliseconds())
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
 	}
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
 )
 
 const (
@@ -62,25 +64,7 @@
 
 // quiet reports whether an idle connection is open and has no unread bytes.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, errno := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errno == unix.EAGAIN
-		return true
-	})
-	return err == nil && open
+	return c.reader.Buffered() == 0 && sockpeek.Look(c.Conn) == sockpeek.Quiet
 }
 
 // idleLimit reads the timeout of a Keep-Alive header; 0 means not stated.
