--- a/direct/dispatch/share.go
+++ b/direct/dispatch/share.go
@@ -12,7 +12,7 @@
 	usageLifetime = 2 * time.Second
 	// minAllowance is what a team far above its share still gets of an engine's
 	// room, so that no engine is idle while its requests wait.
-	minAllowance = 0.2
+	minAllowance = 0.1
 	// fullExcess is the multiple of its share at which a team is held to
 	// minAllowance.
 	fullExcess = 2.0
--- a/direct/overload/monitor.go
+++ b/direct/overload/monitor.go
@@ -1,10 +1,12 @@
 // Package overload notices that a router gets less processor time than its
-// work needs, by the lateness of a timer. Monitor owns the recent lateness.
+// work needs, by the time that a goroutine waits for its turn. Monitor owns the
+// recent lateness.
 package overload
 
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"sync/atomic"
 	"time"
 )
@@ -15,13 +17,13 @@
 	// decay is the part of the measured lateness that a timely probe leaves.
 	decay = 0.8
 	// shedFrom is the lateness at which new connections begin to be closed.
-	// Callers abandon a request that isn't read within a second, and a late
-	// timer stands for several such waits in a row.
-	shedFrom = 100 * time.Millisecond
+	// Callers abandon a request that isn't read within a second, and a request
+	// waits for its turn several times until it is placed.
+	shedFrom = 20 * time.Millisecond
 	// shedMost is the lateness at which most new connections are closed.
-	shedMost = 400 * time.Millisecond
+	shedMost = 120 * time.Millisecond
 	// mostShed keeps some connections: a ready router must take new ones.
-	mostShed = 0.9
+	mostShed = 0.95
 )
 
 // Monitor is safe for use by several goroutines.
@@ -38,8 +40,12 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		// The timer alone says little: a goroutine that it wakes runs next. The
+		// wait behind all runnable goroutines is what a request waits at each step.
+		woken := time.Now()
+		runtime.Gosched()
 		now := time.Now()
-		m.observe(now.Sub(last) - probeInterval)
+		m.observe(max(now.Sub(woken), woken.Sub(last)-probeInterval))
 		last = now
 	}
 }
