Soak: addresses and ports of its own

Cause: seed 106 failed once because a router's port had been taken by another soak that ran beside it (bind: address already in use). Ports now lie below the kernel's range of client ports and each soak has its own loopback addresses.

--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -80,8 +81,8 @@
 	}
 	port := freePort(t)
 	for i := range routers {
-		ip := fmt.Sprintf("127.0.7.%d", i+1)
-		r := &router{f: f, index: i, ip: ip, fleet: port, front: fmt.Sprintf("%s:%d", ip, port+20), ready: fmt.Sprintf("%s:%d", ip, port+21)}
+		ip := routerIP(i)
+		r := &router{f: f, index: i, ip: ip, fleet: port, front: fmt.Sprintf("%s:%d", ip, port+frontPort), ready: fmt.Sprintf("%s:%d", ip, port+readyPort)}
 		f.routers = append(f.routers, r)
 		r.writeSettings()
 		r.start()
@@ -93,12 +94,44 @@
 	return f
 }
 
-// freePort returns a port with free ports after it on the soak's addresses.
+// routerIP returns the address of a router. Soaks that run at the same time
+// have addresses of their own.
+func routerIP(index int) string { return fmt.Sprintf("127.%d.7.%d", 10+os.Getpid()%200, index+1) }
+
+// The ports of a router, from its first one.
+const (
+	frontPort = 20
+	readyPort = 21
+	// lowestPort and portRange lie below the kernel's range of client ports,
+	// so that no outgoing connection takes a port while its router is down.
+	lowestPort = 12000
+	portRange  = 16000
+	portTries  = 100
+)
+
+// freePort returns a first port whose ports are free on all routers' addresses.
 func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp4", "127.0.7.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for range portTries {
+		port := lowestPort + rand.IntN(portRange)
+		if portsFree(port) {
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func portsFree(port int) bool {
+	for i := range routers {
+		for _, p := range []int{port, port + 1, port + frontPort, port + readyPort} {
+			l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", routerIP(i), p))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
 }
 
 func (f *fleet) serve(h http.Handler) string {
@@ -168,7 +201,7 @@
 func (r *router) writeSettings() {
 	var seeds []string
 	for i := range routers {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.7.%d:1", i+1)))
+		seeds = append(seeds, fmt.Sprintf("%q", routerIP(i)+":1"))
 	}
 	text := fmt.Sprintf(`{"nodeName":"r%d","ipAddress":%q,"zone":"z","listenAddresses":{"front":%q,"ready":%q},"internalPorts":[%d,%d],
 "seeds":[%s],"limits":{"memoryMb":256,"fileDescriptors":2048},
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -23,8 +23,10 @@
 	length = flag.Duration("soak.length", 10*time.Second, "time of faults of one seed")
 )
 
-// regressions are seeds that once failed, each with the cause.
-var regressions = []uint64{}
+// regressions are seeds that once failed, each with the cause:
+// 106: a router's port was taken by another soak; the harness now has addresses
+// and ports of its own.
+var regressions = []uint64{106}
 
 // recovery bounds the time until requests are answered again after the last
 // fault: the platform's bound is 12 s.
