--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -102,7 +102,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		excess := c.Wait() + c.reading(p.ColdFactor*float64(c.Missing)) - limit
-		maxRunning := int(float64(c.Slots) * p.MaxRunning * (0.5 + 0.5*d.Allowance))
+		maxRunning := int(float64(c.Slots) * p.MaxRunning * (runningFloor + (1-runningFloor)*d.Allowance))
 		if c.Running >= maxRunning {
 			excess = max(excess, time.Duration(c.Running-maxRunning+1)*slotTurn)
 		}
@@ -122,6 +122,10 @@
 	return -1, max(shortest, 0), false
 }
 
+// runningFloor is the part of MaxRunning that a team far above its share may
+// still fill.
+const runningFloor = 0.2
+
 // slotTurn is the typical time until a full batch frees one slot: a stream
 // lasts some seconds and a batch holds some dozens.
 const slotTurn = 100 * time.Millisecond
