--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -61,7 +61,6 @@
 
 type worker struct {
 	id, service string
-	server      *http.Server
 	proxy       *faultproxy.Proxy
 }
 
