--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -83,10 +83,8 @@
 // Demand describes a request.
 type Demand struct {
 	Cost prompt.Cost
-	// Target is the latency target that is left.
+	// Target is the latency target.
 	Target time.Duration
-	// Remaining is the time until the caller or the route gives up.
-	Remaining time.Duration
 	// Allowance scales the limits, 0 to 1: small for a team that has more
 	// than its share.
 	Allowance float64
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -20,7 +20,7 @@
 func demand(shared, own int64) Demand {
 	return Demand{
 		Cost:   prompt.Cost{Shared: []prompt.Part{{Key: 1, Tokens: shared}}, Own: own, Generated: 300},
-		Target: time.Second, Remaining: 15 * time.Second, Allowance: 1,
+		Target: time.Second, Allowance: 1,
 	}
 }
 
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -102,10 +102,8 @@
 	Service string
 	Team    string
 	Cost    prompt.Cost
-	// Target is the latency target that is left.
+	// Target is the latency target.
 	Target time.Duration
-	// Remaining is the time until the caller or the route gives up.
-	Remaining time.Duration
 	// Exclude lists endpoints that were tried before.
 	Exclude []string
 }
@@ -191,7 +189,7 @@
 	if len(candidates) == 0 {
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointPause, Allowance: allowance}
 	}
-	demand := placement.Demand{Cost: job.Cost, Target: job.Target, Remaining: job.Remaining, Allowance: allowance}
+	demand := placement.Demand{Cost: job.Cost, Target: job.Target, Allowance: allowance}
 	index, wait, ok := placement.Choose(d.policy, demand, candidates)
 	if !ok {
 		return nil, refuse(allowance, wait, len(candidates))
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -283,8 +283,7 @@
 	r.plain()
 }
 
-// target returns what is left of the latency target, at least a little, since
-// a late answer is better than none.
+// target returns the route's latency target, or without one the time left.
 func (r *request) target(now time.Time) time.Duration {
 	if r.route.LatencyTarget <= 0 {
 		return r.deadline.Sub(now)
@@ -295,7 +294,7 @@
 func (r *request) job(now time.Time) *dispatch.Job {
 	return &dispatch.Job{
 		Service: r.service.Name, Team: r.team, Cost: r.cost,
-		Target: r.target(now), Remaining: r.deadline.Sub(now), Exclude: r.exclude,
+		Target: r.target(now), Exclude: r.exclude,
 	}
 }
 
