One delivery loop for held and streamed answers

The loops of plain and streamed requests differed only in how they send, relay and give up; deliver now runs both. A send gets its context as an argument and doesn't swap the request's. Peers' addresses are parsed once, and the table of peers is looked at and filled under one lock.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -236,7 +237,7 @@
 	if affinity == 0 {
 		return ""
 	}
-	key := string(binaryKey(affinity))
+	key := string(binary.LittleEndian.AppendUint64(nil, affinity))
 	best, bestWeight := "", uint64(0)
 	for _, e := range endpoints {
 		if w := rendezvous.Weight(key, e.ID); best == "" || w > bestWeight {
@@ -246,14 +247,6 @@
 	return best
 }
 
-func binaryKey(n uint64) []byte {
-	b := make([]byte, 8)
-	for i := range b {
-		b[i] = byte(n >> (8 * i))
-	}
-	return b
-}
-
 func (d *Dispatcher) notePlaced(id string, cost prompt.Cost) {
 	if len(d.placed) >= maxPlaced {
 		return
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -25,13 +25,73 @@
 	lost
 )
 
+// verdict says how a request goes on after an answer.
+type verdict int
+
+const (
+	done verdict = iota
+	again
+)
+
+// delivery is how a request's answer reaches its caller.
+type delivery interface {
+	send(place *dispatch.Assignment) *attempt
+	// relay passes an answer on, or decides that the request is sent again.
+	relay(a *attempt) verdict
+	// giveUp gives the final answer of a request without an endpoint's answer.
+	giveUp(reason string)
+	// noPlace gives the final answer of a request that no endpoint takes.
+	noPlace(refusal *dispatch.Refusal)
+}
+
+// deliver sends the request to one endpoint after the other until it has its
+// final answer.
+func (r *request) deliver(d delivery) {
+	unreachedCount, refusedCount := 0, 0
+	for {
+		place, refusal := r.place(time.Now())
+		if refusal != nil {
+			d.noPlace(refusal)
+			return
+		}
+		a := d.send(place)
+		if a.effect != answered {
+			r.end(a, r.resultOf(a))
+		}
+		switch a.effect {
+		case answered:
+			if d.relay(a) == done {
+				return
+			}
+		case unreached:
+			unreachedCount++
+			if r.callerGone() || unreachedCount >= maxUnreached {
+				d.giveUp("no endpoint could be reached")
+				return
+			}
+		case refused:
+			refusedCount++
+			if refusedCount >= maxRefused || !r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name) {
+				d.giveUp("the endpoints refused the request")
+				return
+			}
+		case lost:
+			if !r.mayRepeat() {
+				d.giveUp("the answer was lost")
+				return
+			}
+		}
+		r.exclude = append(r.exclude, place.Endpoint.ID)
+	}
+}
+
 // attempt is one send to one endpoint.
 type attempt struct {
 	place  *dispatch.Assignment
 	effect effect
 	answer *endpointhttp.Answer
 	err    error
-	cancel context.CancelCauseFunc
+	cancel context.CancelFunc
 	sent   time.Time
 }
 
@@ -42,10 +102,10 @@
 	maxRefused = 2
 )
 
-// send sends the request to one endpoint and classifies what came back.
-func (r *request) send(place *dispatch.Assignment, extra http.Header) *attempt {
+// send sends the request to one endpoint and classifies what came back. The
+// attempt owns cancel, which ends ctx.
+func (r *request) send(ctx context.Context, cancel context.CancelFunc, place *dispatch.Assignment, extra http.Header) *attempt {
 	now := time.Now()
-	ctx, cancel := context.WithCancelCause(r.ctx)
 	a := &attempt{place: place, cancel: cancel, sent: now}
 	out := r.endpointRequest(place.Endpoint.ID, now)
 	for name, values := range extra {
@@ -96,7 +156,7 @@
 	if a.answer != nil {
 		a.answer.Close()
 	}
-	a.cancel(nil)
+	a.cancel()
 	a.place.End(time.Now(), result)
 	r.h.Metrics.note(result)
 	if result != endpointload.Succeeded {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -277,10 +277,10 @@
 		return
 	}
 	if r.route.Semantics == routing.Stream {
-		r.stream()
+		r.deliver(streamDelivery{r: r, s: &streamState{flusher: http.NewResponseController(r.w)}})
 		return
 	}
-	r.plain()
+	r.deliver(plainDelivery{r: r})
 }
 
 // target returns the route's latency target, or without one the time left.
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -26,54 +26,13 @@
 
 var errImpatient = errors.New("the endpoint did not answer in a part of the latency target")
 
-// verdict says how a request goes on after a send.
-type verdict int
+// plainDelivery holds the whole answer until it is complete.
+type plainDelivery struct{ r *request }
 
-const (
-	done verdict = iota
-	again
-)
-
-// plain forwards a request whose whole answer is held until it is complete.
-func (r *request) plain() {
-	unreachedCount, refusedCount := 0, 0
-	for {
-		now := time.Now()
-		place, refusal := r.place(now)
-		if refusal != nil {
-			r.noPlace(refusal)
-			return
-		}
-		a := r.sendPatiently(place)
-		switch a.effect {
-		case answered:
-			if r.relayWhole(a) == done {
-				return
-			}
-		case unreached:
-			unreachedCount++
-			r.end(a, r.resultOf(a))
-			if r.callerGone() || unreachedCount >= maxUnreached {
-				r.giveUp("no endpoint could be reached")
-				return
-			}
-		case refused:
-			refusedCount++
-			r.end(a, r.resultOf(a))
-			if refusedCount >= maxRefused || !r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name) {
-				r.giveUp("the endpoints refused the request")
-				return
-			}
-		case lost:
-			r.end(a, r.resultOf(a))
-			if !r.mayRepeat() {
-				r.giveUp("the answer was lost")
-				return
-			}
-		}
-		r.exclude = append(r.exclude, place.Endpoint.ID)
-	}
-}
+func (d plainDelivery) send(place *dispatch.Assignment) *attempt { return d.r.sendPatiently(place) }
+func (d plainDelivery) relay(a *attempt) verdict                 { return d.r.relayWhole(a) }
+func (d plainDelivery) giveUp(reason string)                     { d.r.giveUp(reason) }
+func (d plainDelivery) noPlace(refusal *dispatch.Refusal)        { d.r.noPlace(refusal) }
 
 func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
 	if r.service.Engine != nil {
@@ -99,17 +58,12 @@
 // well, so that one slow endpoint costs only a part of the latency target.
 func (r *request) sendPatiently(place *dispatch.Assignment) *attempt {
 	if r.route.Semantics != routing.Idempotent || r.runs+1 >= r.route.Attempts || r.route.LatencyTarget <= 0 {
-		return r.send(place, nil)
+		ctx, cancel := context.WithCancel(r.ctx)
+		return r.send(ctx, cancel, place, nil)
 	}
-	whole := r.ctx
 	patience := time.Duration(float64(r.route.LatencyTarget) * patienceFraction)
-	ctx, cancel := context.WithTimeoutCause(whole, patience, errImpatient)
-	r.ctx = ctx
-	a := r.send(place, nil)
-	r.ctx = whole
-	cancelSend := a.cancel
-	a.cancel = func(cause error) { cancelSend(cause); cancel() }
-	return a
+	ctx, cancel := context.WithTimeoutCause(r.ctx, patience, errImpatient)
+	return r.send(ctx, cancel, place, nil)
 }
 
 // relayWhole reads the whole answer and passes it on, unless a repeat may
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/eventstream"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
 )
@@ -33,49 +34,23 @@
 	written int64
 }
 
-// stream forwards a streamed request. Until the first event it can still be
-// answered otherwise; after it, only a resumable stream goes on elsewhere.
-func (r *request) stream() {
-	s := &streamState{flusher: http.NewResponseController(r.w)}
-	unreachedCount, refusedCount := 0, 0
-	for {
-		place, refusal := r.place(time.Now())
-		if refusal != nil {
-			if s.begun {
-				r.abort(s, "no endpoint resumes the stream")
-			}
-			r.noPlace(refusal)
-			return
-		}
-		a := r.sendWatched(place, s)
-		switch a.effect {
-		case answered:
-			if r.relayStream(a, s) == done {
-				return
-			}
-		case unreached:
-			unreachedCount++
-			r.end(a, r.resultOf(a))
-			if r.callerGone() || unreachedCount >= maxUnreached {
-				r.giveUpStream(s, "no endpoint could be reached")
-				return
-			}
-		case refused:
-			refusedCount++
-			r.end(a, r.resultOf(a))
-			if refusedCount >= maxRefused || !r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name) {
-				r.giveUpStream(s, "the endpoints refused the request")
-				return
-			}
-		case lost:
-			r.end(a, r.resultOf(a))
-			if !r.mayRepeat() {
-				r.giveUpStream(s, "the answer was lost")
-				return
-			}
-		}
-		r.exclude = append(r.exclude, place.Endpoint.ID)
+// streamDelivery passes events on as they arrive. Until the first one the
+// request can still be answered otherwise; after it, only a resumable stream
+// goes on elsewhere.
+type streamDelivery struct {
+	r *request
+	s *streamState
+}
+
+func (d streamDelivery) send(place *dispatch.Assignment) *attempt { return d.r.sendWatched(place, d.s) }
+func (d streamDelivery) relay(a *attempt) verdict                 { return d.r.relayStream(a, d.s) }
+func (d streamDelivery) giveUp(reason string)                     { d.r.giveUpStream(d.s, reason) }
+
+func (d streamDelivery) noPlace(refusal *dispatch.Refusal) {
+	if d.s.begun {
+		d.r.abort(d.s, "no endpoint resumes the stream")
 	}
+	d.r.noPlace(refusal)
 }
 
 // resumeHeader asks an endpoint to go on after the last passed event.
--- a/direct/entry/watch.go
+++ b/direct/entry/watch.go
@@ -16,17 +16,12 @@
 func (r *request) sendWatched(place *dispatch.Assignment, s *streamState) *attempt {
 	extra := r.resumeHeader(s)
 	if !r.route.Repeatable() || r.runs+1 >= r.route.Attempts {
-		return r.send(place, extra)
+		ctx, cancel := context.WithCancel(r.ctx)
+		return r.send(ctx, cancel, place, extra)
 	}
-	whole := r.ctx
-	ctx, cancel := context.WithCancelCause(whole)
+	ctx, cancel := context.WithCancelCause(r.ctx)
 	go watch(ctx, cancel, place)
-	r.ctx = ctx
-	a := r.send(place, extra)
-	r.ctx = whole
-	cancelSend := a.cancel
-	a.cancel = func(cause error) { cancelSend(cause); cancel(cause) }
-	return a
+	return r.send(ctx, func() { cancel(nil) }, place, extra)
 }
 
 // watch ends a send whose endpoint stays silent.
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -114,26 +115,21 @@
 	if address == "" || address == m.address {
 		return
 	}
-	m.mu.Lock()
-	_, known := m.peers[address]
-	full := len(m.peers) >= maxPeers
-	m.mu.Unlock()
-	if known || full {
-		return
-	}
-	host, port, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil {
-		m.bad.Inc(1)
-		return
-	}
-	udp, err := net.ResolveUDPAddr("udp4", net.JoinHostPort(host, port))
+	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		m.bad.Inc(1)
 		return
 	}
 	m.mu.Lock()
-	m.peers[address] = &peer{address: udp, learned: now}
+	_, known := m.peers[address]
+	added := !known && len(m.peers) < maxPeers
+	if added {
+		m.peers[address] = &peer{address: net.UDPAddrFromAddrPort(parsed), learned: now}
+	}
 	m.mu.Unlock()
+	if !added {
+		return
+	}
 	m.log.Info("router learned", "address", address)
 }
 
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -91,7 +91,7 @@
 		return nil, &NotSentError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if !stopWins(ctx) {
+	if ctx.Err() != nil {
 		stop()
 		_ = c.Close()
 		return nil, &NotSentError{Err: ctx.Err()}
@@ -106,8 +106,6 @@
 	return answer, nil
 }
 
-func stopWins(ctx context.Context) bool { return ctx.Err() == nil }
-
 // exchange writes the request and reads the headers of its answer. The body is
 // written beside the reading, since an endpoint may answer before it has read
 // the whole request.
