--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -116,7 +116,7 @@
 		return
 	}
 	parsed, err := netip.ParseAddrPort(address)
-	if err != nil {
+	if err != nil || !parsed.Addr().Is4() {
 		m.bad.Inc(1)
 		return
 	}
