Flooded hosts leave the balancer's rotation and work in larger steps

Cause: the balancer maps a caller to a router by a hash. On the grown deployments one busy team reaches one host of 0.144 cores.

Change: a router that uses 0.8 of its processor share, or whose run queue stays late, answers "not ready" for 10 s, at most a quarter of the fleet at once. New setting -cores. Lateness is the least of a window. Nothing is closed unread but for lack of descriptors. From half of the share on, the events of a stream are passed on in groups of up to 80 ms; request bodies and stream buffers are reused.

--- /dev/null
+++ b/direct/entry/busy_test.go
@@ -0,0 +1,95 @@
+package entry_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciaspar/acaciaspar/direct/directtest"
+)
+
+// Guards against a busy router that reads and writes once for each event, that
+// holds the first event back, and that loses events which it gathered.
+func TestBusyRouterGathersEvents(t *testing.T) {
+	const events = 30
+	firstRead := make(chan struct{})
+	r := newRouter(t)
+	r.overload.busy.Store(true)
+	r.add("e1", "engines", func(c net.Conn, call *directtest.Call) bool {
+		directtest.BeginStream(c, call)
+		directtest.Chunk(c, directtest.Event(0))
+		<-firstRead
+		for i := 1; i < events; i++ {
+			time.Sleep(10 * time.Millisecond)
+			directtest.Chunk(c, directtest.Event(i))
+		}
+		directtest.Chunk(c, "")
+		return true
+	})
+	c, err := net.Dial("tcp4", r.server.Listener.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, r.request(http.MethodPost, "/stream/1", "body").Write(c))
+	in := bufio.NewReader(c)
+	for line := ""; line != "\r\n"; {
+		line, err = in.ReadString('\n')
+		must.NoError(t, err)
+	}
+	var body strings.Builder
+	chunks := 0
+	for {
+		size, err := in.ReadString('\n')
+		must.NoError(t, err)
+		n, err := strconv.ParseInt(strings.TrimSpace(size), 16, 32)
+		must.NoError(t, err)
+		if n == 0 {
+			break
+		}
+		chunk := make([]byte, n+2)
+		_, err = io.ReadFull(in, chunk)
+		must.NoError(t, err)
+		body.Write(chunk[:n])
+		if chunks == 0 {
+			close(firstRead)
+		}
+		chunks++
+	}
+	var want strings.Builder
+	for i := range events {
+		want.WriteString(directtest.Event(i))
+	}
+	must.Eq(t, want.String(), body.String())
+	// 29 events take at least 290 ms, which holds four times the gathering time.
+	must.LessEq(t, events/2, chunks)
+}
+
+// Guards against a body whose reused memory holds another request's bytes.
+func TestBodiesDoNotMix(t *testing.T) {
+	r := newRouter(t)
+	e := r.add("e1", "plain", ok)
+	var callers errgroup.Group
+	callers.SetLimit(8)
+	for i := range 200 {
+		callers.Go(func() error {
+			in := r.request(http.MethodPost, "/order/"+strconv.Itoa(i), strings.Repeat(strconv.Itoa(i)+",", 500+i))
+			in.Header.Set(headers.RequestID, strconv.Itoa(i))
+			r.do(in)
+			return nil
+		})
+	}
+	must.NoError(t, callers.Wait())
+	for _, call := range e.Calls() {
+		i, err := strconv.Atoi(call.ID())
+		must.NoError(t, err)
+		must.Eq(t, strings.Repeat(call.ID()+",", 500+i), call.BodyText)
+	}
+	must.Positive(t, len(e.Calls()))
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -61,8 +61,10 @@
 type Overload interface {
 	// Shed decides whether to refuse a request without reading it whole.
 	Shed() bool
-	// Crowded reports whether many connections are open.
+	// Crowded reports whether connections should end with their answers.
 	Crowded() bool
+	// Busy reports whether work should be done in larger steps.
+	Busy() bool
 }
 
 type connKey struct{}
@@ -122,7 +124,7 @@
 	if !r.readBody() {
 		return
 	}
-	defer h.held.Add(-int64(len(r.body)))
+	defer r.releaseBody()
 	if r.hungUp() {
 		r.callerLeft(errHungUp)
 	}
@@ -220,6 +222,7 @@
 	body, err := readAll(r.in.Body, r.in.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
+		bodies.put(body)
 		r.bodyFailed(err)
 		return false
 	}
@@ -232,13 +235,20 @@
 	return true
 }
 
+// releaseBody gives the memory of the body back.
+func (r *request) releaseBody() {
+	r.h.held.Add(-int64(len(r.body)))
+	bodies.put(r.body)
+	r.body = nil
+}
+
 // readAll reads a body of a stated or, if length is negative, unknown length.
 // It reads at most one byte more than limit.
 func readAll(in io.Reader, length, limit int64) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(io.LimitReader(in, limit+1))
 	}
-	body := make([]byte, length)
+	body := bodies.get(int(length))
 	_, err := io.ReadFull(in, body)
 	return body, err
 }
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -19,6 +19,10 @@
 const (
 	// streamBuffer is the size of the reads from an endpoint's stream.
 	streamBuffer = 4096
+	// gatherTime is how long a busy router lets the events of a stream gather
+	// after the first one, so that several cost one read and one write. It is
+	// below the 120 ms in which callers expect an event.
+	gatherTime = 80 * time.Millisecond
 	// stallCheck is the interval at which a silent stream's endpoint is looked at.
 	stallCheck = 250 * time.Millisecond
 )
@@ -68,7 +72,8 @@
 		return r.relayFailure(a, s)
 	}
 	events := isEventStream(a.answer.Header)
-	buffer := make([]byte, streamBuffer)
+	buffer := streamBuffers.get(streamBuffer)
+	defer streamBuffers.put(buffer)
 	for {
 		n, err := a.answer.Body.Read(buffer)
 		now := time.Now()
@@ -86,6 +91,9 @@
 			a.err = err
 			return r.streamCut(a, s)
 		}
+		if s.begun && r.h.Overload.Busy() {
+			time.Sleep(gatherTime)
+		}
 	}
 }
 
--- a/direct/listener.go
+++ b/direct/listener.go
@@ -21,18 +21,20 @@
 const crowdedShare = 12
 
 // boundedListener closes connections beyond a limit at once, so that the
-// process never runs out of descriptors, and those that it has no time for, so
-// that the others are answered in time.
+// process never runs out of descriptors. A router that lacks processor time
+// refuses requests with an answer instead: callers whose connection is closed
+// unread come back at once.
 type boundedListener struct {
 	net.Listener
-	room    chan struct{}
-	monitor *overload.Monitor
-	shed    metrics.Counter
+	room     chan struct{}
+	monitor  *overload.Monitor
+	rotation *overload.Rotation
+	shed     metrics.Counter
 }
 
-func limitListener(l net.Listener, descriptors int, monitor *overload.Monitor, registry metrics.Registry) *boundedListener {
+func limitListener(l net.Listener, descriptors int, monitor *overload.Monitor, rotation *overload.Rotation, registry metrics.Registry) *boundedListener {
 	return &boundedListener{
-		Listener: l, room: make(chan struct{}, max(descriptors/callerShare, 1)), monitor: monitor,
+		Listener: l, room: make(chan struct{}, max(descriptors/callerShare, 1)), monitor: monitor, rotation: rotation,
 		shed: metrics.GetOrRegisterCounter("direct.connections_shed", registry),
 	}
 }
@@ -40,8 +42,13 @@
 // Shed implements entry.Overload.
 func (l *boundedListener) Shed() bool { return l.monitor.Shed() }
 
+// Busy implements entry.Overload.
+func (l *boundedListener) Busy() bool { return l.monitor.Busy() }
+
 // Crowded implements entry.Overload.
-func (l *boundedListener) Crowded() bool { return len(l.room) > cap(l.room)/crowdedShare }
+func (l *boundedListener) Crowded() bool {
+	return len(l.room) > cap(l.room)/crowdedShare || l.rotation.Out()
+}
 
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
@@ -50,11 +57,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.monitor.Shed() {
-			l.shed.Inc(1)
-			_ = c.Close()
-			continue
-		}
 		select {
 		case l.room <- struct{}{}:
 			return &boundedConn{Conn: c, release: sync.OnceFunc(func() { <-l.room })}, nil
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
+	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
@@ -80,6 +81,8 @@
 	Mirror        func(follow.Topic) *mirror.Topic
 	// ReadsStore reports whether this router reads the store itself now.
 	ReadsStore func() bool
+	// OutOfRotation reports whether this router takes no new connections.
+	OutOfRotation func() bool
 }
 
 type peer struct {
@@ -88,6 +91,7 @@
 	learned, heard time.Time
 	next           [2]int64
 	readsStore     bool
+	outOfRotation  bool
 }
 
 // New returns a mesh that sends and receives on conn. address is where other
@@ -141,17 +145,25 @@
 }
 
 // Live returns the number of peers heard lately.
-func (m *Mesh) Live() int {
+func (m *Mesh) Live() int { return m.Rotation().Live }
+
+// Rotation counts the peers heard lately and those of them that take no new
+// connections.
+func (m *Mesh) Rotation() overload.Fleet {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
+	var fleet overload.Fleet
 	for _, p := range m.peers {
-		if now.Sub(p.heard) < silentAfter {
-			n++
+		if now.Sub(p.heard) >= silentAfter {
+			continue
+		}
+		fleet.Live++
+		if p.outOfRotation {
+			fleet.Out++
 		}
 	}
-	return n
+	return fleet
 }
 
 // Send sends reports until ctx ends.
@@ -263,7 +275,7 @@
 	m.mu.Unlock()
 	message := &fleetpb.LoadReport{
 		Instance: m.instance, Address: m.address, Sequence: sequence, Leaving: leaving,
-		ConfigVersion: m.versions.ConfigVersion(), ReadsStore: m.versions.ReadsStore(),
+		ConfigVersion: m.versions.ConfigVersion(), ReadsStore: m.versions.ReadsStore(), OutOfRotation: m.versions.OutOfRotation(),
 		ConfigNext:    m.versions.Mirror(follow.Configuration).Next(),
 		EndpointsNext: m.versions.Mirror(follow.Endpoints).Next(),
 	}
@@ -323,6 +335,7 @@
 		p.heard = now
 		p.next = [2]int64{report.ConfigNext, report.EndpointsNext}
 		p.readsStore = report.ReadsStore && !report.Leaving
+		p.outOfRotation = report.OutOfRotation || report.Leaving
 	}
 	m.mu.Unlock()
 	m.dispatcher.Learn(now, decode(&report))
--- /dev/null
+++ b/direct/overload/meter_test.go
@@ -0,0 +1,37 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a host of a small share that looks idle because it uses a
+// small part of a whole core, and against one busy moment that counts as overload.
+func TestMeterMeasuresAgainstTheShare(t *testing.T) {
+	m := NewMeter(0.2)
+	now, used := time.Unix(1_700_000_000, 0), time.Duration(0)
+	step := func(part float64) float64 {
+		now, used = now.Add(100*time.Millisecond), used+time.Duration(part*0.2*float64(100*time.Millisecond))
+		return m.Sample(now, used)
+	}
+	step(0)
+	must.Less(t, leaveBusy, step(1))
+	for range 30 {
+		step(1)
+	}
+	must.Greater(t, 0.99, step(1))
+	for range 30 {
+		step(0.3)
+	}
+	must.Less(t, 0.31, step(0.3))
+}
+
+// Guards against a meter without a limit that reports an overload.
+func TestMeterWithoutLimit(t *testing.T) {
+	m := NewMeter(0)
+	now := time.Unix(1_700_000_000, 0)
+	m.Sample(now, 0)
+	must.Zero(t, m.Sample(now.Add(time.Second), time.Minute))
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -51,6 +51,8 @@
 	memoryFraction = 0.6
 	// bodyMemoryFraction is the part of the memory for request bodies.
 	bodyMemoryFraction = 0.2
+	// rotationInterval is the interval at which the rotation is decided.
+	rotationInterval = 100 * time.Millisecond
 	// membersInterval is the interval at which a router that hears no other
 	// lists the announced ones again.
 	membersInterval = 5 * time.Second
@@ -91,6 +93,7 @@
 	mesh       *mesh.Mesh
 	listeners  listeners
 	monitor    overload.Monitor
+	rotation   *overload.Rotation
 	stopping   chan struct{}
 }
 
@@ -118,7 +121,7 @@
 	registry := metrics.NewRegistry()
 	level := o.Settings.LogLevel
 	logger := observability.NewBoundedLogger(writer, level, "direct-router", o.Settings.LogLinesPerSecond, registry)
-	p := &process{options: o, log: logger, metrics: registry, stopping: make(chan struct{})}
+	p := &process{options: o, log: logger, metrics: registry, stopping: make(chan struct{}), rotation: overload.NewRotation(time.Now())}
 	if err := p.listeners.open(&o.Settings); err != nil {
 		writer.Close()
 		return nil, nil, err
@@ -169,7 +172,7 @@
 		Room:         int64(s.Descriptors-reservedDescriptors) / 3,
 	}
 	versions := mesh.Versions{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) },
-		ReadsStore: func() bool { return p.follower.ReadsStore() }}
+		ReadsStore: func() bool { return p.follower.ReadsStore() }, OutOfRotation: p.rotation.Out}
 	p.mesh = mesh.New(fleetrpc.NewInstance(), p.listeners.fleet.Addr().String(), p.listeners.datagrams,
 		p.dispatcher, versions, p.log, p.metrics)
 	p.mesh.Add(s.peerList()...)
@@ -213,7 +216,7 @@
 		ConnContext: entry.ConnContext,
 		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
 	}
-	listener := limitListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, p.metrics)
+	listener := limitListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, p.rotation, p.metrics)
 	p.handler.Overload = listener
 	serve(ctx, group, traffic, listener)
 	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
@@ -223,6 +226,7 @@
 	}
 	group.Go(func() error { observability.ManageHeap(ctx); return ctx.Err() })
 	group.Go(func() error { return p.monitor.Run(ctx) })
+	group.Go(func() error { return p.rotate(ctx) })
 	group.Go(func() error { return p.follower.Run(ctx) })
 	group.Go(func() error { return p.mesh.Send(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
@@ -256,7 +260,8 @@
 	context.AfterFunc(ctx, func() { _ = s.Close() })
 }
 
-// readiness answers 200 while this router should get new connections.
+// readiness answers 200 while this router should get new connections: it knows
+// configuration and endpoints, isn't stopping and has processor time.
 func (p *process) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != p.options.ReadyPath {
@@ -269,12 +274,43 @@
 			return
 		default:
 		}
-		if !p.follower.Ready() {
+		if !p.follower.Ready() || p.rotation.Out() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
 }
 
+// rotate decides whether this router takes new connections.
+func (p *process) rotate(ctx context.Context) error {
+	ticker := time.NewTicker(rotationInterval)
+	defer ticker.Stop()
+	meter := overload.NewMeter(p.options.Settings.Cores)
+	busy := metrics.GetOrRegisterGaugeFloat64("direct.processor_busy", p.metrics)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			used, err := overload.ProcessorTime()
+			if err != nil {
+				return eris.Wrap(err, "read the processor time")
+			}
+			p.monitor.NoteBusy(meter.Sample(now, used))
+			pressure := p.monitor.Pressure()
+			busy.Update(pressure.Busy)
+			p.stepRotation(now, pressure)
+		}
+	}
+}
+
+func (p *process) stepRotation(now time.Time, pressure overload.Pressure) {
+	others := p.mesh.Rotation()
+	if p.rotation.Step(now, pressure, others) {
+		p.log.Warn("rotation changed", "out", p.rotation.Out(), "lateness_ms", pressure.Lateness.Milliseconds(),
+			"busy", pressure.Busy, "live_routers", others.Live, "routers_out", others.Out)
+	}
+}
+
 // join announces this router and learns the others from the store.
 func (p *process) join(ctx context.Context) error {
 	s := &p.options.Settings
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -21,6 +21,7 @@
 	StoreWait         time.Duration `flag:"store-wait" default:"1200ms" usage:"how long the store holds a read; below the bounds on configuration and draining"`
 	DrainTimeout      time.Duration `flag:"drain-timeout" default:"15m" usage:"longest time of a planned stop"`
 	MemoryBytes       int64         `flag:"memory-bytes" default:"536870912" usage:"memory that this process may use, in bytes"`
+	Cores             float64       `flag:"cores" default:"0" usage:"processor cores that this process may use, such as 0.3; 0 for no known limit"`
 	Descriptors       int           `flag:"descriptors" default:"4096" usage:"file descriptors that this process may use"`
 	RetryFraction     float64       `flag:"retry-fraction" default:"0.1" usage:"part of a service's requests that may be sent again"`
 	RetryFloor        float64       `flag:"retry-floor" default:"10" usage:"sends again per 10 s that the fleet may make besides"`
@@ -53,6 +54,9 @@
 	if s.Descriptors < minDescriptors {
 		faults = append(faults, fmt.Errorf("descriptors: %d is below %d", s.Descriptors, minDescriptors))
 	}
+	if s.Cores < 0 {
+		faults = append(faults, errors.New("cores: must not be negative"))
+	}
 	if s.DrainTimeout <= 0 {
 		faults = append(faults, errors.New("drain-timeout: must be positive"))
 	}
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -114,8 +114,8 @@
 	c.served++
 	written := make(chan error, 1)
 	head := head(r)
-	if len(r.Body) <= smallBody {
-		written <- c.write(append(head, r.Body...), nil)
+	if len(r.Body) <= SmallBody {
+		written <- c.write(head, r.Body)
 	} else {
 		go func() { written <- c.write(head, r.Body) }()
 	}
@@ -138,9 +138,10 @@
 	return a, nil
 }
 
-// smallBody is the size up to which a body fits the socket's send buffer, so
-// that it is written without a goroutine of its own.
-const smallBody = 96 << 10
+// SmallBody is the size in bytes up to which a body fits the socket's send
+// buffer, so that it is written without a goroutine of its own. A longer body
+// may still be in use after Do has returned.
+const SmallBody = 96 << 10
 
 func (c *conn) write(head, rest []byte) error {
 	buffers := net.Buffers{head}
