Flooding teams get alike, unreachable endpoints are told to peers

Ruled out: the flooded host (the same without processor time); the count of peers' usage (both teams' allowances were as their counts say).

Change: a send that no engine begins is refunded. A team that has its share of the operators' rate is held to 0.3 of the room, and beyond its share of what the engines did to that divided by the third power of the excess. Routers report endpoints that they can't connect to; an endpoint that two peers can't reach is used last, unless it answered this router in the last 500 ms.

The caller's connection is looked at again before the request is written if it is older than 50 ms.

TestFloodingTeamsGetAlike fails with the former allowance, TestCallerThatHangsUpWhileConnectingIsNotServed without the second look.

--- a/coordination/endpointload/state.go
+++ b/coordination/endpointload/state.go
@@ -23,6 +23,9 @@
 	// firstBackoff and maxBackoff bound the pause after a failed connection.
 	firstBackoff = 500 * time.Millisecond
 	maxBackoff   = 3 * time.Second
+	// trustOwn is how long an answer outweighs peers that find the endpoint
+	// unreachable. Paths fail for some routers only.
+	trustOwn = 500 * time.Millisecond
 	// rateDecay weighs the newest observation of the reading rate.
 	rateDecay = 0.1
 	// rateTokens is the least number of tokens that tells something of the rate.
@@ -47,7 +50,9 @@
 	failures float64
 	failedAt time.Time
 	// heard is the time of the latest byte, or of the first send after idleness.
-	heard     time.Time
+	heard time.Time
+	// answered is the time of the latest byte.
+	answered  time.Time
 	downUntil time.Time
 	backoff   time.Duration
 }
@@ -120,8 +125,14 @@
 	e.downUntil = now.Add(e.backoff)
 }
 
+// answeredLately reports whether this router knows better than peers that find
+// the endpoint unreachable.
+func (e *endpoint) answeredLately(now time.Time) bool {
+	return !e.answered.IsZero() && now.Sub(e.answered) < trustOwn
+}
+
 func (e *endpoint) reached(now time.Time) {
-	e.heard = now
+	e.heard, e.answered = now, now
 	e.backoff = 0
 	e.downUntil = time.Time{}
 }
--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -12,11 +12,25 @@
 type Load struct {
 	Pending int64
 	Running int
+	// Unreachable is set while the endpoint can't be connected to.
+	Unreachable bool
+}
+
+// total sums the loads of several routers.
+type total struct {
+	pending int64
+	running int
+	// unreachable is the number of routers that can't connect to the endpoint.
+	unreachable int
 }
 
 // peerLifetime is the silence after which a peer's load is forgotten.
 const peerLifetime = 1500 * time.Millisecond
 
+// enoughClaims is the number of peers that must find an endpoint unreachable
+// before a router believes them. A single one may itself be cut off.
+const enoughClaims = 2
+
 // forgetPeer is the silence after which a peer's sequence is forgotten.
 const forgetPeer = 30 * time.Second
 
@@ -26,7 +40,7 @@
 	peers     map[string]*peer
 	// others sums the loads of all peers by endpoint, so that a view costs the
 	// same in a large fleet.
-	others map[uint64]Load
+	others map[uint64]total
 	// defaultRate is used for an engine that was not yet observed.
 	defaultRate float64
 }
@@ -39,7 +53,7 @@
 
 // NewTable returns an empty table. defaultRate is in prompt tokens per ms.
 func NewTable(defaultRate float64) *Table {
-	return &Table{endpoints: map[string]*endpoint{}, peers: map[string]*peer{}, others: map[uint64]Load{}, defaultRate: clampRate(defaultRate)}
+	return &Table{endpoints: map[string]*endpoint{}, peers: map[string]*peer{}, others: map[uint64]total{}, defaultRate: clampRate(defaultRate)}
 }
 
 // SetDefaultRate sets the rate of engines that were not yet observed.
@@ -82,30 +96,34 @@
 
 // View is what the table knows of one endpoint.
 type View struct {
-	Load
+	Pending int64
+	Running int
 	Missing int64
 	Rate    float64
 	Suspect float64
 	// Usable is false while the endpoint is silent or can't be connected to.
 	Usable bool
+	// Doubted is set while several peers can't connect to the endpoint and it
+	// didn't answer this router lately.
+	Doubted bool
 }
 
 // View returns the state of an endpoint for a prompt with these shared parts.
 func (t *Table) View(now time.Time, id string, shared []prompt.Part) View {
 	e := t.endpoint(id)
+	others := t.others[e.hash]
 	v := View{
-		Load:    Load{Pending: e.pending, Running: e.running},
+		Pending: e.pending + others.pending,
+		Running: e.running + others.running,
 		Missing: e.missing(now, shared),
 		Rate:    e.rate,
 		Suspect: e.suspicion(now),
 		Usable:  e.usable(now),
+		Doubted: others.unreachable >= enoughClaims && !e.answeredLately(now),
 	}
 	if v.Rate == 0 {
 		v.Rate = t.defaultRate
 	}
-	others := t.others[e.hash]
-	v.Pending += others.Pending
-	v.Running += others.Running
 	return v
 }
 
@@ -156,6 +174,9 @@
 	e.rate = clampRate(e.rate + rateDecay*(clampRate(rate)-e.rate))
 }
 
+// Begun reports whether the first event of the run was seen.
+func (r *Run) Begun() bool { return r.begun }
+
 // Heard records any byte of an answer.
 func (r *Run) Heard(now time.Time) { r.target.reached(now) }
 
@@ -200,12 +221,14 @@
 // Stalled reports whether the run's endpoint is silent.
 func (r *Run) Stalled(now time.Time) bool { return r.target.stalled(now) }
 
-// Own returns this router's loads by endpoint, without idle endpoints.
-func (t *Table) Own() map[string]Load {
+// Own returns this router's loads by endpoint, without endpoints that are idle
+// and can be reached.
+func (t *Table) Own(now time.Time) map[string]Load {
 	loads := map[string]Load{}
 	for id, e := range t.endpoints {
-		if e.running > 0 {
-			loads[id] = Load{Pending: e.pending, Running: e.running}
+		unreachable := now.Before(e.downUntil)
+		if e.running > 0 || unreachable {
+			loads[id] = Load{Pending: e.pending, Running: e.running, Unreachable: unreachable}
 		}
 	}
 	return loads
@@ -231,9 +254,12 @@
 func (t *Table) addOthers(loads map[uint64]Load, sign int) {
 	for hash, l := range loads {
 		sum := t.others[hash]
-		sum.Pending += int64(sign) * l.Pending
-		sum.Running += sign * l.Running
-		if sum == (Load{}) {
+		sum.pending += int64(sign) * l.Pending
+		sum.running += sign * l.Running
+		if l.Unreachable {
+			sum.unreachable += sign
+		}
+		if sum == (total{}) {
 			delete(t.others, hash)
 		} else {
 			t.others[hash] = sum
--- a/coordination/fairshare/fairshare.go
+++ b/coordination/fairshare/fairshare.go
@@ -46,6 +46,15 @@
 // Start counts tokens of a request that was sent to an engine.
 func (w *Window) Start(now time.Time, tokens int64) { w.at(now).Started += tokens }
 
+// Refund takes back a Start of a request that no engine began. Starts that have
+// left the window are no longer counted anyway.
+func (w *Window) Refund(started time.Time, tokens int64) {
+	index := started.UnixNano() / int64(bucketWidth)
+	if b := &w.slots[index%buckets]; b.index == index {
+		b.usage.Started -= tokens
+	}
+}
+
 func (w *Window) at(now time.Time) *Usage {
 	index := now.UnixNano() / int64(bucketWidth)
 	b := &w.slots[index%buckets]
--- a/coordination/fairshare/fairshare_test.go
+++ b/coordination/fairshare/fairshare_test.go
@@ -40,3 +40,18 @@
 	w.Ask(now.Add(Span), 7)
 	must.Eq(t, Usage{Asked: 7}, w.Sum(now.Add(Span)))
 }
+
+// Guards against a team that pays for requests which no engine began, and
+// against a refund of counts that belong to later requests.
+func TestRefund(t *testing.T) {
+	var w Window
+	now := time.Unix(1_700_000_000, 0)
+	w.Start(now, 5)
+	w.Start(now, 3)
+	w.Refund(now, 5)
+	must.Eq(t, 3, w.Sum(now).Started)
+	later := now.Add(Span)
+	w.Start(later, 7)
+	w.Refund(now, 3)
+	must.Eq(t, 7, w.Sum(later).Started)
+}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -48,8 +48,11 @@
 	// routers is the number of routers that share the retry budget.
 	routers int
 	// capacity is the token rate of all engines, in tokens per second.
-	capacity  float64
+	capacity float64
+	// level is a team's max-min share of the operators' token rate, reached its
+	// share of what the engines did; both over the fairness window.
 	level     int64
+	reached   int64
 	levelTime time.Time
 	placed    []Placed
 	// candidateRoom and usableRoom are reused by each placement.
@@ -142,6 +145,15 @@
 
 	dispatcher *Dispatcher
 	run        *endpointload.Run
+	// charged is the charge to the team; nil without a team.
+	charged *charge
+}
+
+// charge is what a team's request counts against its share.
+type charge struct {
+	team  *team
+	at    time.Time
+	units int64
 }
 
 // Ask counts a request of a team before its placement.
@@ -171,22 +183,7 @@
 	defer d.mu.Unlock()
 	allowance := d.allowance(now, job.Team)
 	home := homeOf(job.Cost.Affinity(), endpoints)
-	candidates, usable := d.candidateRoom[:0], d.usableRoom[:0]
-	for i, e := range endpoints {
-		v := d.loads.View(now, e.ID, job.Cost.Shared)
-		if !v.Usable {
-			continue
-		}
-		if e.ID == home {
-			v.Missing = 0
-		}
-		usable = append(usable, i)
-		candidates = append(candidates, placement.Candidate{
-			ID: e.ID, Pending: v.Pending, Running: v.Running, Slots: e.Slots, Missing: v.Missing,
-			Rate: v.Rate, SameZone: e.Zone == d.zone, Suspect: v.Suspect,
-		})
-	}
-	d.candidateRoom, d.usableRoom = candidates, usable
+	candidates, usable := d.candidates(now, endpoints, job.Cost.Shared, home)
 	if len(candidates) == 0 {
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointPause, Allowance: allowance}
 	}
@@ -200,15 +197,50 @@
 		d.notePlaced(chosen.ID, job.Cost)
 	}
 	c := &candidates[index]
-	if job.Team != "" {
-		d.team(now, job.Team).window.Start(now, job.Cost.Units())
-	}
 	run := d.loads.Send(now, chosen.ID, job.Cost, c.Pending)
-	return &Assignment{Endpoint: chosen, Wait: c.Wait(), Missing: c.Missing, dispatcher: d, run: run}, nil
+	return &Assignment{
+		Endpoint: chosen, Wait: c.Wait(), Missing: c.Missing, dispatcher: d, run: run, charged: d.charge(now, job),
+	}, nil
+}
+
+func (d *Dispatcher) charge(now time.Time, job *Job) *charge {
+	if job.Team == "" {
+		return nil
+	}
+	c := &charge{team: d.team(now, job.Team), at: now, units: job.Cost.Units()}
+	c.team.window.Start(now, c.units)
+	return c
 }
 
 // noEndpointPause is the pause before a caller returns when no endpoint is
 // usable; crashed endpoints are replaced within seconds.
+// candidates returns the usable engines and their indexes in endpoints. Engines
+// that peers find unreachable are left out while there are others.
+func (d *Dispatcher) candidates(now time.Time, endpoints []registry.Endpoint, shared []prompt.Part, home string) ([]placement.Candidate, []int) {
+	candidates, usable := d.candidateRoom[:0], d.usableRoom[:0]
+	for _, doubted := range []bool{false, true} {
+		for i, e := range endpoints {
+			v := d.loads.View(now, e.ID, shared)
+			if !v.Usable || v.Doubted != doubted {
+				continue
+			}
+			if e.ID == home {
+				v.Missing = 0
+			}
+			usable = append(usable, i)
+			candidates = append(candidates, placement.Candidate{
+				ID: e.ID, Pending: v.Pending, Running: v.Running, Slots: e.Slots, Missing: v.Missing,
+				Rate: v.Rate, SameZone: e.Zone == d.zone, Suspect: v.Suspect,
+			})
+		}
+		if len(candidates) > 0 {
+			break
+		}
+	}
+	d.candidateRoom, d.usableRoom = candidates, usable
+	return candidates, usable
+}
+
 const noEndpointPause = time.Second
 
 func refuse(allowance float64, wait time.Duration, candidates int) *Refusal {
@@ -288,6 +320,9 @@
 			continue
 		}
 		score := float64(v.Running) + v.Suspect*suspectRequests
+		if v.Doubted {
+			score += suspectRequests
+		}
 		if e.Zone != d.zone {
 			score += zoneRequests
 		}
@@ -322,9 +357,16 @@
 // Heard records a later byte.
 func (a *Assignment) Heard(now time.Time) { a.locked(func() { a.run.Heard(now) }) }
 
-// End records the end of the request at this endpoint.
+// End records the end of the run. A team doesn't pay for a run that no engine
+// began.
 func (a *Assignment) End(now time.Time, r endpointload.Result) {
-	a.locked(func() { a.run.End(now, r) })
+	a.locked(func() {
+		if c := a.charged; c != nil && !a.run.Begun() && r != endpointload.Succeeded && r != endpointload.Abandoned {
+			c.team.window.Refund(c.at, c.units)
+			a.charged = nil
+		}
+		a.run.End(now, r)
+	})
 }
 
 // Stalled reports whether the endpoint is silent.
--- a/direct/dispatch/share.go
+++ b/direct/dispatch/share.go
@@ -12,10 +12,11 @@
 	usageLifetime = 2 * time.Second
 	// minAllowance is what a team far above its share still gets of an engine's
 	// room, so that no engine is idle while its requests wait.
-	minAllowance = 0.1
-	// fullExcess is the multiple of its share at which a team is held to
-	// minAllowance.
-	fullExcess = 2.0
+	minAllowance = 0.02
+	// beyondShare is the part of an engine's room for teams that have their share
+	// of the operators' rate and ask for more: what the engines do beyond that
+	// rate is divided as well, but doesn't delay teams below their share.
+	beyondShare = 0.3
 )
 
 // allowance scales the room that a team's request may use: 1 up to the team's
@@ -35,11 +36,19 @@
 			used += p.teams[hash].Started
 		}
 	}
-	excess := float64(used) / float64(d.level)
-	if excess <= 1 {
+	if used <= d.level {
 		return 1
 	}
-	return max(minAllowance, 1-(1-minAllowance)*(excess-1)/(fullExcess-1))
+	return allowanceOf(float64(used) / float64(d.reached))
+}
+
+// allowanceOf returns the part of an engine's room for a team that has its share
+// of the operators' rate. excess is what it got, divided by its share of what the
+// engines did. The allowance falls with the third power: what a team gets grows
+// with its requests times its allowance, so that its excess grows only with the
+// fourth root of its requests, and four times the flood gets 1.4 times as much.
+func allowanceOf(excess float64) float64 {
+	return max(minAllowance, beyondShare/max(excess*excess*excess, 1))
 }
 
 // refreshLevel derives the max-min level from what all teams asked for and
@@ -74,6 +83,7 @@
 		capacity = started
 	}
 	d.level = fairshare.Level(demands, capacity)
+	d.reached = fairshare.Level(demands, max(capacity, started))
 }
 
 // Report is this router's work and the teams' counts, for its peers.
@@ -87,7 +97,7 @@
 func (d *Dispatcher) Report(now time.Time) Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := Report{Loads: d.loads.Own(), Teams: map[string]fairshare.Usage{}, Placed: d.placed}
+	r := Report{Loads: d.loads.Own(now), Teams: map[string]fairshare.Usage{}, Placed: d.placed}
 	d.placed = nil
 	for name, t := range d.teams {
 		if u := t.window.Sum(now); u != (fairshare.Usage{}) {
--- a/direct/entry/busy_test.go
+++ b/direct/entry/busy_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
+	"github.com/acaciaspar/acaciaspar/direct/entry"
 )
 
 // Guards against a busy router that reads and writes once for each event, that
@@ -93,3 +96,57 @@
 	}
 	must.Positive(t, len(e.Calls()))
 }
+
+// Guards against a busy router that sends on requests whose callers left while
+// it connected to the endpoint, and that takes the endpoint for unreachable then.
+func TestCallerThatHangsUpWhileConnectingIsNotServed(t *testing.T) {
+	r := newRouter(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp4", l.Addr().String())
+	must.NoError(t, err)
+	conn, err := l.Accept()
+	must.NoError(t, err)
+	defer conn.Close()
+	e := r.add("e1", "plain", ok)
+	in := r.request(http.MethodPost, "/order/1", "")
+	in.RequestURI = "/order/1"
+	in.ContentLength = 1
+	in.Body = slowBody{}
+	in = in.WithContext(entry.ConnContext(t.Context(), closingAfterFirstLook{Conn: conn, caller: caller, looks: new(int)}))
+	func() {
+		defer func() { must.Eq[any](t, http.ErrAbortHandler, recover()) }()
+		r.handler.ServeHTTP(httptest.NewRecorder(), in)
+	}()
+	must.Len(t, 0, e.Calls())
+	must.Eq(t, http.StatusOK, r.post("/order/2").status, must.Sprint("the endpoint is still used"))
+}
+
+// slowBody is a body of one byte that arrives late.
+type slowBody struct{}
+
+func (slowBody) Read(p []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	p[0] = 'x'
+	return 1, io.EOF
+}
+
+func (slowBody) Close() error { return nil }
+
+// closingAfterFirstLook is a connection whose caller leaves right after the
+// router has looked at it for the first time.
+type closingAfterFirstLook struct {
+	net.Conn
+	caller net.Conn
+	looks  *int
+}
+
+func (c closingAfterFirstLook) SyscallConn() (syscall.RawConn, error) {
+	*c.looks++
+	if *c.looks > 1 {
+		_ = c.caller.Close()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -99,6 +99,8 @@
 	// runs counts the endpoints that may have run it.
 	runs    int
 	exclude []string
+	// left is set once the caller's connection was found closed.
+	left bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -317,6 +319,20 @@
 	return ok && sockpeek.Look(c) == sockpeek.Closed
 }
 
+// recheckAfter is the age of a request from which the caller's connection is
+// looked at again before the request is sent. Placing a request and connecting to
+// its endpoint take a few milliseconds on a host that isn't overloaded.
+const recheckAfter = 50 * time.Millisecond
+
+// hungUpMeanwhile looks at the caller's connection again if a busy host took
+// long to place the request.
+func (r *request) hungUpMeanwhile() bool {
+	if time.Since(r.arrived) >= recheckAfter && r.hungUp() {
+		r.left = true
+	}
+	return r.left
+}
+
 // refuse answers a request that certainly has not run.
 func (r *request) refuse(status int, reason string, retryAfter time.Duration, inputs ...slog.Attr) {
 	r.h.Metrics.Refused.Inc(1)
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -111,7 +111,7 @@
 		time.Until(r.deadline) > minRetryTime && r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name)
 }
 
-func (r *request) callerGone() bool { return r.in.Context().Err() != nil }
+func (r *request) callerGone() bool { return r.left || r.in.Context().Err() != nil }
 
 // giveUp gives the final answer of a request without an endpoint's answer.
 func (r *request) giveUp(reason string) {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -282,6 +282,7 @@
 	for id, load := range report.Loads {
 		message.Endpoints = append(message.Endpoints, &fleetpb.EndpointLoad{
 			Endpoint: endpointload.Hash(id), PendingTokens: uint32(load.Pending), Running: uint32(load.Running),
+			Unreachable: load.Unreachable,
 		})
 	}
 	for name, usage := range report.Teams {
@@ -348,7 +349,7 @@
 		Teams: make(map[uint64]fairshare.Usage, len(report.Teams)),
 	}
 	for _, e := range report.Endpoints {
-		r.Loads[e.Endpoint] = endpointload.Load{Pending: int64(e.PendingTokens), Running: int(e.Running)}
+		r.Loads[e.Endpoint] = endpointload.Load{Pending: int64(e.PendingTokens), Running: int(e.Running), Unreachable: e.Unreachable}
 	}
 	for _, t := range report.Teams {
 		r.Teams[t.Team] = fairshare.Usage{Asked: int64(t.AskedTokens), Started: int64(t.StartedTokens)}
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -30,6 +30,9 @@
 	// ID is the identifier that the endpoint echoes in IDHeader.
 	ID       string
 	IDHeader string
+	// Abandoned reports, right before the request is written, whether nobody
+	// waits for its answer any longer; nil if that isn't known.
+	Abandoned func() bool
 	// MaxIdle is the longest idle time of a connection that may carry the request.
 	MaxIdle time.Duration
 }
@@ -91,10 +94,10 @@
 		return nil, &NotSentError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if ctx.Err() != nil {
+	if err := r.pointless(ctx); err != nil {
 		stop()
 		_ = c.Close()
-		return nil, &NotSentError{Err: ctx.Err()}
+		return nil, &NotSentError{Err: err}
 	}
 	answer, err := c.exchange(r)
 	if err != nil {
@@ -106,6 +109,19 @@
 	return answer, nil
 }
 
+var errAbandoned = eris.New("the caller left before the request was sent")
+
+// pointless returns why the request must not be sent any longer, or nil.
+func (r *Request) pointless(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if r.Abandoned != nil && r.Abandoned() {
+		return errAbandoned
+	}
+	return nil
+}
+
 // exchange writes the request and reads the headers of its answer. The body is
 // written beside the reading, since an endpoint may answer before it has read
 // the whole request.
