Refused callers return while they can still be answered on time

Cause: a refused caller was sent away for 0.5 to 3.5 s, longer than every latency target, so that each of them was answered late or not at all.

Ruled out: waiting pays for nobody; a caller that returns later meets the same load, since room at an engine comes and goes within milliseconds.

Change: Retry-After is spread over 0.1 to 0.6 of the latency target. A caller of an overloaded router returns after 0.1 to 0.4 s, since it reaches another one.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -115,7 +115,7 @@
 // Refusal says why no endpoint gets a request.
 type Refusal struct {
 	Reason Reason
-	// RetryAfter is the forecast of when there is room.
+	// RetryAfter is when the caller should return.
 	RetryAfter time.Duration
 	// Allowance, Waiting and Candidates are the inputs of the decision.
 	Allowance  float64
@@ -190,7 +190,7 @@
 	demand := placement.Demand{Cost: job.Cost, Target: job.Target, Allowance: allowance}
 	index, wait, ok := placement.Choose(d.policy, demand, candidates)
 	if !ok {
-		return nil, refuse(allowance, wait, len(candidates))
+		return nil, refuse(job, allowance, wait, len(candidates))
 	}
 	chosen := endpoints[usable[index]]
 	if chosen.ID != home && job.Cost.Affinity() != 0 {
@@ -243,27 +243,15 @@
 
 const noEndpointPause = time.Second
 
-func refuse(allowance float64, wait time.Duration, candidates int) *Refusal {
+func refuse(job *Job, allowance float64, wait time.Duration, candidates int) *Refusal {
 	r := &Refusal{Reason: Saturated, Allowance: allowance, Waiting: wait, Candidates: candidates}
 	if allowance < 1 {
 		r.Reason = OverShare
 	}
-	r.RetryAfter = spread(minPause+wait, allowance)
+	r.RetryAfter = pauseOf(job.Target, rand.Float64())
 	return r
 }
 
-const (
-	// minPause is the least pause before a refused caller returns.
-	minPause = 500 * time.Millisecond
-	// pauseSpread is the range over which returns are spread, so that callers
-	// refused together don't come back as one wave.
-	pauseSpread = 1500 * time.Millisecond
-)
-
-func spread(base time.Duration, allowance float64) time.Duration {
-	return base + time.Duration((1+rand.Float64()-allowance)*float64(pauseSpread))
-}
-
 // homeOf returns the first choice for a prompt's shared parts, or "".
 func homeOf(affinity uint64, endpoints []registry.Endpoint) string {
 	if affinity == 0 {
@@ -334,7 +322,7 @@
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointPause, Allowance: 1}
 	}
 	if best < 0 {
-		return nil, refuse(1, 0, usable)
+		return nil, refuse(job, 1, 0, usable)
 	}
 	run := d.loads.Send(now, endpoints[best].ID, prompt.Cost{}, 0)
 	return &Assignment{Endpoint: endpoints[best], dispatcher: d, run: run}, nil
--- /dev/null
+++ b/direct/dispatch/pause_test.go
@@ -0,0 +1,16 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against refused callers that return only when their answer must be
+// late, against returns at once, and against returns at the same moment.
+func TestRefusedCallerReturnsWithinItsTarget(t *testing.T) {
+	must.Eq(t, 100*time.Millisecond, pauseOf(time.Second, 0))
+	must.Eq(t, 350*time.Millisecond, pauseOf(time.Second, 0.5))
+	must.Eq(t, 600*time.Millisecond, pauseOf(time.Second, 1))
+}
--- a/direct/entry/busy_test.go
+++ b/direct/entry/busy_test.go
@@ -74,6 +74,38 @@
 	must.LessEq(t, events/2, chunks)
 }
 
+// Guards against refused callers that are sent away for longer than their
+// latency target, and against a wave of returns at one moment.
+func TestRefusedCallersReturnSpreadOverTheirTarget(t *testing.T) {
+	r := newRouter(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	arrived := make(chan struct{}, 100)
+	r.add("e1", "plain", func(c net.Conn, call *directtest.Call) bool {
+		arrived <- struct{}{}
+		<-release
+		return false
+	})
+	const full = 2 * 4
+	for range full {
+		go r.post("/order/1")
+	}
+	for range full {
+		<-arrived
+	}
+	pauses := map[string]bool{}
+	for range 20 {
+		got := r.post("/order/1")
+		must.Eq(t, http.StatusServiceUnavailable, got.status)
+		pause, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		must.NoError(t, err)
+		// The target is 2 s.
+		must.Between(t, 0.2, pause, 1.2)
+		pauses[got.header.Get("Retry-After")] = true
+	}
+	must.Greater(t, 5, len(pauses))
+}
+
 // Guards against a body whose reused memory holds another request's bytes.
 func TestBodiesDoNotMix(t *testing.T) {
 	r := newRouter(t)
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -35,8 +35,17 @@
 	// notReadyPause is the pause before a caller returns to a router that has
 	// no configuration yet.
 	notReadyPause = time.Second
+	// leastShedPause and shedPauseSpread give the pause before a caller of an
+	// overloaded router returns. It finds another router then, and the spread
+	// keeps a flood from reaching that one as a wave.
+	leastShedPause  = 100 * time.Millisecond
+	shedPauseSpread = 300 * time.Millisecond
 )
 
+func shedPause() time.Duration {
+	return leastShedPause + time.Duration(rand.Float64()*float64(shedPauseSpread))
+}
+
 // Handler is the traffic interface. It is safe for use by several goroutines.
 type Handler struct {
 	Routes     *routing.Store
@@ -114,7 +123,7 @@
 	}
 	if n > h.Room || h.Overload.Shed() {
 		h.Metrics.Shed.Inc(1)
-		r.refuse(http.StatusServiceUnavailable, "the router is overloaded", notReadyPause)
+		r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedPause())
 		return
 	}
 	if !r.resolve() {
