Pauses are bounded on routes without a target; docs of the new behaviour

Bodies below 4 KB get memory of their own, since a reused buffer of 16 KB would take more than what is counted against the limit. A failed read of the processor time is logged and doesn't stop the process.

--- a/direct/dispatch/pause.go
+++ b/direct/dispatch/pause.go
@@ -8,6 +8,9 @@
 	// early enough for the backlog and the reading of the prompt.
 	leastReturn = 0.1
 	mostReturn  = 0.6
+	// longestPause bounds the pause on routes without a latency target, whose
+	// callers may wait for minutes.
+	longestPause = 2 * time.Second
 )
 
 // pauseOf returns after which time a refused caller should return. Room at an
@@ -18,5 +21,7 @@
 // returns of callers that are refused together, so that they don't come as one
 // wave.
 func pauseOf(target time.Duration, at float64) time.Duration {
-	return time.Duration((leastReturn + at*(mostReturn-leastReturn)) * float64(target))
+	latest := min(time.Duration(mostReturn*float64(target)), longestPause)
+	least := min(time.Duration(leastReturn*float64(target)), latest/2)
+	return least + time.Duration(at*float64(latest-least))
 }
--- a/direct/entry/buffers.go
+++ b/direct/entry/buffers.go
@@ -13,9 +13,13 @@
 	pool     sync.Pool
 }
 
+// smallPart is the part of the capacity below which a buffer of its own costs
+// less memory than a reused one.
+const smallPart = 4
+
 // get returns a buffer with unspecified content.
 func (p *bufferPool) get(length int) []byte {
-	if length > p.capacity {
+	if length > p.capacity || length < p.capacity/smallPart {
 		return make([]byte, length)
 	}
 	if b, ok := p.pool.Get().(*[]byte); ok {
--- a/direct/process.go
+++ b/direct/process.go
@@ -286,16 +286,19 @@
 	defer ticker.Stop()
 	meter := overload.NewMeter(p.options.Settings.Cores)
 	busy := metrics.GetOrRegisterGaugeFloat64("direct.processor_busy", p.metrics)
+	measured := true
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
 			used, err := overload.ProcessorTime()
-			if err != nil {
-				return eris.Wrap(err, "read the processor time")
+			if err == nil {
+				p.monitor.NoteBusy(meter.Sample(now, used))
+			} else if measured {
+				p.log.Warn("processor time can't be read; only lateness tells of overload", "error", err.Error())
 			}
-			p.monitor.NoteBusy(meter.Sample(now, used))
+			measured = err == nil
 			pressure := p.monitor.Pressure()
 			busy.Update(pressure.Busy)
 			p.stepRotation(now, pressure)
