--- a/direct/entry/busy_test.go
+++ b/direct/entry/busy_test.go
@@ -133,14 +133,7 @@
 // it connected to the endpoint, and that takes the endpoint for unreachable then.
 func TestCallerThatHangsUpWhileConnectingIsNotServed(t *testing.T) {
 	r := newRouter(t)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	caller, err := net.Dial("tcp4", l.Addr().String())
-	must.NoError(t, err)
-	conn, err := l.Accept()
-	must.NoError(t, err)
-	defer conn.Close()
+	caller, conn := connect(t)
 	e := r.add("e1", "plain", ok)
 	in := r.request(http.MethodPost, "/order/1", "")
 	in.RequestURI = "/order/1"
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -445,19 +445,27 @@
 	must.Eq(t, inner, e.Calls()[0].BodyText)
 }
 
-// Guards against a busy router that sends on requests whose callers have left
-// while they waited to be read.
-func TestCallerThatHungUpIsNotServed(t *testing.T) {
-	r := newRouter(t)
-	e := r.add("e1", "plain", ok)
+// connect returns both ends of a connection.
+func connect(t *testing.T) (caller, accepted net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer l.Close()
-	caller, err := net.Dial("tcp4", l.Addr().String())
+	caller, err = net.Dial("tcp4", l.Addr().String())
 	must.NoError(t, err)
-	conn, err := l.Accept()
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err = l.Accept()
 	must.NoError(t, err)
-	defer conn.Close()
+	t.Cleanup(func() { _ = accepted.Close() })
+	return caller, accepted
+}
+
+// Guards against a busy router that sends on requests whose callers have left
+// while they waited to be read.
+func TestCallerThatHungUpIsNotServed(t *testing.T) {
+	r := newRouter(t)
+	e := r.add("e1", "plain", ok)
+	caller, conn := connect(t)
 	must.NoError(t, caller.Close())
 	time.Sleep(50 * time.Millisecond)
 	in := r.request(http.MethodPost, "/order/1", "x")
