TestJoinFailureAndRestart asserts the owner at a defined moment

Change: it is made while the first router is alone, after synctest.Wait, and also checks that it has no live peers.

--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -115,9 +115,14 @@
 func TestJoinFailureAndRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		nodes := startNodes(n, 6)
+		nodes := startNodes(n, 1)
 		defer func() { stopNodes(nodes) }()
-		must.Eq(t, address(1), nodes[0].Owner("svc"))
+		synctest.Wait()
+		must.Eq(t, address(1), nodes[0].Owner("svc"), must.Sprint("the only router owns every service"))
+		must.Len(t, 0, nodes[0].Live())
+		for i := 2; i <= 6; i++ {
+			nodes = append(nodes, n.start(address(i), fmt.Sprint("instance", i), nil))
+		}
 		time.Sleep(10 * time.Second)
 		for _, nd := range nodes {
 			must.Len(t, 5, nd.Live())
