Endless responses, trickling streams and late sends: bounded, and reported truthfully

Changes: headers of a response are limited to 64 KiB with its interim responses; plain responses above 256 KiB are forwarded while they arrive, to 16 MiB; an event above 256 KiB breaks the stream off; one check of caller, deadline and endpoint immediately before the bytes are sent; a stall moves a stream only if another endpoint is usable and a retry is granted, and only complete events count as progress; late dials and late stall checks are no evidence; whole log lines, and a line that says how many were dropped.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -105,6 +105,20 @@
 	}
 }
 
+// Accepting reports whether an endpoint still accepts requests.
+func (d *Dispatcher) Accepting(id string) bool {
+	e, ok := d.registry.Lookup(id)
+	return ok && e.State == registry.Ready
+}
+
+// HasUsable reports whether a service has a usable endpoint that is not in exclude.
+func (d *Dispatcher) HasUsable(now time.Time, service string, exclude []string) bool {
+	endpoints := d.readyEndpoints(&Request{Service: service, Exclude: exclude})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(endpoints, func(e registry.Endpoint) bool { return d.loads.View(now, e.ID, nil).Usable })
+}
+
 // Request describes a request to place.
 type Request struct {
 	Service string
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -68,7 +70,7 @@
 			}
 		case notSent:
 			notSentCount++
-			if r.callerDisconnected() || notSentCount >= maxNotSent {
+			if r.callerDisconnected() || notSentCount >= maxNotSent || !time.Now().Before(r.deadline) {
 				d.failWithoutResponse("no endpoint could be reached")
 				return
 			}
@@ -79,7 +81,7 @@
 				return
 			}
 		case indeterminate:
-			if !r.takeRetry() {
+			if !r.takeRetry(a) {
 				d.failWithoutResponse("the answer was lost")
 				return
 			}
@@ -96,6 +98,11 @@
 	err        error
 	cancel     context.CancelFunc
 	startedAt  time.Time
+	// duration is the time until the response headers were read or the attempt
+	// failed. dialTimeout is the timeout of a connection to the endpoint.
+	duration, dialTimeout time.Duration
+	// stall is nil if the attempt is not watched for stalls.
+	stall *stallWatch
 }
 
 const (
@@ -117,6 +124,7 @@
 	}
 	target := endpointhttp.Target{Instance: assignment.Endpoint.ID, Address: assignment.Endpoint.Address}
 	a.response, a.err = r.h.Pool.Do(ctx, target, out)
+	a.duration, a.dialTimeout = time.Since(now), r.h.Pool.DialTimeout
 	switch {
 	case endpointhttp.NotSent(a.err):
 		a.outcome = notSent
@@ -170,6 +178,23 @@
 	}
 }
 
+// dialTolerance is the delay of a dial's timeout above which this process, and not
+// the endpoint, was late: a process that waits for CPU time sees both the completed
+// connection and the timeout too late.
+const dialTolerance = 50 * time.Millisecond
+
+// provesUnreachable reports whether an attempt that was not sent is evidence against
+// the endpoint. Rechecks before sending and timeouts of a process that was itself late
+// are none.
+func (a *attempt) provesUnreachable() bool {
+	if errors.Is(a.err, errDeadlinePassed) || errors.Is(a.err, errEndpointGone) {
+		return false
+	}
+	var dial net.Error
+	timedOut := errors.As(a.err, &dial) && dial.Timeout()
+	return !timedOut || a.duration < a.dialTimeout+dialTolerance
+}
+
 // resultOf returns the result of an attempt without a usable response.
 func (r *request) resultOf(a *attempt) endpointload.Result {
 	if r.callerDisconnected() {
@@ -177,7 +202,10 @@
 	}
 	switch a.outcome {
 	case notSent:
-		return endpointload.ConnectFailed
+		if a.provesUnreachable() {
+			return endpointload.ConnectFailed
+		}
+		return endpointload.Abandoned
 	case refused:
 		return endpointload.Refused
 	}
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -56,6 +56,8 @@
 func config() *routing.Config {
 	resumable := route("resumable", "/resumable/", routing.Stream, "engines")
 	resumable.Resumable = true
+	brief := route("brief", "/brief/", routing.NonIdempotent, "plain")
+	brief.Timeout = 150 * time.Millisecond
 	return &routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: "plain"}, {Name: "engines", Engine: &routing.Engine{Slots: 8}}},
@@ -65,6 +67,7 @@
 			route("public", "/public/", routing.Idempotent, "plain"),
 			route("stream", "/stream/", routing.Stream, "engines"),
 			resumable,
+			brief,
 		},
 		Teams:  []routing.Team{{Name: "t1", Keys: []string{"k1"}}},
 		Limits: routing.Limits{BodyBytes: 1 << 20},
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -237,20 +237,42 @@
 	control := http.NewResponseController(r.w)
 	// A server without read deadlines is still bounded by the request's context.
 	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyTimeout), r.deadline))
-	body, err := readAll(r.in.Body, r.in.ContentLength, limit)
+	in := &heldReader{in: r.in.Body, held: &r.h.heldBytes, limit: r.h.MaxHeldBytes}
+	body, err := readAll(in, r.in.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
+	if err == nil && int64(len(body)) <= limit {
+		r.body = body
+		return true
+	}
+	r.h.heldBytes.Add(-in.added)
+	bodyBuffers.put(body)
 	if err != nil {
-		bodyBuffers.put(body)
 		r.refuseBody(err)
-		return false
-	}
-	if int64(len(body)) > limit {
+	} else {
 		r.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
-		return false
 	}
-	r.body = body
-	r.h.heldBytes.Add(int64(len(body)))
-	return true
+	return false
+}
+
+var errTooManyHeldBytes = errors.New("too many bytes of request bodies in memory")
+
+// heldReader counts the bytes that it reads as held and fails above the limit. The
+// length of a chunked body is unknown until its end.
+type heldReader struct {
+	in    io.Reader
+	held  *atomic.Int64
+	limit int64
+	added int64
+}
+
+// Read implements io.Reader.
+func (h *heldReader) Read(p []byte) (int, error) {
+	n, err := h.in.Read(p)
+	h.added += int64(n)
+	if h.held.Add(int64(n)) > h.limit {
+		return n, errTooManyHeldBytes
+	}
+	return n, err
 }
 
 // releaseBody returns the memory of the body to the pool.
@@ -276,6 +298,10 @@
 
 func (r *request) refuseBody(err error) {
 	r.w.Header().Set("Connection", "close")
+	if errors.Is(err, errTooManyHeldBytes) {
+		r.refuse(http.StatusServiceUnavailable, "too many bodies in memory", notReadyRetryAfter)
+		return
+	}
 	if r.in.Context().Err() == nil && errors.Is(err, io.ErrUnexpectedEOF) {
 		r.refuse(http.StatusBadRequest, "the body ended early", 0)
 		return
@@ -328,7 +354,7 @@
 	}
 }
 
-var errConnectionClosed = errors.New("caller closed the connection before the request was placed")
+var errConnectionClosed = errors.New("caller closed the connection")
 
 // connectionClosed checks the socket of the caller's connection. On a busy host,
 // the HTTP server may detect a disconnect only after the request has been sent to
@@ -343,13 +369,27 @@
 // its endpoint take a few milliseconds on a host that isn't overloaded.
 const recheckAfter = 50 * time.Millisecond
 
-// recheckConnection checks the caller's connection again if a busy host took long
-// to place the request, and reports whether the caller has disconnected.
-func (r *request) recheckConnection() bool {
+var (
+	errDeadlinePassed = errors.New("the deadline has passed")
+	errEndpointGone   = errors.New("the endpoint stopped accepting requests")
+)
+
+// recheck is called immediately before the request is sent to an endpoint. On a busy
+// host, much time may have passed since it was placed. It returns an error if the
+// caller has disconnected, the deadline has passed, or the endpoint is draining or
+// gone.
+func (r *request) recheck(instance string) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
 		r.disconnected = true
+		return errConnectionClosed
+	}
+	if !time.Now().Before(r.deadline) {
+		return errDeadlinePassed
+	}
+	if !r.h.Dispatcher.Accepting(instance) {
+		return errEndpointGone
 	}
-	return r.disconnected
+	return nil
 }
 
 // refuse responds to a request that was certainly not executed. attrs are added to the
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -72,7 +72,8 @@
 	return &endpointhttp.Request{
 		Method: r.in.Method, URI: r.uri(), Host: r.in.Host,
 		Header: r.endpointHeader(instance, now), Body: r.body,
-		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle, Abandoned: r.recheckConnection,
+		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
+		Recheck: func() error { return r.recheck(instance) },
 	}
 }
 
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,8 +16,11 @@
 )
 
 const (
-	// maxBufferedResponse bounds a response that is buffered in memory, in bytes.
-	maxBufferedResponse = 16 << 20
+	// maxBufferedResponse bounds the part of a response that is buffered in memory,
+	// in bytes. A longer response is forwarded while it arrives.
+	maxBufferedResponse = 256 << 10
+	// maxResponse bounds a response, in bytes. It ends one without end early.
+	maxResponse = 16 << 20
 	// retryTimeoutFraction is the fraction of the latency target after which an
 	// idempotent request is sent to another endpoint.
 	retryTimeoutFraction = 0.6
@@ -73,10 +77,13 @@
 // or an error and the request can be retried.
 func (r *request) relayBuffered(a *attempt) relayResult {
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
-	if err != nil || len(body) > maxBufferedResponse {
+	if err == nil && len(body) > maxBufferedResponse {
+		return r.relayLarge(a, body)
+	}
+	if err != nil {
 		a.err = err
 		r.endAttempt(a, r.resultOf(a))
-		if r.takeRetry() {
+		if r.takeRetry(a) {
 			return retryRequest
 		}
 		r.failWithoutResponse("the answer was cut off")
@@ -85,7 +92,7 @@
 	now := time.Now()
 	if a.response.Status >= 500 {
 		r.endAttempt(a, endpointload.Failed)
-		if r.takeRetry() {
+		if r.takeRetry(a) {
 			return retryRequest
 		}
 	} else {
@@ -108,11 +115,61 @@
 	return done
 }
 
-// takeRetry reports whether the request may be sent again although it may have
-// been executed, and if so consumes one retry of the service's retry budget.
-func (r *request) takeRetry() bool {
+// relayLarge forwards a response of which start was read and that is too large to be
+// buffered. If it breaks off or is longer than maxResponse, the caller's connection
+// is closed, so that the response does not look complete.
+func (r *request) relayLarge(a *attempt, start []byte) relayResult {
+	r.copyResponseHeader(a.response.Header)
+	if length, ok := a.response.Header["Content-Length"]; ok {
+		r.w.Header()["Content-Length"] = length
+	}
+	result := endpointload.Failed
+	if a.response.Status < 500 {
+		result = endpointload.Succeeded
+		a.assignment.Begin(time.Now())
+	}
+	r.w.WriteHeader(a.response.Status)
+	caller := &callerWriter{w: r.w}
+	rest := io.LimitReader(a.response.Body, maxResponse-int64(len(start))+1)
+	n, err := io.Copy(caller, io.MultiReader(bytes.NewReader(start), rest))
+	switch {
+	case caller.err != nil:
+		r.endAttempt(a, endpointload.Abandoned)
+		r.abortDisconnected(caller.err)
+	case err != nil || n > maxResponse:
+		a.err = err
+		r.endAttempt(a, r.resultOf(a))
+		r.abortResponse("the answer was cut off", n)
+	}
+	r.endAttempt(a, result)
+	r.h.Metrics.Answered.Inc(1)
+	r.h.Metrics.Latency.Update(time.Since(r.receivedAt))
+	r.logRequestEnd(a.response.Status, "answered")
+	return done
+}
+
+// callerWriter records errors of writes to the caller, to distinguish them from errors
+// of reads from the endpoint.
+type callerWriter struct {
+	w   io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	if err != nil {
+		c.err = err
+	}
+	return n, err
+}
+
+// takeRetry reports whether the request may be sent again after attempt a although it
+// may have been executed, and if so consumes one retry of the service's retry budget,
+// unless a's stall watch has taken it.
+func (r *request) takeRetry(a *attempt) bool {
 	return r.route.Repeatable() && r.possibleExecutions < r.route.Attempts && !r.callerDisconnected() &&
-		time.Until(r.deadline) > minRetryTime && r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name)
+		time.Until(r.deadline) > minRetryTime && (a.stall.tookRetry() || r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name))
 }
 
 func (r *request) callerDisconnected() bool { return r.disconnected || r.in.Context().Err() != nil }
--- a/direct/entry/stall.go
+++ b/direct/entry/stall.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
@@ -22,26 +24,52 @@
 		return r.send(ctx, cancel, assignment, extra)
 	}
 	ctx, cancel := context.WithCancelCause(r.ctx)
-	go cancelOnStall(ctx, cancel, assignment)
-	return r.send(ctx, func() { cancel(nil) }, assignment, extra)
+	w := &stallWatch{
+		assignment: assignment, dispatcher: r.h.Dispatcher, service: r.service.Name,
+		exclude: append(slices.Clone(r.exclude), assignment.Endpoint.ID),
+	}
+	go w.run(ctx, cancel)
+	a := r.send(ctx, func() { cancel(nil) }, assignment, extra)
+	a.stall = w
+	return a
+}
+
+// stallWatch cancels an attempt whose endpoint remains stalled for stallTimeout. It
+// does so only if another endpoint is usable and the retry budget allows a retry, which
+// it takes: without them, the stream would end, and a slow endpoint may still finish it.
+type stallWatch struct {
+	assignment *dispatch.Assignment
+	dispatcher *dispatch.Dispatcher
+	service    string
+	exclude    []string
+	retryTaken atomic.Bool
 }
 
-// cancelOnStall cancels an attempt whose endpoint remains stalled for stallTimeout.
-func cancelOnStall(ctx context.Context, cancel context.CancelCauseFunc, assignment *dispatch.Assignment) {
+// tookRetry reports whether the attempt was cancelled and its retry already counted.
+func (w *stallWatch) tookRetry() bool { return w != nil && w.retryTaken.Load() }
+
+// run checks the endpoint until ctx ends. A check that itself comes late starts the wait
+// again, because a process without CPU time also reads late.
+func (w *stallWatch) run(ctx context.Context, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(stallCheckInterval)
 	defer ticker.Stop()
 	var since time.Time
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			late := now.Sub(last) > 2*stallCheckInterval
+			last = now
 			switch {
-			case !assignment.Stalled(now):
+			case late || !w.assignment.Stalled(now):
 				since = time.Time{}
 			case since.IsZero():
 				since = now
-			case now.Sub(since) >= stallTimeout:
+			case now.Sub(since) >= stallTimeout && w.dispatcher.HasUsable(now, w.service, w.exclude) && w.dispatcher.TakeRetry(now, w.service):
+				w.retryTaken.Store(true)
 				cancel(errStalled)
 				return
 			}
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -28,7 +28,10 @@
 	stallCheckInterval = 250 * time.Millisecond
 )
 
-var errStalled = errors.New("endpoint stalled")
+var (
+	errStalled      = errors.New("endpoint stalled")
+	errEventTooLong = errors.New("event in the endpoint's stream is too long")
+)
 
 // streamState is the state of a streamed response across attempts.
 type streamState struct {
@@ -82,13 +85,15 @@
 		n, err := a.response.Body.Read(buffer)
 		now := time.Now()
 		if n > 0 {
-			a.assignment.Receive(now)
 			if writeErr := r.forwardEvents(a, s, buffer[:n], eventStream, now); writeErr != nil {
 				r.endAttempt(a, endpointload.Abandoned)
 				r.abortDisconnected(writeErr)
 			}
 		}
 		switch {
+		case s.splitter.Overflowed():
+			a.err = errEventTooLong
+			return r.handleStreamError(a, s)
 		case errors.Is(err, io.EOF):
 			return r.finishStream(a, s, eventStream)
 		case err != nil:
@@ -107,7 +112,8 @@
 }
 
 // forwardEvents writes the events that are complete with data, or data itself if
-// the response is not an event stream.
+// the response is not an event stream. Only complete events count as received: an
+// endpoint that sends single bytes and no events is stalled.
 func (r *request) forwardEvents(a *attempt, s *streamState, data []byte, eventStream bool, now time.Time) error {
 	if eventStream {
 		data = s.splitter.Feed(data)
@@ -115,6 +121,7 @@
 	if len(data) == 0 {
 		return nil
 	}
+	a.assignment.Receive(now)
 	a.assignment.Begin(now)
 	if !s.headersSent {
 		s.headersSent = true
@@ -155,7 +162,7 @@
 	r.endAttempt(a, r.resultOf(a))
 	s.splitter.DropPartial()
 	_, hasID := s.splitter.LastID()
-	if (!s.headersSent || hasID) && r.takeRetry() {
+	if (!s.headersSent || hasID) && r.takeRetry(a) {
 		r.h.Metrics.Resumed.Inc(1)
 		return retryRequest
 	}
@@ -170,7 +177,7 @@
 		return r.relayBuffered(a)
 	}
 	r.endAttempt(a, endpointload.Failed)
-	if r.takeRetry() {
+	if r.takeRetry(a) {
 		return retryRequest
 	}
 	r.abortStream(s, "the resumed stream failed")
@@ -184,18 +191,21 @@
 	r.failWithoutResponse(reason)
 }
 
-// abortStream closes the connection of a response whose headers were sent, so that
-// the response doesn't look complete.
-func (r *request) abortStream(s *streamState, reason string) {
+func (r *request) abortStream(s *streamState, reason string) { r.abortResponse(reason, s.written) }
+
+// abortResponse closes the connection of a response whose headers and first bytes were
+// sent, so that the response doesn't look complete.
+func (r *request) abortResponse(reason string, written int64) {
 	if r.callerDisconnected() {
-		r.abortDisconnected(r.in.Context().Err())
+		r.abortDisconnected(errConnectionClosed)
 	}
 	r.h.Metrics.Failed.Inc(1)
 	r.logRequestEnd(0, reason)
-	r.h.Log.Info("stream ended early", "request", r.id, "outcome", string(outcome.Unknown), "reason", reason, "bytes", s.written)
+	r.h.Log.Info("response ended early", "request", r.id, "outcome", string(outcome.Unknown), "reason", reason, "bytes", written)
 	panic(http.ErrAbortHandler)
 }
 
+// abortDisconnected ends a request whose caller has disconnected.
 func (r *request) abortDisconnected(err error) {
 	r.h.Metrics.CallerDisconnected.Inc(1)
 	r.logRequestEnd(0, "caller left")
--- a/observability/ratelimit.go
+++ b/observability/ratelimit.go
@@ -1,10 +1,14 @@
 package observability
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,16 +20,28 @@
 	// asyncBatchBytes is the size in bytes from which no more queued lines are
 	// added to one write.
 	asyncBatchBytes = 32 << 10
+	// outputRetryDelay is the delay before a write to a full, non-blocking output
+	// is repeated.
+	outputRetryDelay = 10 * time.Millisecond
+	// closeTimeout bounds the wait for the output when the process ends.
+	closeTimeout = time.Second
 )
 
-// AsyncWriter writes lines without blocking its callers. If asyncQueueLines lines
-// are queued, further lines are dropped and counted.
+// AsyncWriter writes whole lines in order without blocking its callers. If
+// asyncQueueLines lines are queued, further lines are dropped and counted; a later
+// line states how many.
 type AsyncWriter struct {
 	lines chan []byte
 	done  chan struct{}
 	once  sync.Once
-	// Dropped counts the lines that were dropped because the queue was full.
+	// Dropped counts the lines that were dropped because the queue was full or the
+	// output failed.
 	Dropped metrics.Counter
+	// insideLine is set if the last write ended inside a line, and noted is the
+	// number of dropped lines already stated in the output. Only the writing
+	// goroutine uses them.
+	insideLine bool
+	noted      int64
 }
 
 // NewAsyncWriter returns an AsyncWriter to w and starts its goroutine, which
@@ -41,15 +57,55 @@
 	defer close(a.done)
 	var batch []byte
 	for line := range a.lines {
-		batch = append(batch[:0], line...)
+		batch = append(batch[:0], a.noteDropped()...)
+		batch = append(batch, line...)
 		for len(batch) < asyncBatchBytes && len(a.lines) > 0 {
 			batch = append(batch, <-a.lines...)
 		}
-		// There is no other output on which to report an error.
-		_, _ = w.Write(batch)
+		a.writeBatch(w, batch)
 	}
 }
 
+// writeBatch writes whole lines. If the output takes only a part of the batch, it
+// continues after that part. After an error it drops the rest of the batch, and
+// starts the next batch with a line break if the output ended inside a line.
+func (a *AsyncWriter) writeBatch(w io.Writer, batch []byte) {
+	if a.insideLine {
+		batch = append([]byte{'\n'}, batch...)
+		a.insideLine = false
+	}
+	for len(batch) > 0 {
+		n, err := w.Write(batch)
+		n = min(max(n, 0), len(batch))
+		if n > 0 {
+			a.insideLine = batch[n-1] != '\n'
+		}
+		batch = batch[n:]
+		if err == nil && n > 0 || errors.Is(err, syscall.EAGAIN) || errors.Is(err, io.ErrShortWrite) && n > 0 {
+			if err != nil {
+				time.Sleep(outputRetryDelay)
+			}
+			continue
+		}
+		// There is no other output on which to report the error.
+		a.Dropped.Inc(int64(bytes.Count(batch, []byte{'\n'})))
+		return
+	}
+}
+
+// noteDropped returns a line that states how many lines were dropped since the last
+// such line, or nil if none were.
+func (a *AsyncWriter) noteDropped() []byte {
+	dropped := a.Dropped.Count()
+	if dropped == a.noted {
+		return nil
+	}
+	line := fmt.Appendf(nil, `{"time":%q,"level":"WARN","msg":"log lines dropped by a slow output","lines":%d}`+"\n",
+		time.Now().Format(time.RFC3339Nano), dropped-a.noted)
+	a.noted = dropped
+	return line
+}
+
 // Write implements io.Writer. It never blocks and never returns an error.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	copied := make([]byte, len(line))
@@ -62,11 +118,17 @@
 	return len(line), nil
 }
 
-// Close waits until all queued lines are written. Write must not be called
+// Close waits until all queued lines are written, for at most closeTimeout, so that
+// a stalled output does not keep a process from ending. Write must not be called
 // during or after Close.
 func (a *AsyncWriter) Close() {
 	a.once.Do(func() { close(a.lines) })
-	<-a.done
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-a.done:
+	case <-timer.C:
+	}
 }
 
 // rateLimitedHandler passes at most perSecond lines with the same message per
--- a/protocol/eventstream/splitter.go
+++ b/protocol/eventstream/splitter.go
@@ -10,9 +10,9 @@
 // idField is the prefix of the line that holds the identifier of an event.
 var idField = []byte("id:")
 
-// maxEventBytes is the maximum number of buffered bytes; a longer event is returned
-// in several parts.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum number of buffered bytes. Events of model engines have
+// a few hundred.
+const maxEventBytes = 256 << 10
 
 // Splitter buffers bytes until an event is complete.
 type Splitter struct {
@@ -30,10 +30,7 @@
 	end := lastEventEnd(s.pending, s.scanned)
 	if end == 0 {
 		s.scanned = max(0, len(s.pending)-3)
-		if len(s.pending) <= maxEventBytes {
-			return nil
-		}
-		end = len(s.pending)
+		return nil
 	}
 	complete := make([]byte, end)
 	copy(complete, s.pending[:end])
@@ -76,6 +73,10 @@
 	}
 }
 
+// Overflowed reports whether the incomplete event is longer than maxEventBytes. The
+// stream can't be continued then, since a part of an event must not be forwarded.
+func (s *Splitter) Overflowed() bool { return len(s.pending) > maxEventBytes }
+
 // HasPartial reports whether an incomplete event is buffered.
 func (s *Splitter) HasPartial() bool { return len(s.pending) > 0 }
 
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
 	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
@@ -19,6 +20,9 @@
 	// readBufferSize is the size of a connection's read buffer in bytes; it holds
 	// the headers of most responses.
 	readBufferSize = 2048
+	// maxHeadBytes bounds the headers of one response, and of all interim responses
+	// before it, in bytes.
+	maxHeadBytes = 64 << 10
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe and
 	// the interval between probes.
 	keepAliveInterval = time.Second
@@ -29,9 +33,36 @@
 	userTimeoutMs = 2500
 )
 
+// errHeadTooLarge reports that an endpoint sent more than maxHeadBytes before the
+// end of a response's headers.
+var errHeadTooLarge = eris.New("response headers are too large")
+
+// headReader reads from a connection and bounds the bytes that are read while
+// limited is set. net/http does not bound the headers of a response that is read
+// from a plain reader.
+type headReader struct {
+	net.Conn
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.Conn.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.Conn.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
+	head   *headReader
 	reader *bufio.Reader
 	// requestsSent is the number of requests sent on the connection so far.
 	requestsSent int
@@ -62,7 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+	head := &headReader{Conn: c}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // reusable reports whether an idle connection is open and has no unread bytes.
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -30,9 +30,9 @@
 	// ID is the request identifier that the endpoint returns in the header IDHeader.
 	ID       string
 	IDHeader string
-	// Abandoned is called immediately before the request is written and reports
-	// whether the caller has disconnected; nil skips this check.
-	Abandoned func() bool
+	// Recheck is called immediately before the request is written. If it returns an
+	// error, the request is not sent. nil skips this check.
+	Recheck func() error
 	// MaxIdleTime is the maximum idle time of a pooled connection used for the request.
 	MaxIdleTime time.Duration
 }
@@ -97,7 +97,7 @@
 		return nil, &NotSentError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := r.checkCancelled(ctx); err != nil {
+	if err := r.checkBeforeSend(ctx); err != nil {
 		stop()
 		_ = c.Close()
 		return nil, &NotSentError{Err: err}
@@ -112,15 +112,14 @@
 	return response, nil
 }
 
-var errAbandoned = eris.New("caller disconnected before the request was sent")
-
-// checkCancelled returns an error if ctx is done or the caller has disconnected.
-func (r *Request) checkCancelled(ctx context.Context) error {
+// checkBeforeSend returns an error if ctx is done or the request must not be sent any
+// more.
+func (r *Request) checkBeforeSend(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if r.Abandoned != nil && r.Abandoned() {
-		return errAbandoned
+	if r.Recheck != nil {
+		return r.Recheck()
 	}
 	return nil
 }
@@ -196,8 +195,11 @@
 // new connection a response without an identifier is accepted as well.
 func (c *conn) readResponse(r *Request, reused bool) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	c.head.remaining = maxHeadBytes
 	for range maxStaleResponses {
+		c.head.limited = true
 		response, err := http.ReadResponse(c.reader, request)
+		c.head.limited = false
 		if err != nil {
 			return nil, eris.Wrap(err, "read response")
 		}
