Load reports between direct routers are compact datagrams

Cause: with 68 routers each gets 200 reports a second; one about 120 endpoints and 60 teams took 2.9 kB, 54 us and 206 allocations, and every placement added up the usage of all peers. Change: protocol/loadreport encodes reports with 32-bit identifiers, varints and 6-byte addresses; the usage of teams, counted over 4 s, goes out at most every 250 ms; sums over peers are kept per team, as they were per endpoint.

--- a/coordination/endpointload/state.go
+++ b/coordination/endpointload/state.go
@@ -45,7 +45,7 @@
 // endpoint is the state of one endpoint at this router.
 type endpoint struct {
 	// hash identifies the endpoint in load reports.
-	hash     uint64
+	hash     uint32
 	started  time.Time
 	pending  int64
 	running  int
@@ -62,7 +62,7 @@
 	backoff          time.Duration
 }
 
-func newEndpoint(hash uint64, started time.Time) *endpoint {
+func newEndpoint(hash uint32, started time.Time) *endpoint {
 	return &endpoint{hash: hash, started: started, parts: map[uint64]time.Time{}}
 }
 
--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -18,6 +18,12 @@
 	Unreachable bool
 }
 
+// PeerLoad is the load of a peer on the endpoint with this hash.
+type PeerLoad struct {
+	Endpoint uint32
+	Load
+}
+
 // loadSum sums the loads of several routers.
 type loadSum struct {
 	pending int64
@@ -45,7 +51,7 @@
 	peers     map[string]*peer
 	// peerLoads sums the loads of all peers by endpoint, so that the cost of a
 	// view doesn't grow with the size of the fleet.
-	peerLoads map[uint64]loadSum
+	peerLoads map[uint32]loadSum
 	// defaultRate is the prefill rate assumed for an engine without observations,
 	// in prompt tokens per millisecond.
 	defaultRate float64
@@ -54,13 +60,13 @@
 type peer struct {
 	sequence   uint64
 	lastReport time.Time
-	loads      map[uint64]Load
+	loads      []PeerLoad
 }
 
 // NewTable returns an empty table. defaultRate is the prefill rate of engines
 // without observations, in prompt tokens per millisecond.
 func NewTable(defaultRate float64) *Table {
-	return &Table{endpoints: map[string]*endpoint{}, peers: map[string]*peer{}, peerLoads: map[uint64]loadSum{}, defaultRate: clampRate(defaultRate)}
+	return &Table{endpoints: map[string]*endpoint{}, peers: map[string]*peer{}, peerLoads: map[uint32]loadSum{}, defaultRate: clampRate(defaultRate)}
 }
 
 // SetDefaultRate sets the prefill rate of engines without observations, in
@@ -70,7 +76,7 @@
 func clampRate(rate float64) float64 { return min(max(rate, minRate), maxRate) }
 
 // Hash returns the number that identifies an endpoint in load reports.
-func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 func (t *Table) endpoint(id string) *endpoint {
 	e := t.endpoints[id]
@@ -258,7 +264,7 @@
 
 // ApplyPeerReport replaces the loads of a peer and returns true. It returns false for
 // a report that is not newer than the latest one, which is ignored.
-func (t *Table) ApplyPeerReport(now time.Time, instance string, sequence uint64, loads map[uint64]Load) bool {
+func (t *Table) ApplyPeerReport(now time.Time, instance string, sequence uint64, loads []PeerLoad) bool {
 	p := t.peers[instance]
 	if p == nil {
 		p = &peer{}
@@ -275,25 +281,25 @@
 
 // addPeerLoads adds loads to the sums over all peers, or subtracts them if sign
 // is -1.
-func (t *Table) addPeerLoads(loads map[uint64]Load, sign int) {
-	for hash, l := range loads {
-		sum := t.peerLoads[hash]
+func (t *Table) addPeerLoads(loads []PeerLoad, sign int) {
+	for _, l := range loads {
+		sum := t.peerLoads[l.Endpoint]
 		sum.pending += int64(sign) * l.Pending
 		sum.running += sign * l.Running
 		if l.Unreachable {
 			sum.unreachable += sign
 		}
 		if sum == (loadSum{}) {
-			delete(t.peerLoads, hash)
+			delete(t.peerLoads, l.Endpoint)
 		} else {
-			t.peerLoads[hash] = sum
+			t.peerLoads[l.Endpoint] = sum
 		}
 	}
 }
 
 // RecordPeerPlacement records that a peer sent a request with a part to an
 // endpoint, which is then assumed to have the part cached.
-func (t *Table) RecordPeerPlacement(now time.Time, hash, part uint64) {
+func (t *Table) RecordPeerPlacement(now time.Time, hash uint32, part uint64) {
 	for _, e := range t.endpoints {
 		if e.hash == hash {
 			e.recordCached(now, []prompt.Part{{Key: part}})
--- a/coordination/endpointload/table_test.go
+++ b/coordination/endpointload/table_test.go
@@ -13,7 +13,7 @@
 
 // reportFromPeer applies a peer's report that the endpoint is reachable or not.
 func reportFromPeer(t *Table, now time.Time, peer string, id string, unreachable bool) {
-	t.ApplyPeerReport(now, peer, uint64(now.UnixNano()), map[uint64]Load{Hash(id): {Running: 1, Unreachable: unreachable}})
+	t.ApplyPeerReport(now, peer, uint64(now.UnixNano()), []PeerLoad{{Hash(id), Load{Running: 1, Unreachable: unreachable}}})
 }
 
 // Guards against every router of a fleet losing requests before it detects that
@@ -65,7 +65,7 @@
 func TestPeerReportReplacesPreviousLoads(t *testing.T) {
 	table := NewTable(50)
 	for i := range 5 {
-		load := map[uint64]Load{Hash("e"): {Pending: int64(100 * i), Running: i, Unreachable: i%2 == 1}}
+		load := []PeerLoad{{Hash("e"), Load{Pending: int64(100 * i), Running: i, Unreachable: i%2 == 1}}}
 		must.True(t, table.ApplyPeerReport(start, "p", uint64(i+1), load))
 	}
 	must.False(t, table.ApplyPeerReport(start, "p", 2, nil), must.Sprint("an outdated report"))
--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
@@ -32,12 +33,7 @@
 		return 1
 	}
 	hash := TeamHash(name)
-	used := d.team(now, name).window.Sum(now).Started
-	for _, p := range d.peers {
-		if now.Sub(p.receivedAt) <= peerUsageTTL {
-			used += p.teams[hash].Started
-		}
-	}
+	used := d.team(now, name).window.Sum(now).Started + d.peerTeams[hash].Started
 	if used <= d.configuredLevel {
 		return 1
 	}
@@ -64,17 +60,11 @@
 		return
 	}
 	d.levelsUpdatedAt = now
-	totals := map[uint64]fairshare.Usage{}
+	d.expirePeerUsage(now)
+	totals := maps.Clone(d.peerTeams)
 	for name, t := range d.teams {
-		totals[TeamHash(name)] = t.window.Sum(now)
-	}
-	for _, p := range d.peers {
-		if now.Sub(p.receivedAt) > peerUsageTTL {
-			continue
-		}
-		for hash, u := range p.teams {
-			totals[hash] = totals[hash].Add(u)
-		}
+		hash := TeamHash(name)
+		totals[hash] = totals[hash].Add(t.window.Sum(now))
 	}
 	demands := make([]int64, 0, len(totals))
 	var started int64
@@ -90,6 +80,29 @@
 	d.achievedLevel = fairshare.MaxMinLevel(demands, max(capacity, started))
 }
 
+// addPeerTeams adds a peer's usage to the sums over all peers, or subtracts it if sign is
+// -1.
+func (d *Dispatcher) addPeerTeams(teams []TeamUsage, sign int64) {
+	for _, t := range teams {
+		sum := d.peerTeams[t.Team].Add(fairshare.Usage{Requested: sign * t.Requested, Started: sign * t.Started})
+		if sum == (fairshare.Usage{}) {
+			delete(d.peerTeams, t.Team)
+		} else {
+			d.peerTeams[t.Team] = sum
+		}
+	}
+}
+
+// expirePeerUsage removes the usage of peers that have sent none within peerUsageTTL.
+func (d *Dispatcher) expirePeerUsage(now time.Time) {
+	for _, p := range d.peers {
+		if len(p.teams) > 0 && now.Sub(p.teamsReceivedAt) > peerUsageTTL {
+			d.addPeerTeams(p.teams, -1)
+			p.teams = nil
+		}
+	}
+}
+
 // Report is this router's load per endpoint ID and usage per team name, for its
 // peers.
 type Report struct {
@@ -113,16 +126,24 @@
 	return r
 }
 
-// PeerReport is a report received from a peer. Loads and Teams are keyed by the
-// hashes of endpoint IDs and team names.
+// PeerReport is a report received from a peer. Endpoints and teams are identified by
+// the hashes of their IDs and names.
 type PeerReport struct {
 	Instance string
 	Sequence uint64
-	Loads    map[uint64]endpointload.Load
-	Teams    map[uint64]fairshare.Usage
+	Loads    []endpointload.PeerLoad
+	// HasTeams is set if Teams replaces the teams of the peer's previous report.
+	HasTeams bool
+	Teams    []TeamUsage
 	Placed   []PlacedPart
 }
 
+// TeamUsage is a peer's usage by the team with this hash.
+type TeamUsage struct {
+	Team uint32
+	fairshare.Usage
+}
+
 // ApplyPeerReport applies a peer's report. It ignores a report whose sequence
 // number is not newer than that of the last one from the same peer.
 func (d *Dispatcher) ApplyPeerReport(now time.Time, r PeerReport) {
@@ -131,7 +152,17 @@
 	if !d.loads.ApplyPeerReport(now, r.Instance, r.Sequence, r.Loads) {
 		return
 	}
-	d.peers[r.Instance] = peerUsage{receivedAt: now, teams: r.Teams}
+	p := d.peers[r.Instance]
+	if p == nil {
+		p = &peerUsage{}
+		d.peers[r.Instance] = p
+	}
+	p.receivedAt = now
+	if r.HasTeams {
+		d.addPeerTeams(p.teams, -1)
+		d.addPeerTeams(r.Teams, 1)
+		p.teams, p.teamsReceivedAt = r.Teams, now
+	}
 	for _, p := range r.Placed {
 		d.loads.RecordPeerPlacement(now, p.Endpoint, p.Part)
 	}
--- a/direct/dispatch/allowance_test.go
+++ b/direct/dispatch/allowance_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
@@ -154,9 +155,9 @@
 	d := newEngines(2, 1000)
 	now := time.Unix(1_700_000_000, 0)
 	reportUnreachable := func(sequence uint64, engines ...string) {
-		loads := map[uint64]endpointload.Load{}
+		var loads []endpointload.PeerLoad
 		for _, id := range engines {
-			loads[endpointload.Hash(id)] = endpointload.Load{Unreachable: true}
+			loads = append(loads, endpointload.PeerLoad{Endpoint: endpointload.Hash(id), Load: endpointload.Load{Unreachable: true}})
 		}
 		for _, peer := range []string{"p1", "p2"} {
 			d.ApplyPeerReport(now, PeerReport{Instance: peer, Sequence: sequence, Loads: loads})
@@ -172,3 +173,51 @@
 	_, refusal := d.PlaceEngine(now, &Request{Service: "s", Cost: prompt.Cost{UnsharedTokens: 10}, Target: time.Second})
 	must.Nil(t, refusal)
 }
+
+// Guards against sums over peers that drift from the peers' latest reports: a report
+// without teams keeps the previous ones, and silent peers don't count.
+func TestPeerTeamSumsMatchLatestReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newEngines(1, 1000)
+		now := time.Unix(1_700_000_000, 0)
+		type latest struct {
+			at    time.Time
+			teams []TeamUsage
+		}
+		want := map[string]latest{}
+		for sequence := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			r := PeerReport{
+				Instance: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer"), Sequence: uint64(sequence + 1),
+				HasTeams: rapid.Bool().Draw(t, "has teams"),
+			}
+			if r.HasTeams {
+				for range rapid.IntRange(0, 3).Draw(t, "teams") {
+					r.Teams = append(r.Teams, TeamUsage{Team: rapid.Uint32Range(1, 3).Draw(t, "team"), Usage: fairshare.Usage{
+						Requested: rapid.Int64Range(0, 9).Draw(t, "requested"), Started: rapid.Int64Range(0, 9).Draw(t, "started"),
+					}})
+				}
+				want[r.Instance] = latest{now, r.Teams}
+			}
+			d.ApplyPeerReport(now, r)
+			if rapid.Bool().Draw(t, "evict") {
+				d.EvictExpired(now)
+			}
+			d.expirePeerUsage(now)
+			sums := map[uint32]fairshare.Usage{}
+			for _, l := range want {
+				if now.Sub(l.at) > peerUsageTTL {
+					continue
+				}
+				for _, u := range l.teams {
+					if sum := sums[u.Team].Add(u.Usage); sum != (fairshare.Usage{}) {
+						sums[u.Team] = sum
+					}
+				}
+			}
+			if !maps.Equal(sums, d.peerTeams) {
+				t.Fatalf("sums are %v, want %v", d.peerTeams, sums)
+			}
+		}
+	})
+}
--- a/direct/dispatch/bench_test.go
+++ b/direct/dispatch/bench_test.go
@@ -17,21 +17,21 @@
 // peers, the size of the largest deployments.
 func BenchmarkDecision(b *testing.B) {
 	table := registry.NewTable()
-	loads := map[uint64]endpointload.Load{}
+	var loads []endpointload.PeerLoad
 	for i := range 55 {
 		id := fmt.Sprintf("e%d", i)
 		table.Put(registry.Endpoint{ID: id, Service: "s", Slots: 64})
-		loads[endpointload.Hash(id)] = endpointload.Load{Pending: 1000, Running: 2}
+		loads = append(loads, endpointload.PeerLoad{Endpoint: endpointload.Hash(id), Load: endpointload.Load{Pending: 1000, Running: 2}})
 	}
 	d := New("z", table, placement.DefaultPolicy(), retry.DefaultLimits())
 	d.SetCapacity(1e6, 55)
 	now := time.Now()
-	teams := map[uint64]fairshare.Usage{}
+	var teams []TeamUsage
 	for i := range 30 {
-		teams[TeamHash(fmt.Sprint(i))] = fairshare.Usage{Requested: 100000, Started: 80000}
+		teams = append(teams, TeamUsage{TeamHash(fmt.Sprint(i)), fairshare.Usage{Requested: 100000, Started: 80000}})
 	}
 	for i := range 29 {
-		d.ApplyPeerReport(now, PeerReport{Instance: fmt.Sprint(i), Sequence: 1, Loads: loads, Teams: teams})
+		d.ApplyPeerReport(now, PeerReport{Instance: fmt.Sprint(i), Sequence: 1, Loads: loads, HasTeams: true, Teams: teams})
 	}
 	request := &Request{Service: "s", Team: "1", Cost: prompt.Parse("aa:500,bb:5000,cc:600", "6100,300", ""), Target: time.Second}
 	for b.Loop() {
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -41,12 +41,15 @@
 	zone     string
 	registry *registry.Table
 
-	mu      sync.Mutex
-	loads   *endpointload.Table
-	teams   map[string]*team
-	peers   map[string]peerUsage
-	budgets map[string]*retry.Budget
-	limits  retry.Limits
+	mu    sync.Mutex
+	loads *endpointload.Table
+	teams map[string]*team
+	peers map[string]*peerUsage
+	// peerTeams sums the usage of all peers by team, so that the cost of a placement
+	// doesn't grow with the size of the fleet.
+	peerTeams map[uint32]fairshare.Usage
+	budgets   map[string]*retry.Budget
+	limits    retry.Limits
 	// routers is the number of routers that share the retry budget.
 	routers int
 	// capacity is the configured token rate of all engines, in tokens per second.
@@ -69,29 +72,32 @@
 }
 
 type peerUsage struct {
-	receivedAt time.Time
-	teams      map[uint64]fairshare.Usage
+	// receivedAt is the time of the latest report, teamsReceivedAt that of the latest
+	// report with teams.
+	receivedAt, teamsReceivedAt time.Time
+	teams                       []TeamUsage
 }
 
 // PlacedPart records that a prompt part was sent to an endpoint other than its
 // home.
 type PlacedPart struct {
-	Endpoint uint64
+	Endpoint uint32
 	Part     uint64
 }
 
 // New returns a Dispatcher for a router in zone.
 func New(zone string, endpoints *registry.Table, policy placement.Policy, limits retry.Limits) *Dispatcher {
 	return &Dispatcher{
-		policy:   policy,
-		zone:     zone,
-		registry: endpoints,
-		loads:    endpointload.NewTable(initialPrefillRate),
-		teams:    map[string]*team{},
-		peers:    map[string]peerUsage{},
-		budgets:  map[string]*retry.Budget{},
-		limits:   limits,
-		routers:  1,
+		policy:    policy,
+		zone:      zone,
+		registry:  endpoints,
+		loads:     endpointload.NewTable(initialPrefillRate),
+		teams:     map[string]*team{},
+		peers:     map[string]*peerUsage{},
+		peerTeams: map[uint32]fairshare.Usage{},
+		budgets:   map[string]*retry.Budget{},
+		limits:    limits,
+		routers:   1,
 	}
 }
 
@@ -456,10 +462,11 @@
 	}
 	for instance, p := range d.peers {
 		if now.Sub(p.receivedAt) > usageIdleTimeout {
+			d.addPeerTeams(p.teams, -1)
 			delete(d.peers, instance)
 		}
 	}
 }
 
 // TeamHash returns the hash that identifies a team in reports to peers.
-func TeamHash(name string) uint64 { return xxhash.Sum64String(name) }
+func TeamHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -14,7 +14,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
@@ -23,6 +22,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
@@ -35,6 +35,9 @@
 	reportIntervalPerPeer = 5 * time.Millisecond
 	// idleReportInterval is the interval while there is no load to report.
 	idleReportInterval = 400 * time.Millisecond
+	// teamsInterval is the shortest interval between two reports with the usage of
+	// teams, which is counted over a window of 4 s.
+	teamsInterval = 250 * time.Millisecond
 	// membersEvery is the period, in reports, at which a report lists the members.
 	membersEvery = 16
 	// maxMembers bounds the addresses in one report.
@@ -63,7 +66,7 @@
 // are taken.
 type Mesh struct {
 	instance        string
-	address         string
+	address         netip.AddrPort
 	dispatcher      *dispatch.Dispatcher
 	local           LocalState
 	log             *slog.Logger
@@ -73,6 +76,9 @@
 	reportBytesSent metrics.Counter
 	badReports      metrics.Counter
 
+	// teamsSentAt is the time of the latest report with teams; only Send uses it.
+	teamsSentAt time.Time
+
 	mu      sync.Mutex
 	peers   map[string]*peer
 	leaving bool
@@ -104,9 +110,9 @@
 
 // New returns a mesh that sends and receives reports on conn. instance
 // identifies this router; address is the one at which peers reach it.
-func New(instance, address string, conn *net.UDPConn, d *dispatch.Dispatcher, local LocalState, log *slog.Logger, registry metrics.Registry) *Mesh {
+func New(instance string, address netip.AddrPort, conn *net.UDPConn, d *dispatch.Dispatcher, local LocalState, log *slog.Logger, registry metrics.Registry) *Mesh {
 	return &Mesh{
-		instance: instance, address: address, conn: conn, dispatcher: d, local: local, log: log,
+		instance: instance, address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), conn: conn, dispatcher: d, local: local, log: log,
 		client:          &http.Client{Timeout: fetchTimeout},
 		reportsSent:     metrics.GetOrRegisterCounter("direct.reports_sent", registry),
 		reportBytesSent: metrics.GetOrRegisterCounter("direct.report_bytes_sent", registry),
@@ -125,10 +131,10 @@
 }
 
 func (m *Mesh) addPeer(now time.Time, address string) {
-	if address == "" || address == m.address {
+	parsed, err := netip.ParseAddrPort(address)
+	if parsed == m.address {
 		return
 	}
-	parsed, err := netip.ParseAddrPort(address)
 	if err != nil || !parsed.Addr().Is4() {
 		m.badReports.Inc(1)
 		return
@@ -207,16 +213,16 @@
 }
 
 func (m *Mesh) broadcast(now time.Time, sequence uint64, report *dispatch.Report) {
-	message := m.encodeReport(sequence, report)
+	message := m.encodeReport(now, sequence, report)
 	targets, routers := m.targets(now, sequence)
 	m.dispatcher.SetRouters(routers)
 	if sequence%membersEvery == 1 {
 		message.Members = m.members(now)
 	}
-	data, err := proto.Marshal(message)
-	if err != nil || len(data) > maxDatagram {
+	data := message.Append(nil)
+	if len(data) > maxDatagram {
 		m.badReports.Inc(1)
-		m.log.Error("load report not sent", "bytes", len(data), "error", sendErrorText(err))
+		m.log.Error("load report not sent: too large", "bytes", len(data))
 		return
 	}
 	for _, address := range targets {
@@ -229,13 +235,6 @@
 	}
 }
 
-func sendErrorText(err error) string {
-	if err == nil {
-		return "too large"
-	}
-	return err.Error()
-}
-
 // targets returns the addresses to send a report to, and the number of routers,
 // including this one, that share the retry budget. It evicts peers that have
 // sent no report for evictAfter.
@@ -266,45 +265,51 @@
 	return b
 }
 
-func (m *Mesh) members(now time.Time) []string {
+func (m *Mesh) members(now time.Time) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []string
-	for address, p := range m.peers {
+	var list []netip.AddrPort
+	for _, p := range m.peers {
 		if now.Sub(p.lastReport) < inactiveAfter && len(list) < maxMembers {
-			list = append(list, address)
+			list = append(list, p.address.AddrPort())
 		}
 	}
 	return list
 }
 
-func (m *Mesh) encodeReport(sequence uint64, report *dispatch.Report) *fleetpb.LoadReport {
+func (m *Mesh) encodeReport(now time.Time, sequence uint64, report *dispatch.Report) *loadreport.Report {
 	m.mu.Lock()
 	leaving := m.leaving
 	m.mu.Unlock()
-	message := &fleetpb.LoadReport{
+	message := &loadreport.Report{
 		Instance: m.instance, Address: m.address, Sequence: sequence, Leaving: leaving,
 		ConfigVersion: m.local.ConfigVersion(), ReadsStore: m.local.ReadsStore(), OutOfRotation: m.local.OutOfRotation(),
 		ConfigNext:    m.local.Mirror(follow.Configuration).NextOffset(),
 		EndpointsNext: m.local.Mirror(follow.Endpoints).NextOffset(),
+		HasTeams:      now.Sub(m.teamsSentAt) >= teamsInterval,
 	}
 	for id, load := range report.Loads {
-		message.Endpoints = append(message.Endpoints, &fleetpb.EndpointLoad{
-			Endpoint: endpointload.Hash(id), PendingTokens: uint32(load.Pending), Running: uint32(load.Running),
+		message.Endpoints = append(message.Endpoints, loadreport.EndpointLoad{
+			Endpoint: endpointload.Hash(id), PendingTokens: wireCount(load.Pending), Running: wireCount(int64(load.Running)),
 			Unreachable: load.Unreachable,
 		})
 	}
-	for name, usage := range report.Teams {
-		message.Teams = append(message.Teams, &fleetpb.TeamUsage{
-			Team: dispatch.TeamHash(name), AskedTokens: uint32(usage.Requested), StartedTokens: uint32(usage.Started),
-		})
+	if message.HasTeams {
+		m.teamsSentAt = now
+		for name, usage := range report.Teams {
+			message.Teams = append(message.Teams, loadreport.TeamUsage{
+				Team: dispatch.TeamHash(name), RequestedTokens: wireCount(usage.Requested), StartedTokens: wireCount(usage.Started),
+			})
+		}
 	}
 	for _, p := range report.Placed {
-		message.Placed = append(message.Placed, &fleetpb.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
+		message.Placed = append(message.Placed, loadreport.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
 	}
 	return message
 }
 
+func wireCount(n int64) uint32 { return uint32(min(max(n, 0), loadreport.MaxCount)) }
+
 // Receive handles peers' load reports until ctx is done. It returns an error if
 // the socket is closed before.
 func (m *Mesh) Receive(ctx context.Context) error {
@@ -330,40 +335,43 @@
 }
 
 func (m *Mesh) handleReport(now time.Time, data []byte) {
-	var report fleetpb.LoadReport
-	if err := proto.Unmarshal(data, &report); err != nil || report.Instance == "" {
+	report, err := loadreport.Decode(data)
+	if err != nil {
 		m.badReports.Inc(1)
 		return
 	}
 	if report.Instance == m.instance {
 		return
 	}
-	m.addPeer(now, report.Address)
-	for _, address := range report.Members {
-		m.addPeer(now, address)
+	address := report.Address.String()
+	m.addPeer(now, address)
+	for _, member := range report.Members {
+		m.addPeer(now, member.String())
 	}
 	m.mu.Lock()
-	if p := m.peers[report.Address]; p != nil {
+	if p := m.peers[address]; p != nil {
 		p.lastReport = now
 		p.nextOffsets = [2]int64{report.ConfigNext, report.EndpointsNext}
 		p.readsStore = report.ReadsStore && !report.Leaving
 		p.outOfRotation = report.OutOfRotation || report.Leaving
 	}
 	m.mu.Unlock()
-	m.dispatcher.ApplyPeerReport(now, decodeReport(&report))
+	m.dispatcher.ApplyPeerReport(now, decodeReport(report))
 }
 
-func decodeReport(report *fleetpb.LoadReport) dispatch.PeerReport {
+func decodeReport(report *loadreport.Report) dispatch.PeerReport {
 	r := dispatch.PeerReport{
-		Instance: report.Instance, Sequence: report.Sequence,
-		Loads: make(map[uint64]endpointload.Load, len(report.Endpoints)),
-		Teams: make(map[uint64]fairshare.Usage, len(report.Teams)),
+		Instance: report.Instance, Sequence: report.Sequence, HasTeams: report.HasTeams,
+		Loads: make([]endpointload.PeerLoad, len(report.Endpoints)),
+		Teams: make([]dispatch.TeamUsage, len(report.Teams)),
 	}
-	for _, e := range report.Endpoints {
-		r.Loads[e.Endpoint] = endpointload.Load{Pending: int64(e.PendingTokens), Running: int(e.Running), Unreachable: e.Unreachable}
+	for i, e := range report.Endpoints {
+		load := endpointload.Load{Pending: int64(e.PendingTokens), Running: int(e.Running), Unreachable: e.Unreachable}
+		r.Loads[i] = endpointload.PeerLoad{Endpoint: e.Endpoint, Load: load}
 	}
-	for _, t := range report.Teams {
-		r.Teams[t.Team] = fairshare.Usage{Requested: int64(t.AskedTokens), Started: int64(t.StartedTokens)}
+	for i, t := range report.Teams {
+		usage := fairshare.Usage{Requested: int64(t.RequestedTokens), Started: int64(t.StartedTokens)}
+		r.Teams[i] = dispatch.TeamUsage{Team: t.Team, Usage: usage}
 	}
 	for _, p := range report.Placed {
 		r.Placed = append(r.Placed, dispatch.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
@@ -413,7 +421,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	fleet := []string{m.address}
+	fleet := []string{m.address.String()}
 	reading := 0
 	for address, p := range m.peers {
 		if now.Sub(p.lastReport) > readerTimeout {
@@ -428,7 +436,7 @@
 		return true
 	}
 	ranked := rendezvous.Rank(readersKey, fleet)
-	return slices.Contains(ranked[:storeReaders], m.address)
+	return slices.Contains(ranked[:storeReaders], m.address.String())
 }
 
 // readersKey is the rendezvous key that selects the store's readers.
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -35,7 +35,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	p := &testPeer{address: conn.LocalAddr().String()}
 	topics := map[follow.Topic]*mirror.Topic{follow.Configuration: mirror.NewTopic(), follow.Endpoints: mirror.NewTopic()}
-	p.Mesh = mesh.New(instance, p.address, conn,
+	p.Mesh = mesh.New(instance, conn.LocalAddr().(*net.UDPAddr).AddrPort(), conn,
 		dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits()),
 		mesh.LocalState{
 			ConfigVersion: func() uint64 { return 1 },
--- a/direct/process.go
+++ b/direct/process.go
@@ -182,7 +182,7 @@
 	}
 	localState := mesh.LocalState{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) },
 		ReadsStore: func() bool { return p.follower.ReadsStore() }, OutOfRotation: p.rotation.Out}
-	p.mesh = mesh.New(fleetrpc.NewInstanceID(), p.listeners.fleet.Addr().String(), p.listeners.datagrams,
+	p.mesh = mesh.New(fleetrpc.NewInstanceID(), p.listeners.datagrams.LocalAddr().(*net.UDPAddr).AddrPort(), p.listeners.datagrams,
 		p.dispatcher, localState, p.log, p.metrics)
 	p.mesh.Add(s.peerList()...)
 	p.follower = follow.New(follow.Options{
--- /dev/null
+++ b/protocol/loadreport/loadreport.go
@@ -0,0 +1,257 @@
+package loadreport
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// formatVersion is the first byte of each datagram. Datagrams with another one are
+// refused.
+const formatVersion = 0xA1
+
+// maxInstanceBytes bounds the length of an instance identifier.
+const maxInstanceBytes = 64
+
+// ID identifies an endpoint or a team by a hash of its name. If two names have the same
+// hash, their loads are added up, which only makes routers more careful.
+type ID = uint32
+
+// Report is the load of one router. A later report of the same instance replaces it.
+type Report struct {
+	// Instance is the random identifier of the sending process.
+	Instance string
+	// Address is where peers reach the sender.
+	Address netip.AddrPort
+	// Sequence grows with each report of the instance.
+	Sequence uint64
+	// ConfigVersion is the version of the configuration in force at the sender.
+	ConfigVersion uint64
+	// ConfigNext and EndpointsNext are the offsets after the newest records that the
+	// sender has of both topics of the store.
+	ConfigNext, EndpointsNext int64
+	// Leaving is set while the sender stops and accepts no more requests.
+	Leaving bool
+	// ReadsStore is set while the sender reads the store and the store responds.
+	ReadsStore bool
+	// OutOfRotation is set while the sender gets no new connections.
+	OutOfRotation bool
+	// HasTeams is set if Teams holds all teams in use. Otherwise the teams of the
+	// previous report remain valid.
+	HasTeams bool
+	// Members lists routers that the sender has heard from. Most reports have none.
+	Members   []netip.AddrPort
+	Endpoints []EndpointLoad
+	Teams     []TeamUsage
+	Placed    []PlacedPart
+}
+
+// EndpointLoad is the sender's load on one endpoint.
+type EndpointLoad struct {
+	Endpoint ID
+	// PendingTokens is the number of prompt tokens sent but not yet processed.
+	PendingTokens uint32
+	// Running is the number of requests in progress.
+	Running uint32
+	// Unreachable is set while the sender can't connect to the endpoint.
+	Unreachable bool
+}
+
+// TeamUsage holds a team's tokens at the sender in the fairness window.
+type TeamUsage struct {
+	Team ID
+	// RequestedTokens counts the tokens of all requests, StartedTokens those of the
+	// requests that were sent to an engine.
+	RequestedTokens, StartedTokens uint32
+}
+
+// PlacedPart names a part of a prompt that was sent to an endpoint other than its home.
+type PlacedPart struct {
+	Endpoint ID
+	Part     uint64
+}
+
+// flags of a report.
+const (
+	flagLeaving = 1 << iota
+	flagReadsStore
+	flagOutOfRotation
+	flagHasTeams
+	knownFlags = flagLeaving | flagReadsStore | flagOutOfRotation | flagHasTeams
+)
+
+func (r *Report) flags() byte {
+	var f byte
+	for bit, set := range map[byte]bool{
+		flagLeaving: r.Leaving, flagReadsStore: r.ReadsStore, flagOutOfRotation: r.OutOfRotation, flagHasTeams: r.HasTeams,
+	} {
+		if set {
+			f |= bit
+		}
+	}
+	return f
+}
+
+// Append appends the encoded report to b. Addresses must be IPv4.
+func (r *Report) Append(b []byte) []byte {
+	b = append(b, formatVersion, r.flags())
+	b = binary.AppendUvarint(b, uint64(len(r.Instance)))
+	b = append(b, r.Instance...)
+	b = appendAddress(b, r.Address)
+	b = binary.AppendUvarint(b, r.Sequence)
+	b = binary.AppendUvarint(b, r.ConfigVersion)
+	b = binary.AppendVarint(b, r.ConfigNext)
+	b = binary.AppendVarint(b, r.EndpointsNext)
+	b = binary.AppendUvarint(b, uint64(len(r.Members)))
+	for _, m := range r.Members {
+		b = appendAddress(b, m)
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Endpoints)))
+	for _, e := range r.Endpoints {
+		b = binary.LittleEndian.AppendUint32(b, e.Endpoint)
+		b = binary.AppendUvarint(b, uint64(e.PendingTokens))
+		running := uint64(e.Running) << 1
+		if e.Unreachable {
+			running |= 1
+		}
+		b = binary.AppendUvarint(b, running)
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Teams)))
+	for _, t := range r.Teams {
+		b = binary.LittleEndian.AppendUint32(b, t.Team)
+		b = binary.AppendUvarint(b, uint64(t.RequestedTokens))
+		b = binary.AppendUvarint(b, uint64(t.StartedTokens))
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Placed)))
+	for _, p := range r.Placed {
+		b = binary.LittleEndian.AppendUint32(b, p.Endpoint)
+		b = binary.LittleEndian.AppendUint64(b, p.Part)
+	}
+	return b
+}
+
+const addressBytes = 6
+
+func appendAddress(b []byte, a netip.AddrPort) []byte {
+	ip := a.Addr().As4()
+	return binary.BigEndian.AppendUint16(append(b, ip[:]...), a.Port())
+}
+
+// Smallest sizes of list entries, in bytes. They bound the length of a list by the size
+// of the datagram before memory is allocated for it.
+const (
+	minEndpointBytes = 6
+	minTeamBytes     = 6
+	placedBytes      = 12
+)
+
+var errInvalid = eris.New("invalid load report")
+
+// Decode parses a datagram.
+func Decode(data []byte) (*Report, error) {
+	d := decoder{rest: data}
+	if d.uint8() != formatVersion {
+		return nil, errInvalid
+	}
+	flags := d.uint8()
+	r := &Report{
+		Leaving: flags&flagLeaving != 0, ReadsStore: flags&flagReadsStore != 0,
+		OutOfRotation: flags&flagOutOfRotation != 0, HasTeams: flags&flagHasTeams != 0,
+	}
+	r.Instance = string(d.bytes(d.length(1)))
+	r.Address = d.address()
+	r.Sequence, r.ConfigVersion = d.uvarint(), d.uvarint()
+	r.ConfigNext, r.EndpointsNext = d.varint(), d.varint()
+	r.Members = decodeList(&d, addressBytes, d.address)
+	r.Endpoints = decodeList(&d, minEndpointBytes, func() EndpointLoad {
+		e := EndpointLoad{Endpoint: d.uint32(), PendingTokens: d.count()}
+		running := d.uvarint()
+		e.Running, e.Unreachable = uint32(min(running>>1, MaxCount)), running&1 != 0
+		return e
+	})
+	r.Teams = decodeList(&d, minTeamBytes, func() TeamUsage {
+		return TeamUsage{Team: d.uint32(), RequestedTokens: d.count(), StartedTokens: d.count()}
+	})
+	r.Placed = decodeList(&d, placedBytes, func() PlacedPart { return PlacedPart{Endpoint: d.uint32(), Part: d.uint64()} })
+	if d.failed || len(d.rest) > 0 || flags&^knownFlags != 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
+		return nil, errInvalid
+	}
+	return r, nil
+}
+
+// MaxCount bounds counts, so that sums over a fleet don't overflow.
+const MaxCount = 1 << 30
+
+// decoder reads values from the front of rest. After a failure, it returns zero values.
+type decoder struct {
+	rest   []byte
+	failed bool
+}
+
+// zeros is what a failed decoder returns; no value is longer.
+var zeros [8]byte
+
+func (d *decoder) bytes(n int) []byte {
+	if n > len(d.rest) {
+		d.failed, d.rest = true, nil
+		return zeros[:min(n, len(zeros))]
+	}
+	b := d.rest[:n]
+	d.rest = d.rest[n:]
+	return b
+}
+
+func (d *decoder) uint8() byte    { return d.bytes(1)[0] }
+func (d *decoder) uint32() uint32 { return binary.LittleEndian.Uint32(d.bytes(4)) }
+func (d *decoder) uint64() uint64 { return binary.LittleEndian.Uint64(d.bytes(8)) }
+func (d *decoder) count() uint32  { return uint32(min(d.uvarint(), MaxCount)) }
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.rest)
+	d.skip(n)
+	return v
+}
+
+func (d *decoder) varint() int64 {
+	v, n := binary.Varint(d.rest)
+	d.skip(n)
+	return v
+}
+
+// skip removes n bytes; n is not positive if the varint was invalid.
+func (d *decoder) skip(n int) {
+	if n <= 0 {
+		d.failed, d.rest = true, nil
+		return
+	}
+	d.rest = d.rest[n:]
+}
+
+// length reads the length of a list whose entries have at least entryBytes.
+func (d *decoder) length(entryBytes int) int {
+	n := d.uvarint()
+	if n > uint64(len(d.rest)/entryBytes) {
+		d.failed, d.rest = true, nil
+		return 0
+	}
+	return int(n)
+}
+
+func (d *decoder) address() netip.AddrPort {
+	b := d.bytes(addressBytes)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+}
+
+// decodeList reads a list. It returns nil for an empty one.
+func decodeList[T any](d *decoder, entryBytes int, entry func() T) []T {
+	n := d.length(entryBytes)
+	if n == 0 {
+		return nil
+	}
+	list := make([]T, n)
+	for i := range list {
+		list[i] = entry()
+	}
+	return list
+}
