--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -40,6 +40,13 @@
 	return excessAllowance(float64(used) / float64(d.achievedLevel))
 }
 
+// AboveShare reports whether a team has used its share of the configured rate.
+func (d *Dispatcher) AboveShare(now time.Time, name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.allowance(now, name) < 1
+}
+
 // excessAllowance returns the allowance of a team that has used its share of the
 // configured rate. excess is the team's usage divided by its share of the tokens
 // that the engines processed. The allowance falls with the third power of excess:
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -40,11 +40,12 @@
 }
 
 // overload is an entry.Overload controlled by a test.
-type overload struct{ shed, closeConnections, preferBatching atomic.Bool }
+type overload struct{ shed, refuse, closeConnections, preferBatching atomic.Bool }
 
-func (o *overload) Shed() bool             { return o.shed.Load() }
-func (o *overload) CloseConnections() bool { return o.closeConnections.Load() }
-func (o *overload) PreferBatching() bool   { return o.preferBatching.Load() }
+func (o *overload) Shed() bool              { return o.shed.Load() }
+func (o *overload) CloseConnections() bool  { return o.closeConnections.Load() }
+func (o *overload) Refuse(func() bool) bool { return o.refuse.Load() }
+func (o *overload) PreferBatching() bool    { return o.preferBatching.Load() }
 
 func route(name, path string, semantics routing.Semantics, service string) routing.Route {
 	return routing.Route{
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -72,6 +72,9 @@
 type Overload interface {
 	// Shed decides whether to refuse a request without reading its body.
 	Shed() bool
+	// Refuse decides whether to refuse a request whose route and team are known,
+	// because the process lacks CPU time. Teams above their share are refused first.
+	Refuse(aboveShare func() bool) bool
 	// CloseConnections reports whether connections should be closed after their
 	// response.
 	CloseConnections() bool
@@ -130,7 +133,7 @@
 		r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedRetryAfter())
 		return
 	}
-	if !r.resolve() {
+	if !r.resolve() || r.refuseIfOverloaded() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(in.Context(), r.deadline.Add(responseGrace))
@@ -146,7 +149,31 @@
 	r.forward()
 }
 
-// resolve determines the route, team and deadline. If it returns false, it has
+// refuseIfOverloaded refuses a request for which the process has no CPU time, before its
+// body is read, and reports whether it did. The request still counts as demand of its
+// team.
+func (r *request) refuseIfOverloaded() bool {
+	now := time.Now()
+	if !r.h.Overload.Refuse(func() bool { return r.h.Dispatcher.AboveShare(now, r.team) }) {
+		return false
+	}
+	r.parseCost()
+	r.h.Dispatcher.RecordRequest(now, r.service.Name, r.team, r.cost.Units())
+	r.h.Metrics.Shed.Inc(1)
+	r.w.Header().Set("Connection", "close")
+	r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedRetryAfter())
+	return true
+}
+
+// parseCost parses the cost of a request to a model engine.
+func (r *request) parseCost() {
+	if r.route.PromptAffinity || r.service.Engine != nil {
+		d := &r.h.Dialect
+		r.cost = prompt.Parse(r.in.Header.Get(d.PromptParts), r.in.Header.Get(d.TokenCounts), r.in.Header.Get(d.LengthHint))
+	}
+}
+
+// resolve determines the route, team, deadline and service. If it returns false, it has
 // refused the request.
 func (r *request) resolve() bool {
 	h := r.h
@@ -175,6 +202,7 @@
 		r.refuse(http.StatusServiceUnavailable, "the deadline has passed", 0)
 		return false
 	}
+	r.service = r.table.Service(r.route.Pick(rand.Float64()))
 	return true
 }
 
@@ -318,16 +346,11 @@
 
 // forward sends the request to the endpoints of its service.
 func (r *request) forward() {
-	name := r.route.Pick(rand.Float64())
-	r.service = r.table.Service(name)
 	// Without a write deadline, a caller that reads slowly could occupy the memory of
 	// the request indefinitely.
 	_ = http.NewResponseController(r.w).SetWriteDeadline(r.deadline.Add(writeGrace))
-	if r.route.PromptAffinity || r.service.Engine != nil {
-		d := &r.h.Dialect
-		r.cost = prompt.Parse(r.in.Header.Get(d.PromptParts), r.in.Header.Get(d.TokenCounts), r.in.Header.Get(d.LengthHint))
-	}
-	r.h.Dispatcher.RecordRequest(time.Now(), name, r.team, r.cost.Units())
+	r.parseCost()
+	r.h.Dispatcher.RecordRequest(time.Now(), r.service.Name, r.team, r.cost.Units())
 	if r.refuseIfDraining() {
 		return
 	}
--- a/direct/listener.go
+++ b/direct/listener.go
@@ -29,13 +29,14 @@
 	net.Listener
 	connections chan struct{}
 	monitor     *overload.Monitor
+	admission   *overload.Admission
 	rotation    *overload.Rotation
 	shed        metrics.Counter
 }
 
-func newBoundedListener(l net.Listener, descriptors int, monitor *overload.Monitor, rotation *overload.Rotation, registry metrics.Registry) *boundedListener {
+func newBoundedListener(l net.Listener, descriptors int, monitor *overload.Monitor, admission *overload.Admission, rotation *overload.Rotation, registry metrics.Registry) *boundedListener {
 	return &boundedListener{
-		Listener: l, connections: make(chan struct{}, max(descriptors/descriptorsPerRequest, 1)), monitor: monitor, rotation: rotation,
+		Listener: l, connections: make(chan struct{}, max(descriptors/descriptorsPerRequest, 1)), monitor: monitor, admission: admission, rotation: rotation,
 		shed: metrics.GetOrRegisterCounter("direct.connections_shed", registry),
 	}
 }
@@ -43,6 +44,9 @@
 // Shed implements entry.Overload.
 func (l *boundedListener) Shed() bool { return l.monitor.Shed() }
 
+// Refuse implements entry.Overload.
+func (l *boundedListener) Refuse(aboveShare func() bool) bool { return l.admission.Refuse(aboveShare) }
+
 // PreferBatching implements entry.Overload.
 func (l *boundedListener) PreferBatching() bool { return l.monitor.PreferBatching() }
 
--- a/direct/overload/meter_test.go
+++ b/direct/overload/meter_test.go
@@ -11,7 +11,7 @@
 // measured against a whole core, and against a single busy sample that counts as
 // overload.
 func TestMeterIsRelativeToCPUShare(t *testing.T) {
-	m := NewCPUMeter(0.2)
+	m := NewCPUMeter(0.2, RotationAveraging)
 	now, used := time.Unix(1_700_000_000, 0), time.Duration(0)
 	step := func(fraction float64) float64 {
 		now, used = now.Add(100*time.Millisecond), used+time.Duration(fraction*0.2*float64(100*time.Millisecond))
@@ -31,7 +31,7 @@
 
 // Guards against a reported overload when the CPU limit is unknown.
 func TestMeterWithoutLimit(t *testing.T) {
-	m := NewCPUMeter(0)
+	m := NewCPUMeter(0, RotationAveraging)
 	now := time.Unix(1_700_000_000, 0)
 	m.Sample(now, 0)
 	must.Zero(t, m.Sample(now.Add(time.Second), time.Minute))
--- a/direct/process.go
+++ b/direct/process.go
@@ -101,6 +101,7 @@
 	mesh       *mesh.Mesh
 	listeners  listeners
 	monitor    overload.Monitor
+	admission  overload.Admission
 	rotation   *overload.Rotation
 	stopping   chan struct{}
 }
@@ -227,7 +228,7 @@
 		ConnContext: entry.ConnContext,
 		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
 	}
-	listener := newBoundedListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, p.rotation, p.metrics)
+	listener := newBoundedListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, &p.admission, p.rotation, p.metrics)
 	p.handler.Overload = listener
 	serve(ctx, group, traffic, listener)
 	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
@@ -298,7 +299,9 @@
 func (p *process) updateRotation(ctx context.Context) error {
 	ticker := time.NewTicker(rotationInterval)
 	defer ticker.Stop()
-	meter := overload.NewCPUMeter(p.options.Settings.Cores)
+	cores := p.options.Settings.Cores
+	meter, fastMeter := overload.NewCPUMeter(cores, overload.RotationAveraging), overload.NewCPUMeter(cores, overload.AdmissionAveraging)
+	admitted := metrics.GetOrRegisterGaugeFloat64("direct.admitted", p.metrics)
 	utilization := metrics.GetOrRegisterGaugeFloat64("direct.processor_busy", p.metrics)
 	measured := true
 	for {
@@ -309,6 +312,8 @@
 			used, err := overload.CPUTime()
 			if err == nil {
 				p.monitor.SetUtilization(meter.Sample(now, used))
+				p.admission.Step(fastMeter.Sample(now, used))
+				admitted.Update(p.admission.Admitted())
 			} else if measured {
 				p.log.Warn("read CPU time failed; overload is detected by scheduling delay only", "error", err.Error())
 			}
