Fairness beside starved routers, fewer calls to a store that is down, reports read in batches

Each load report wakes the process, 200 times a second. Changes: while a team above its share gets less than half of what it asks for, no other team gets more than 1.8 times as much; three ranked routers keep polling the store, the others try in turns of 200 ms; reports that arrive within an eighth of the report interval are read together.

--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -19,11 +19,21 @@
 	// beyond that rate is divided as well, without delaying teams below their
 	// share.
 	maxExcessAllowance = 0.3
+	// maxServedRatio bounds the throughput of a team above its share, relative to that
+	// of the least served team that requests too much. The callers of the latter may
+	// all reach routers without CPU time; the fairness rule demands at least half of
+	// the best served team's throughput.
+	maxServedRatio = 1.8
+	// servedLimitRange is the fraction of that throughput over which the allowance
+	// falls to 0.
+	servedLimitRange = 0.1
 )
 
 // allowance returns the fraction of an engine's limits that a team's request
 // may use: 1 up to the team's max-min share of the configured rate, above that
-// the excessAllowance of its use relative to achievedLevel.
+// the excessAllowance of its use relative to achievedLevel. It is 0 for a team that has
+// got so much more than another team above its share that it must wait, even for an idle
+// engine.
 func (d *Dispatcher) allowance(now time.Time, name string) float64 {
 	if name == "" {
 		return 1
@@ -37,7 +47,24 @@
 	if used <= d.configuredLevel {
 		return 1
 	}
-	return excessAllowance(float64(used) / float64(d.achievedLevel))
+	a := excessAllowance(float64(used) / float64(d.achievedLevel))
+	if d.servedLimit > 0 {
+		// A gradual decrease avoids that the team alternates between no requests and
+		// bursts whenever old requests leave the window.
+		a *= min(max(float64(d.servedLimit-used)/(servedLimitRange*float64(d.servedLimit)), 0), 1)
+	}
+	return a
+}
+
+// leastServed returns the smallest number of started tokens of a team that requests more
+// than level and gets less than half of it. ok is false if there is no such team.
+func leastServed(totals map[uint32]fairshare.Usage, level int64) (least int64, ok bool) {
+	for _, u := range totals {
+		if u.Requested > level && 2*u.Started < u.Requested && (!ok || u.Started < least) {
+			least, ok = u.Started, true
+		}
+	}
+	return least, ok
 }
 
 // AboveShare reports whether a team has used its share of the configured rate.
@@ -85,6 +112,10 @@
 	}
 	d.configuredLevel = fairshare.MaxMinLevel(demands, capacity)
 	d.achievedLevel = fairshare.MaxMinLevel(demands, max(capacity, started))
+	d.servedLimit = 0
+	if least, ok := leastServed(totals, d.configuredLevel); ok {
+		d.servedLimit = max(int64(maxServedRatio*float64(least)), d.configuredLevel)
+	}
 }
 
 // addPeerTeams adds a peer's usage to the sums over all peers, or subtracts it if sign is
--- a/direct/dispatch/allowance_test.go
+++ b/direct/dispatch/allowance_test.go
@@ -49,6 +49,9 @@
 // capacity, one of them several times as much as the other, next to teams with
 // few requests.
 type floodLoad struct {
+	// refused is the fraction of a team's requests that its routers refuse for lack of
+	// CPU time, before they are placed.
+	refused map[string]float64
 	// perStep is the number of requests per step by team.
 	perStep map[string]int
 	tokens  int64
@@ -76,6 +79,10 @@
 				id++
 				cost := prompt.Cost{SharedParts: []prompt.Part{{Key: id, Tokens: 1}}, UnsharedTokens: f.tokens}
 				d.RecordRequest(now, "s", team, cost.Units())
+				if credit["refused "+team] += f.refused[team]; credit["refused "+team] >= 1 {
+					credit["refused "+team]--
+					continue
+				}
 				a, _ := d.PlaceEngine(now, &Request{Service: "s", Team: team, Cost: cost, Target: time.Second})
 				if a != nil {
 					queues[a.Endpoint.ID] = append(queues[a.Endpoint.ID], placedRequest{a, team, f.tokens})
@@ -118,6 +125,20 @@
 	}
 }
 
+// Guards against a flooding team that gets more than twice the throughput of another
+// one whose callers reach routers without CPU time. The other team's routers let through
+// about its share of the configured rate.
+func TestFloodOnStarvedRoutersGetsHalfOfTheBest(t *testing.T) {
+	f := floodLoad{
+		perStep: map[string]int{"a-flood": 10, "b-starved": 10}, tokens: 1000,
+		// 10 requests per 5 ms are 2 million tokens per second.
+		refused: map[string]float64{"b-starved": 0.96},
+	}
+	started := f.simulate(newEngines(8, 130_000), 8, 50, 2000)
+	must.Positive(t, started["b-starved"])
+	must.LessEq(t, 2*started["b-starved"], started["a-flood"])
+}
+
 // Guards against refusals of a team below its share while other teams flood the
 // engines.
 func TestTeamBelowShareIsNotDelayedByFloods(t *testing.T) {
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -59,6 +59,10 @@
 	// Both are in tokens over the fairness window.
 	configuredLevel int64
 	achievedLevel   int64
+	// servedLimit is the throughput above which a team waits until the least served
+	// team above its share has caught up, in tokens over the fairness window; 0 if there
+	// is no such team.
+	servedLimit     int64
 	levelsUpdatedAt time.Time
 	placed          []PlacedPart
 	// candidateBuffer and usableBuffer are reused across placements.
@@ -219,6 +223,9 @@
 	if len(candidates) == 0 {
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter, Allowance: allowance}
 	}
+	if allowance == 0 {
+		return nil, refuse(request, allowance, 0, len(candidates))
+	}
 	demand := placement.Request{Cost: request.Cost, Target: request.Target, Allowance: allowance}
 	index, wait, ok := placement.Choose(d.policy, demand, candidates)
 	if !ok {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -55,6 +55,12 @@
 	// retryBudgetTimeout is the time without a report after which a peer no longer
 	// counts as sharing the retry budget, whose window is 10 s.
 	retryBudgetTimeout = 12 * time.Second
+	// emptySocketWait is the duration of a read from which on the socket counts as
+	// having been empty.
+	emptySocketWait = time.Millisecond
+	// receiveBatches is the number of times per report interval at which collected
+	// reports are read. Their age grows by at most the inverse of it.
+	receiveBatches = 8
 	// maxDatagram bounds the size of a report, in bytes.
 	maxDatagram = 60000
 	// fetchTimeout bounds a request for a peer's records.
@@ -311,12 +317,14 @@
 func wireCount(n int64) uint32 { return uint32(min(max(n, 0), loadreport.MaxCount)) }
 
 // Receive handles peers' load reports until ctx is done. It returns an error if
-// the socket is closed before.
+// the socket is closed before. After it had to wait for a report, it lets further ones
+// collect in the socket, so that they need one wake-up of the process.
 func (m *Mesh) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for {
+		began := time.Now()
 		n, _, err := m.conn.ReadFromUDP(buffer)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -330,7 +338,11 @@
 			m.badReports.Inc(1)
 			continue
 		}
-		m.handleReport(time.Now(), buffer[:n])
+		now := time.Now()
+		m.handleReport(now, buffer[:n])
+		if now.Sub(began) >= emptySocketWait {
+			time.Sleep(m.reportInterval() / receiveBatches)
+		}
 	}
 }
 
@@ -416,9 +428,12 @@
 
 // ShouldReadStore implements follow.Peers. In a large fleet a few routers read
 // the store for all others, because calls to the store are billed. Rendezvous
-// hashing makes all routers select the same readers.
+// hashing makes all routers select the same readers. While too few routers can read
+// the store, the others try in turn: the store may be down for all routers or refuse
+// only some of them.
 func (m *Mesh) ShouldReadStore() bool {
 	now := time.Now()
+	readsStore := m.local.ReadsStore()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	fleet := []string{m.address.String()}
@@ -432,11 +447,25 @@
 			reading++
 		}
 	}
-	if len(fleet) <= smallFleet || reading < minActiveReaders {
+	if len(fleet) <= smallFleet {
+		return true
+	}
+	rank := slices.Index(rendezvous.Rank(readersKey, fleet), m.address.String())
+	if rank < storeReaders {
 		return true
 	}
-	ranked := rendezvous.Rank(readersKey, fleet)
-	return slices.Contains(ranked[:storeReaders], m.address.String())
+	return reading < minActiveReaders && (readsStore || isProbeTurn(now, rank, len(fleet)))
+}
+
+// probeInterval is the interval between the turns of two routers that try to read the
+// store.
+const probeInterval = 200 * time.Millisecond
+
+// isProbeTurn reports whether it is the turn of the router with this rank to try to read
+// the store. The number of calls to a store that is down then doesn't grow with the
+// size of the fleet.
+func isProbeTurn(now time.Time, rank, routers int) bool {
+	return now.UnixNano()/int64(probeInterval)%int64(routers) == int64(rank)
 }
 
 // readersKey is the rendezvous key that selects the store's readers.
