--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -160,7 +160,6 @@
 	r.parseCost()
 	r.h.Dispatcher.RecordRequest(now, r.service.Name, r.team, r.cost.Units())
 	r.h.Metrics.Shed.Inc(1)
-	r.w.Header().Set("Connection", "close")
 	r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedRetryAfter())
 	return true
 }
--- a/direct/overload/admission.go
+++ b/direct/overload/admission.go
@@ -17,7 +17,8 @@
 	saturatedUtilization = 0.9
 	sparedUtilization    = 0.75
 	// admissionDecrease multiplies the admitted fraction in each step of a saturated
-	// process, admissionIncrease is added to it in each step of one with time to spare.
+	// process, or a smaller factor if the process has used more CPU time than its share.
+	// admissionIncrease is added in each step of a process with time to spare.
 	admissionDecrease = 0.7
 	admissionIncrease = 0.05
 	// minAdmitted is the smallest admitted fraction: a router that reports itself ready
@@ -41,7 +42,8 @@
 	admitted := a.Admitted()
 	switch {
 	case utilization >= saturatedUtilization:
-		admitted = max(admitted*admissionDecrease, minAdmitted)
+		decrease := min(admissionDecrease, saturatedUtilization/utilization)
+		admitted = max(admitted*decrease, minAdmitted)
 	case utilization < sparedUtilization:
 		admitted = min(admitted+admissionIncrease, 1)
 	}
