--- a/direct/dispatch/allowance_test.go
+++ b/direct/dispatch/allowance_test.go
@@ -195,6 +195,33 @@
 	must.Nil(t, refusal)
 }
 
+// Guards against an interrupted stream that can't continue at another engine because its
+// team is above its share.
+func TestShareDoesNotLimitRepeatedRequests(t *testing.T) {
+	d := newEngines(2, 100_000)
+	now := time.Unix(1_700_000_000, 0)
+	d.RecordRequest(now, "s", "t", 1_000_000)
+	d.RecordRequest(now, "s", "other", 1_000_000)
+	request := &Request{Service: "s", Team: "t", Cost: prompt.Cost{UnsharedTokens: 2000}, Target: time.Second}
+	// The engines finish the requests of the team's share, and then fall behind.
+	share := 100_000 * 4 / 2
+	for used := 0; ; used += 2000 {
+		a, refusal := d.PlaceEngine(now, request)
+		if refusal != nil {
+			must.Greater(t, share, used)
+			must.Eq(t, OverShare, refusal.Reason)
+			break
+		}
+		if used < share {
+			a.Begin(now)
+			a.End(now, endpointload.Succeeded)
+		}
+	}
+	request.Repeated = true
+	_, refusal := d.PlaceEngine(now, request)
+	must.Nil(t, refusal)
+}
+
 // Guards against sums over peers that drift from the peers' latest reports: a report
 // without teams keeps the previous ones, and silent peers don't count.
 func TestPeerTeamSumsMatchLatestReports(t *testing.T) {
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -138,6 +138,10 @@
 	Target time.Duration
 	// Exclude lists the IDs of endpoints that were tried before.
 	Exclude []string
+	// Repeated is set if an endpoint may already have run the request. Its team's share
+	// was checked and charged before the first attempt and does not limit it again: the
+	// interrupted response would be lost.
+	Repeated bool
 }
 
 // Refusal explains why a request was not placed.
@@ -217,7 +221,10 @@
 	endpoints := d.readyEndpoints(request)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	allowance := d.allowance(now, request.Team)
+	allowance := 1.0
+	if !request.Repeated {
+		allowance = d.allowance(now, request.Team)
+	}
 	home := homeEndpoint(request.Cost.Affinity(), endpoints)
 	candidates, usable := d.candidates(now, endpoints, request.Cost.SharedParts, home)
 	if len(candidates) == 0 {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -373,6 +373,7 @@
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost,
 		Target: r.latencyTarget(now), Exclude: r.exclude,
+		Repeated: r.possibleExecutions > 0,
 	}
 }
 
--- a/direct/mesh/bench_test.go
+++ b/direct/mesh/bench_test.go
@@ -2,31 +2,17 @@
 
 import (
 	"fmt"
-	"log/slog"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
-	"github.com/acaciaspar/acaciaspar/coordination/placement"
-	"github.com/acaciaspar/acaciaspar/coordination/retry"
-	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
-	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
 // BenchmarkHandleReport measures the handling of one report about 120 endpoints and 60
 // teams, by a router with 68 peers.
 func BenchmarkHandleReport(b *testing.B) {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer conn.Close()
-	d := dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits())
-	m := New("self", netip.MustParseAddrPort("127.0.0.1:1"), conn, d, LocalState{}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
+	m := newMesh(b)
 	const peers = 68
 	reports := make([][]byte, b.N)
 	for n := range reports {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -63,6 +63,10 @@
 	receiveBatches = 8
 	// maxDatagram bounds the size of a report, in bytes.
 	maxDatagram = 60000
+	// maxRecordsReply and maxRecordsRequest bound the messages of a fetch of records, in
+	// bytes.
+	maxRecordsReply   = 32 << 20
+	maxRecordsRequest = 4 << 10
 	// fetchTimeout bounds a request for a peer's records.
 	fetchTimeout = time.Second
 )
@@ -119,7 +123,7 @@
 func New(instance string, address netip.AddrPort, conn *net.UDPConn, d *dispatch.Dispatcher, local LocalState, log *slog.Logger, registry metrics.Registry) *Mesh {
 	return &Mesh{
 		instance: instance, address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), conn: conn, dispatcher: d, local: local, log: log,
-		client:          &http.Client{Timeout: fetchTimeout},
+		client:          &http.Client{Timeout: fetchTimeout, Transport: limitedTransport{http.DefaultTransport}},
 		reportsSent:     metrics.GetOrRegisterCounter("direct.reports_sent", registry),
 		reportBytesSent: metrics.GetOrRegisterCounter("direct.report_bytes_sent", registry),
 		badReports:      metrics.GetOrRegisterCounter("direct.bad_reports", registry),
@@ -391,6 +395,20 @@
 	return r
 }
 
+// limitedTransport bounds the bodies of responses. A server that took over the address of
+// a peer could send one without end.
+type limitedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxRecordsReply)
+	return response, nil
+}
+
 // Records implements follow.Peers. It fetches the records from a random live peer
 // that has any.
 func (m *Mesh) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, int64, error) {
--- a/direct/mesh/server.go
+++ b/direct/mesh/server.go
@@ -15,7 +15,7 @@
 
 // Handler returns the handler that serves this router's records to its peers.
 func (m *Mesh) Handler() http.Handler {
-	return fleetpb.NewMirrorServer(&mirrorServer{local: m.local})
+	return http.MaxBytesHandler(fleetpb.NewMirrorServer(&mirrorServer{local: m.local}), maxRecordsRequest)
 }
 
 // FetchRecords implements fleetpb.Mirror.
