--- a/direct/dispatch/allowance_test.go
+++ b/direct/dispatch/allowance_test.go
@@ -213,6 +213,7 @@
 	// The engines finish the requests of the team's share, and then fall behind.
 	share := 100_000 * 4 / 2
 	for used := 0; ; used += 2000 {
+		now = now.Add(10 * time.Millisecond)
 		a, refusal := d.PlaceEngine(now, request)
 		if refusal != nil {
 			must.Greater(t, share, used)
