--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -26,7 +26,7 @@
 	maxServedRatio = 1.8
 	// minServedFraction is the fraction of its share that a team gets in any case, however
 	// little another team gets.
-	minServedFraction = 0.4
+	minServedFraction = 0.15
 	// servedLimitRange is the fraction of that throughput over which the allowance
 	// falls to 0.
 	servedLimitRange = 0.1
