--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -52,7 +52,7 @@
 	if used > d.configuredLevel {
 		a = excessAllowance(float64(used) / float64(d.achievedLevel))
 	}
-	if d.servedLimit > 0 && usage.Requested > d.configuredLevel {
+	if d.servedLimit > 0 && hash != d.leastServed && usage.Requested > d.configuredLevel {
 		// A gradual decrease avoids that the team alternates between no requests and
 		// bursts whenever old requests leave the window.
 		a *= min(max(float64(d.servedLimit-used)/(servedLimitRange*float64(d.servedLimit)), 0), 1)
@@ -60,15 +60,16 @@
 	return a
 }
 
-// leastServed returns the smallest number of started tokens of a team that requests more
-// than level and gets less than half of it. ok is false if there is no such team.
-func leastServed(totals map[uint32]fairshare.Usage, level int64) (least int64, ok bool) {
-	for _, u := range totals {
+// leastServed returns the team with the smallest number of started tokens, and that
+// number, among those that request more than level and get less than half of it. ok is
+// false if there is no such team.
+func leastServed(totals map[uint32]fairshare.Usage, level int64) (team uint32, least int64, ok bool) {
+	for hash, u := range totals {
 		if u.Requested > level && 2*u.Started < u.Requested && (!ok || u.Started < least) {
-			least, ok = u.Started, true
+			team, least, ok = hash, u.Started, true
 		}
 	}
-	return least, ok
+	return team, least, ok
 }
 
 // AboveShare reports whether a team has used its share of the configured rate.
@@ -117,7 +118,8 @@
 	d.configuredLevel = fairshare.MaxMinLevel(demands, capacity)
 	d.achievedLevel = fairshare.MaxMinLevel(demands, max(capacity, started))
 	d.servedLimit = 0
-	if least, ok := leastServed(totals, d.configuredLevel); ok {
+	if team, least, ok := leastServed(totals, d.configuredLevel); ok {
+		d.leastServed = team
 		d.servedLimit = int64(max(maxServedRatio*float64(least), minServedFraction*float64(d.configuredLevel)))
 	}
 }
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -61,8 +61,10 @@
 	achievedLevel   int64
 	// servedLimit is the throughput above which a team that requests more than its share
 	// waits until the least served of these teams has caught up, in tokens over the
-	// fairness window; 0 if none gets less than half of what it requests.
+	// fairness window; 0 if none gets less than half of what it requests. leastServed is
+	// the hash of the least served team, which the limit does not apply to.
 	servedLimit     int64
+	leastServed     uint32
 	levelsUpdatedAt time.Time
 	placed          []PlacedPart
 	// candidateBuffer and usableBuffer are reused across placements.
