Failed attempts log the prompt's parts and whether the response had begun

The log line of a failed attempt named the endpoint and the error; what crashed engines have in common was not visible. The line now has begun and prompt_parts.

No logic is changed.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -395,6 +395,13 @@
 // Begin records the first byte of the response body.
 func (a *Assignment) Begin(now time.Time) { a.withLock(func() { a.attempt.RecordFirstEvent(now) }) }
 
+// Begun reports whether Begin was called.
+func (a *Assignment) Begun() bool {
+	begun := false
+	a.withLock(func() { begun = a.attempt.FirstEventReceived() })
+	return begun
+}
+
 // Receive records that any bytes of the response arrived.
 func (a *Assignment) Receive(now time.Time) { a.withLock(func() { a.attempt.RecordReceived(now) }) }
 
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -224,9 +224,20 @@
 	if a.response != nil {
 		attrs = append(attrs, slog.Int("status", a.response.Status), slog.Bool("reused", a.response.Reused))
 	}
+	if len(r.cost.SharedParts) > 0 {
+		attrs = append(attrs, slog.Bool("begun", a.assignment.Begun()), slog.String("prompt_parts", r.promptPartsForLog()))
+	}
 	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "send did not succeed", attrs...)
 }
 
+// maxLoggedParts bounds the length of a prompt's parts in a log line, in bytes.
+const maxLoggedParts = 256
+
+func (r *request) promptPartsForLog() string {
+	parts := r.in.Header.Get(r.h.Dialect.PromptParts)
+	return parts[:min(len(parts), maxLoggedParts)]
+}
+
 func resultName(result endpointload.Result) string {
 	return [...]string{"succeeded", "failed", "refused", "unreached", "abandoned"}[result]
 }
