--- a/direct/directtest/endpoint.go
+++ b/direct/directtest/endpoint.go
@@ -31,9 +31,12 @@
 type Endpoint struct {
 	Address string
 
-	mu     sync.Mutex
-	calls  []*Call
-	script Script
+	listener net.Listener
+	script   Script
+
+	mu    sync.Mutex
+	calls []*Call
+	conns []net.Conn
 }
 
 // NewEndpoint starts an endpoint on a local port. Its listener is closed at the
@@ -45,13 +48,16 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	e := &Endpoint{Address: l.Addr().String(), script: script}
+	e := &Endpoint{Address: l.Addr().String(), listener: l, script: script}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			e.mu.Lock()
+			e.conns = append(e.conns, c)
+			e.mu.Unlock()
 			go e.serve(c)
 		}
 	}()
@@ -80,6 +86,16 @@
 	}
 }
 
+// Crash closes the listener and all connections.
+func (e *Endpoint) Crash() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.conns {
+		_ = c.Close()
+	}
+}
+
 // Calls returns the requests received so far.
 func (e *Endpoint) Calls() []*Call {
 	e.mu.Lock()
--- /dev/null
+++ b/direct/entry/crashing_part_test.go
@@ -0,0 +1,101 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/direct/directtest"
+)
+
+// crashingFleet is a router in front of engines that crash when they begin a response to a
+// prompt with the part "dead". A crashed engine is replaced at once by one with another
+// identifier.
+type crashingFleet struct {
+	*router
+	mu      sync.Mutex
+	engines int
+	crashes int
+	// received counts the requests with the part, by the number of crashes before.
+	received map[int]int
+}
+
+func newCrashingFleet(t *testing.T, engines int) *crashingFleet {
+	f := &crashingFleet{router: newRouter(t), received: map[int]int{}}
+	for range engines {
+		f.addEngine()
+	}
+	return f
+}
+
+func (f *crashingFleet) addEngine() {
+	f.mu.Lock()
+	f.engines++
+	id := fmt.Sprintf("engine-%d", f.engines)
+	f.mu.Unlock()
+	var e *directtest.Endpoint
+	ready := make(chan struct{})
+	e = f.add(id, "engines", func(c net.Conn, call *directtest.Call) bool {
+		<-ready
+		directtest.BeginStream(c, call)
+		if strings.Contains(call.Header.Get(headers.PromptParts), "dead:") {
+			f.mu.Lock()
+			f.received[f.crashes]++
+			f.crashes++
+			f.mu.Unlock()
+			e.Crash()
+			f.addEngine()
+			return false
+		}
+		directtest.Chunk(c, directtest.Event(1))
+		directtest.Chunk(c, "")
+		return true
+	})
+	close(ready)
+}
+
+// send sends a resumable stream with the given prompt parts.
+func (f *crashingFleet) send(parts string) result {
+	in := f.request(http.MethodPost, "/resumable/x", "body")
+	in.Header.Set(headers.PromptParts, parts)
+	return f.do(in)
+}
+
+// receivedAfter returns how many requests with the crashing part engines received after
+// this number of crashes.
+func (f *crashingFleet) receivedAfter(crashes int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for before, received := range f.received {
+		if before >= crashes {
+			n += received
+		}
+	}
+	return n
+}
+
+// crashInterval is the interval between two requests with the crashing part.
+const crashInterval = 120 * time.Millisecond
+
+// Guards against a prompt part that crashes one engine after the other: its requests keep
+// being sent to engines, and each one to a second engine after the first crash.
+func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	f := newCrashingFleet(t, 6)
+	for i := range 14 {
+		time.Sleep(crashInterval)
+		f.send(fmt.Sprintf("caller:100,topic%d:50,dead:70,own%d:9", i%2, i))
+		sound := f.send(fmt.Sprintf("caller:100,topic%d:50,own-sound%d:9", i%2, i))
+		must.Eq(t, http.StatusOK, sound.status, must.Sprintf("sound request %d", i))
+	}
+	must.LessEq(t, 3, f.receivedAfter(5), must.Sprint("requests with the part after the fifth crash"))
+	refused := f.send("caller:100,topic0:50,dead:70,last:9")
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.NotEq(t, "", refused.header.Get("Retry-After"))
+}
