Prompt parts that crash engines are quarantined in the whole fleet

Cause: a failed attempt counted against its endpoint only. Nothing connected crashes of different engines with what their requests have in common, so every new request with the part, and the second attempt of each resumable one, was sent to the next engine. A crashed engine returns under a new identifier, and each router learned for itself.

Change: coordination/quarantine records requests that an engine was running without an event when it crashed, less the parts that were served lately. A set that recurs in two crashes at different times is refused (503 with Retry-After, at once, also before a retry); any request that is served clears its parts. A crash counts only if the endpoint is down; the router connects to it to find out. Routers exchange the observations as datagrams of their own and derive the same sets; routers that start later get them from peers.

It works because the part is in each of these requests and never in one that is served, while the parts that it shares with sound requests are cleared by them.

--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -89,16 +89,27 @@
 
 // SetStartTime records the start time of an endpoint. If it differs from the
 // previous one, the endpoint has restarted, and its cached parts, failures and
-// backoff are cleared.
-func (t *Table) SetStartTime(id string, started time.Time) {
+// backoff are cleared. It reports whether a known endpoint has restarted.
+func (t *Table) SetStartTime(id string, started time.Time) bool {
 	e := t.endpoint(id)
 	if e.started.Equal(started) {
-		return
+		return false
 	}
+	restarted := !e.started.IsZero()
 	e.started = started
 	clear(e.parts)
 	e.failures = 0
 	e.unreachableUntil = time.Time{}
+	return restarted
+}
+
+// RecordConnectFailure records a connection to an endpoint that failed outside an attempt.
+func (t *Table) RecordConnectFailure(now time.Time, id string) { t.endpoint(id).markUnreachable(now) }
+
+// Down reports whether connections to an endpoint fail, here or at a peer.
+func (t *Table) Down(now time.Time, id string) bool {
+	e := t.endpoint(id)
+	return now.Before(e.unreachableUntil) || t.peerLoads[e.hash].unreachable > 0
 }
 
 // EvictIdle deletes the endpoints without requests in progress for which keep
--- a/coordination/prompt/prompt.go
+++ b/coordination/prompt/prompt.go
@@ -13,7 +13,9 @@
 type Part struct {
 	// Key identifies the part together with all parts before it, because an
 	// engine caches a part only together with its prefix.
-	Key    uint64
+	Key uint64
+	// ID identifies the part alone, whatever precedes it.
+	ID     uint64
 	Tokens int64
 }
 
@@ -55,6 +57,15 @@
 	return c.SharedParts[len(c.SharedParts)-1].Key
 }
 
+// SharedIDs returns the IDs of the shared parts.
+func (c Cost) SharedIDs() []uint64 {
+	ids := make([]uint64, len(c.SharedParts))
+	for i, p := range c.SharedParts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // Parse returns the cost given by the values of a request's headers. parts is a
 // comma-separated list of ID:TOKENS entries, of which the last is not shared;
 // counts holds the number of prompt tokens and the maximum of generated tokens;
@@ -74,7 +85,7 @@
 			_, _ = key.WriteString(",")
 		}
 		_, _ = key.WriteString(id)
-		c.SharedParts = append(c.SharedParts, Part{Key: key.Sum64(), Tokens: tokens})
+		c.SharedParts = append(c.SharedParts, Part{Key: key.Sum64(), ID: xxhash.Sum64String(id), Tokens: tokens})
 	}
 	if n := len(c.SharedParts); n > 0 {
 		c.UnsharedTokens = c.SharedParts[n-1].Tokens
--- /dev/null
+++ b/coordination/quarantine/doc.go
@@ -0,0 +1,12 @@
+// Package quarantine finds prompt parts that crash engines, so that routers can refuse
+// requests with them.
+//
+// An interrupted attempt is a request that an engine was running, without an event, when
+// the engine crashed. Its suspects are those of its shared parts with which no request has
+// been served lately. A set of suspects that recurs in several crashes is quarantined:
+// requests that contain the whole set are refused. Any request that is served clears its
+// parts, so sound parts drop out of the sets and the part that crashes engines remains.
+//
+// Table owns this soft state. It reads no clock and does no I/O; peers exchange what they
+// observed as Facts and reach the same conclusions.
+package quarantine
--- /dev/null
+++ b/coordination/quarantine/facts.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import "time"
+
+// mergeTolerance is the difference below which two times of a served request count as
+// equal. A time gets later with each report, by the time that the report was on its way.
+const mergeTolerance = 500 * time.Millisecond
+
+// Facts are the observations from which sets are quarantined. Routers exchange them.
+type Facts struct {
+	Interrupted []Interrupted
+	// Served holds the parts of interrupted attempts that were served.
+	Served []ServedPart
+}
+
+// ServedPart is a part and the time of the latest served request with it.
+type ServedPart struct {
+	Part uint64
+	At   time.Time
+}
+
+// Empty reports whether there are no observations.
+func (f *Facts) Empty() bool { return len(f.Interrupted) == 0 }
+
+// Facts returns all observations.
+func (t *Table) Facts() Facts {
+	f := Facts{Interrupted: append([]Interrupted(nil), t.interrupted...)}
+	listed := map[uint64]bool{}
+	for _, i := range t.interrupted {
+		for _, p := range i.Parts {
+			if at, ok := t.served[p]; ok && !listed[p] {
+				listed[p] = true
+				f.Served = append(f.Served, ServedPart{Part: p, At: at})
+			}
+		}
+	}
+	return f
+}
+
+// TakeNews reports whether there are observations that peers haven't been told, and
+// clears that state.
+func (t *Table) TakeNews() bool {
+	news := t.news
+	t.news = false
+	return news
+}
+
+// Merge adds a peer's observations. It reports whether this table knows served parts that
+// clear some of them and that the peer doesn't know.
+func (t *Table) Merge(f Facts) (clears bool) {
+	changed := false
+	for _, i := range f.Interrupted {
+		changed = t.merge(i) || changed
+	}
+	for _, s := range f.Served {
+		if at, ok := t.served[s.Part]; !ok || s.At.After(at.Add(mergeTolerance)) {
+			t.served[s.Part] = s.At
+			changed = true
+		}
+	}
+	if changed {
+		t.update()
+	}
+	return changed && t.clearsMore(f)
+}
+
+// clearsMore reports whether this table clears a part of f that f itself doesn't clear.
+func (t *Table) clearsMore(f Facts) bool {
+	known := map[uint64]time.Time{}
+	for _, s := range f.Served {
+		known[s.Part] = s.At
+	}
+	for _, i := range f.Interrupted {
+		for _, p := range i.Parts {
+			at, ok := known[p]
+			if t.cleared(p, i.At) && (!ok || !at.After(i.At.Add(-clearedFor))) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/quarantine/table.go
@@ -0,0 +1,247 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// clearedFor is how long a part counts as sound after a request with it was served.
+	clearedFor = 10 * time.Second
+	// confirmTimeout is how long an interrupted attempt waits for evidence that its
+	// engine is down. Without it, only the connection broke.
+	confirmTimeout = 2 * time.Second
+	// minCrashes is the number of crashes from which a set of suspects is quarantined,
+	// minCommonCrashes that for a set that is only the common part of several sets.
+	minCrashes       = 2
+	minCommonCrashes = 3
+	// minSpan and minQueuedSpan are the shortest times between the first and the last of
+	// these crashes. Engines that crash at the same moment have a common cause other
+	// than their requests. minQueuedSpan applies if no response had begun: such a
+	// request may only have waited beside the one that crashed the engine.
+	minSpan       = 100 * time.Millisecond
+	minQueuedSpan = 2 * time.Second
+	// initialPeriod and maxPeriod bound how long a set is quarantined after its latest
+	// crash. The period doubles with each crash.
+	initialPeriod = time.Minute
+	maxPeriod     = 30 * time.Minute
+	// maxJitter lengthens the period by a random fraction in each router, so that the
+	// first request after it is a trial by one router.
+	maxJitter = 0.5
+	// trialTime is how long a router waits for the result of a trial before it lets
+	// another request through.
+	trialTime = 5 * time.Second
+	// maxInterrupted bounds the interrupted attempts that are kept, maxPending those
+	// that are not confirmed, and maxServed the served parts.
+	maxInterrupted = 64
+	maxPending     = 256
+	maxServed      = 8192
+)
+
+// Interrupted is an attempt that was interrupted before its first event.
+type Interrupted struct {
+	// Crash identifies the incarnation of the engine that crashed.
+	Crash uint32
+	At    time.Time
+	// Responding is set if the engine had begun the response. Otherwise the request may
+	// still have been queued.
+	Responding bool
+	// Parts holds the IDs of the request's shared parts.
+	Parts []uint64
+}
+
+func (i *Interrupted) same(other *Interrupted) bool {
+	return i.Crash == other.Crash && slices.Equal(i.Parts, other.Parts)
+}
+
+// pending is an interrupted attempt whose endpoint isn't known to be down yet.
+type pending struct {
+	Interrupted
+	endpoint uint32
+}
+
+// set is a quarantined set of parts. A request is refused if it contains all of them.
+type set struct {
+	parts   []uint64
+	crashes int
+	until   time.Time
+	// trialAt is when the latest trial after the quarantine began.
+	trialAt time.Time
+}
+
+// Table holds the interrupted attempts and the sets in quarantine. It is not safe for
+// concurrent use.
+type Table struct {
+	interrupted []Interrupted
+	pending     []pending
+	// served holds the time of the latest served request by part.
+	served map[uint64]time.Time
+	sets   []set
+	jitter float64
+	// news is set while there are observations that peers haven't been told.
+	news bool
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{served: map[uint64]time.Time{}, jitter: maxJitter * rand.Float64()}
+}
+
+// AddInterrupted records an attempt whose connection to the endpoint with this hash broke
+// before the first event. down reports whether the endpoint is known to be down;
+// otherwise the attempt counts once EndpointDown is called for it, and check is true for
+// the first one at an endpoint.
+func (t *Table) AddInterrupted(i Interrupted, endpoint uint32, down bool) (check bool) {
+	if len(i.Parts) == 0 {
+		return false
+	}
+	if down {
+		t.add(i)
+		return false
+	}
+	t.pending = slices.DeleteFunc(t.pending, func(p pending) bool { return i.At.Sub(p.At) > confirmTimeout })
+	check = !slices.ContainsFunc(t.pending, func(p pending) bool { return p.endpoint == endpoint })
+	if len(t.pending) >= maxPending {
+		t.pending = t.pending[1:]
+	}
+	t.pending = append(t.pending, pending{Interrupted: i, endpoint: endpoint})
+	return check
+}
+
+// EndpointDown confirms the interrupted attempts at the endpoint with this hash.
+func (t *Table) EndpointDown(now time.Time, endpoint uint32) {
+	if len(t.pending) == 0 {
+		return
+	}
+	kept := t.pending[:0]
+	for _, p := range t.pending {
+		switch {
+		case now.Sub(p.At) > confirmTimeout:
+		case p.endpoint == endpoint:
+			t.add(p.Interrupted)
+		default:
+			kept = append(kept, p)
+		}
+	}
+	t.pending = kept
+}
+
+func (t *Table) add(i Interrupted) {
+	if t.merge(i) {
+		t.news = true
+		t.update()
+	}
+}
+
+// merge adds an interrupted attempt unless it is known, and reports whether it did.
+func (t *Table) merge(i Interrupted) bool {
+	if at := slices.IndexFunc(t.interrupted, func(k Interrupted) bool { return k.same(&i) }); at >= 0 {
+		k := &t.interrupted[at]
+		changed := i.Responding && !k.Responding || i.At.Before(k.At)
+		k.Responding = k.Responding || i.Responding
+		if i.At.Before(k.At) {
+			k.At = i.At
+		}
+		return changed
+	}
+	if len(t.interrupted) >= maxInterrupted {
+		oldest := 0
+		for n := range t.interrupted {
+			if t.interrupted[n].At.Before(t.interrupted[oldest].At) {
+				oldest = n
+			}
+		}
+		t.interrupted = slices.Delete(t.interrupted, oldest, oldest+1)
+	}
+	t.interrupted = append(t.interrupted, i)
+	return true
+}
+
+// Served records that an engine produced an event for a request with these parts, which
+// clears them.
+func (t *Table) Served(now time.Time, parts []uint64) {
+	if len(t.served) > maxServed {
+		t.evictServed(now)
+	}
+	suspected := false
+	for _, p := range parts {
+		suspected = suspected || t.suspected(p)
+		t.served[p] = now
+	}
+	if suspected {
+		t.news = true
+		t.update()
+	}
+}
+
+// evictServed deletes the parts that no longer count as sound, except those that were
+// cleared after a crash.
+func (t *Table) evictServed(now time.Time) {
+	for p, at := range t.served {
+		if now.Sub(at) > clearedFor && !t.involved(p) {
+			delete(t.served, p)
+		}
+	}
+	if len(t.served) > maxServed {
+		clear(t.served)
+	}
+}
+
+// involved reports whether a part was in an interrupted attempt.
+func (t *Table) involved(part uint64) bool {
+	return slices.ContainsFunc(t.interrupted, func(i Interrupted) bool { return slices.Contains(i.Parts, part) })
+}
+
+// suspected reports whether a part is a suspect of an interrupted attempt.
+func (t *Table) suspected(part uint64) bool {
+	return slices.ContainsFunc(t.interrupted, func(i Interrupted) bool {
+		return slices.Contains(i.Parts, part) && !t.cleared(part, i.At)
+	})
+}
+
+// cleared reports whether a part counts as sound for a crash at this time.
+func (t *Table) cleared(part uint64, crash time.Time) bool {
+	at, ok := t.served[part]
+	return ok && at.After(crash.Add(-clearedFor))
+}
+
+// Refuse reports whether a request with these parts must be refused, and until when. After
+// a quarantine has ended, it lets one request at a time through.
+func (t *Table) Refuse(now time.Time, parts []uint64) (until time.Time, refuse bool) {
+	for i := range t.sets {
+		s := &t.sets[i]
+		if !containsAll(parts, s.parts) {
+			continue
+		}
+		if now.Before(s.until) {
+			return s.until, true
+		}
+		if trialEnd := s.trialAt.Add(trialTime); now.Before(trialEnd) {
+			return trialEnd, true
+		}
+		s.trialAt = now
+	}
+	return time.Time{}, false
+}
+
+func containsAll(parts, subset []uint64) bool {
+	for _, p := range subset {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// Quarantined returns the number of quarantined sets of parts.
+func (t *Table) Quarantined() int { return len(t.sets) }
+
+// Expire deletes interrupted attempts whose quarantine has ended long ago.
+func (t *Table) Expire(now time.Time) {
+	before := len(t.interrupted)
+	t.interrupted = slices.DeleteFunc(t.interrupted, func(i Interrupted) bool { return now.Sub(i.At) > 2*maxPeriod })
+	if len(t.interrupted) != before {
+		t.update()
+	}
+}
--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -210,4 +210,9 @@
 	for _, p := range r.Placed {
 		d.loads.RecordPeerPlacement(now, p.Endpoint, p.Part)
 	}
+	for _, l := range r.Loads {
+		if l.Unreachable {
+			d.recordEndpointDown(now, l.Endpoint)
+		}
+	}
 }
--- /dev/null
+++ b/direct/dispatch/crashes.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+// Quarantine returns a refusal if requests with some of the prompt's parts crash engines,
+// and otherwise nil.
+func (d *Dispatcher) Quarantine(now time.Time, cost prompt.Cost) *Refusal {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.crashingParts.Quarantined() == 0 {
+		return nil
+	}
+	until, refuse := d.crashingParts.Refuse(now, cost.SharedIDs())
+	if !refuse {
+		return nil
+	}
+	return &Refusal{Reason: Quarantined, RetryAfter: until.Sub(now), Allowance: 1}
+}
+
+// Interrupted records that the connection of the attempt broke. responding reports
+// whether the response had begun. It must be called before End. It returns true if the
+// caller should check whether the endpoint is down.
+func (a *Assignment) Interrupted(now time.Time, responding bool) (check bool) {
+	a.withLock(func() {
+		if a.attempt.FirstEventReceived() || len(a.sharedParts) == 0 {
+			return
+		}
+		d := a.dispatcher
+		check = d.crashingParts.AddInterrupted(quarantine.Interrupted{
+			Crash: incarnation(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts,
+		}, endpointload.Hash(a.Endpoint.ID), d.loads.Down(now, a.Endpoint.ID))
+		d.announceCrashes()
+	})
+	return check
+}
+
+// RecordConnectFailure records that a connection to an endpoint failed outside an
+// attempt.
+func (d *Dispatcher) RecordConnectFailure(now time.Time, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loads.RecordConnectFailure(now, id)
+	d.recordEndpointDown(now, endpointload.Hash(id))
+}
+
+// incarnation returns a hash of an endpoint's identifier and start time.
+func incarnation(e registry.Endpoint) uint32 {
+	return uint32(xxhash.Sum64String(e.ID + "@" + strconv.FormatInt(e.Started.UnixMilli(), 10)))
+}
+
+// Served records that the endpoint responded with an event, or with a complete response.
+// Only the first call has an effect.
+func (a *Assignment) Served(now time.Time) {
+	if a.served || len(a.sharedParts) == 0 {
+		return
+	}
+	a.served = true
+	a.withLock(func() {
+		a.dispatcher.crashingParts.Served(now, a.sharedParts)
+		a.dispatcher.announceCrashes()
+	})
+}
+
+func (d *Dispatcher) recordEndpointDown(now time.Time, endpoint uint32) {
+	d.crashingParts.EndpointDown(now, endpoint)
+	d.announceCrashes()
+}
+
+// announceCrashes signals CrashNews if there is something to tell to peers.
+func (d *Dispatcher) announceCrashes() {
+	if !d.crashingParts.TakeNews() {
+		return
+	}
+	select {
+	case d.crashNews <- struct{}{}:
+	default:
+	}
+}
+
+// CrashNews delivers a value when peers should be sent the crash facts.
+func (d *Dispatcher) CrashNews() <-chan struct{} { return d.crashNews }
+
+// CrashFacts returns what is known about requests that crash engines.
+func (d *Dispatcher) CrashFacts() quarantine.Facts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashingParts.Facts()
+}
+
+// MergeCrashFacts adds a peer's facts. It reports whether this router knows that parts
+// are sound which the peer suspects.
+func (d *Dispatcher) MergeCrashFacts(f quarantine.Facts) (clears bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashingParts.Merge(f)
+}
+
+// QuarantinedSets returns the number of sets of parts in quarantine.
+func (d *Dispatcher) QuarantinedSets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashingParts.Quarantined()
+}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
 	"github.com/acaciaspar/acaciaspar/state/registry"
@@ -67,6 +68,9 @@
 	leastServed     uint32
 	levelsUpdatedAt time.Time
 	placed          []PlacedPart
+	// crashingParts is signaled through crashNews when peers should be told about it.
+	crashingParts *quarantine.Table
+	crashNews     chan struct{}
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -104,6 +108,9 @@
 		budgets:   map[string]*retry.Budget{},
 		limits:    limits,
 		routers:   1,
+
+		crashingParts: quarantine.NewTable(),
+		crashNews:     make(chan struct{}, 1),
 	}
 }
 
@@ -171,6 +178,8 @@
 	// OverShare means that the team exceeds its fair share and no endpoint has
 	// capacity left for its reduced allowance.
 	OverShare Reason = "team is above its share"
+	// Quarantined means that requests with some of the prompt's parts crash engines.
+	Quarantined Reason = "the prompt contains parts that crash engines"
 )
 
 // Assignment is one attempt to run a request at an endpoint.
@@ -184,6 +193,10 @@
 
 	dispatcher *Dispatcher
 	attempt    *endpointload.Attempt
+	// sharedParts holds the IDs of the prompt's shared parts. served is set once the
+	// endpoint has served a request with them.
+	sharedParts []uint64
+	served      bool
 	// charge is the charge to the team; nil without a team or after a refund.
 	charge *charge
 }
@@ -247,7 +260,8 @@
 	c := &candidates[index]
 	attempt := d.loads.StartAttempt(now, chosen.ID, request.Cost, c.Pending)
 	return &Assignment{
-		Endpoint: chosen, ExpectedWait: c.Wait(), UncachedTokens: c.UncachedTokens, dispatcher: d, attempt: attempt, charge: d.charge(now, request),
+		Endpoint: chosen, ExpectedWait: c.Wait(), UncachedTokens: c.UncachedTokens, dispatcher: d, attempt: attempt,
+		sharedParts: request.Cost.SharedIDs(), charge: d.charge(now, request),
 	}, nil
 }
 
@@ -414,6 +428,9 @@
 			a.charge = nil
 		}
 		a.attempt.End(now, r)
+		if r == endpointload.ConnectFailed {
+			a.dispatcher.recordEndpointDown(now, endpointload.Hash(a.Endpoint.ID))
+		}
 	})
 }
 
@@ -465,7 +482,9 @@
 func (d *Dispatcher) Restarted(id string, started time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loads.SetStartTime(id, started)
+	if d.loads.SetStartTime(id, started) {
+		d.recordEndpointDown(time.Now(), endpointload.Hash(id))
+	}
 }
 
 // EvictExpired evicts the loads of endpoints that are no longer registered, expired
@@ -478,6 +497,7 @@
 		return ok
 	})
 	d.loads.ExpirePeers(now)
+	d.crashingParts.Expire(now)
 	for name, t := range d.teams {
 		if now.Sub(t.lastRequest) > usageIdleTimeout {
 			delete(d.teams, name)
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
+	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
 
@@ -171,7 +172,11 @@
 		a.response.Close()
 	}
 	a.cancel()
-	a.assignment.End(time.Now(), result)
+	now := time.Now()
+	if result == endpointload.Failed && a.err != nil && a.assignment.Interrupted(now, a.response != nil) {
+		go r.h.checkEndpoint(a.assignment.Endpoint)
+	}
+	a.assignment.End(now, result)
 	r.h.Metrics.countAttempt(result)
 	if result != endpointload.Succeeded {
 		r.logFailedAttempt(a, result)
@@ -190,9 +195,30 @@
 	if errors.Is(a.err, errDeadlinePassed) || errors.Is(a.err, errEndpointGone) {
 		return false
 	}
+	return !dialedLate(a.err, a.duration, a.dialTimeout)
+}
+
+// dialedLate reports whether err is a timeout that this process noticed late.
+func dialedLate(err error, duration, timeout time.Duration) bool {
 	var dial net.Error
-	timedOut := errors.As(a.err, &dial) && dial.Timeout()
-	return !timedOut || a.duration < a.dialTimeout+dialTolerance
+	timedOut := errors.As(err, &dial) && dial.Timeout()
+	return timedOut && duration >= timeout+dialTolerance
+}
+
+// endpointCheckDelay gives an endpoint that crashes time to close its listener.
+const endpointCheckDelay = 50 * time.Millisecond
+
+// checkEndpoint connects to an endpoint to find out whether it has crashed or only a
+// connection broke.
+func (h *Handler) checkEndpoint(e registry.Endpoint) {
+	time.Sleep(endpointCheckDelay)
+	began := time.Now()
+	err := h.Pool.Connect(context.Background(), endpointhttp.Target{Instance: e.ID, Address: e.Address})
+	if err == nil || dialedLate(err, time.Since(began), h.Pool.DialTimeout) {
+		return
+	}
+	h.Dispatcher.RecordConnectFailure(time.Now(), e.ID)
+	h.Log.Info("endpoint is down after an interrupted response", "endpoint", e.ID, "error", err.Error())
 }
 
 // resultOf returns the result of an attempt without a usable response.
@@ -230,14 +256,6 @@
 	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "send did not succeed", attrs...)
 }
 
-// maxLoggedParts bounds the length of a prompt's parts in a log line, in bytes.
-const maxLoggedParts = 256
-
-func (r *request) promptPartsForLog() string {
-	parts := r.in.Header.Get(r.h.Dialect.PromptParts)
-	return parts[:min(len(parts), maxLoggedParts)]
-}
-
 func resultName(result endpointload.Result) string {
 	return [...]string{"succeeded", "failed", "refused", "unreached", "abandoned"}[result]
 }
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -349,7 +349,12 @@
 	// the request indefinitely.
 	_ = http.NewResponseController(r.w).SetWriteDeadline(r.deadline.Add(writeGrace))
 	r.parseCost()
-	r.h.Dispatcher.RecordRequest(time.Now(), r.service.Name, r.team, r.cost.Units())
+	now := time.Now()
+	if refusal := r.h.Dispatcher.Quarantine(now, r.cost); refusal != nil {
+		r.rejectUnplaced(refusal)
+		return
+	}
+	r.h.Dispatcher.RecordRequest(now, r.service.Name, r.team, r.cost.Units())
 	if r.refuseIfDraining() {
 		return
 	}
--- a/direct/entry/log.go
+++ b/direct/entry/log.go
@@ -26,9 +26,21 @@
 // refusalAttrs returns the log attributes with the inputs of a decision to refuse
 // a request.
 func (r *request) refusalAttrs(refusal *dispatch.Refusal) []slog.Attr {
-	return []slog.Attr{
+	attrs := []slog.Attr{
 		slog.String("service", r.service.Name), slog.Float64("allowance", refusal.Allowance),
 		slog.Int64("excess_ms", refusal.CapacityWait.Milliseconds()), slog.Int("candidates", refusal.Candidates),
 		slog.Int64("units", r.cost.Units()),
 	}
+	if refusal.Reason == dispatch.Quarantined {
+		attrs = append(attrs, slog.String("prompt_parts", r.promptPartsForLog()))
+	}
+	return attrs
+}
+
+// maxLoggedParts bounds the length of a prompt's parts in a log line, in bytes.
+const maxLoggedParts = 256
+
+func (r *request) promptPartsForLog() string {
+	parts := r.in.Header.Get(r.h.Dialect.PromptParts)
+	return parts[:min(len(parts), maxLoggedParts)]
 }
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -41,6 +41,11 @@
 func (d plainDelivery) rejectUnplaced(refusal *dispatch.Refusal) { d.r.rejectUnplaced(refusal) }
 
 func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
+	if r.sentAttempts > 0 {
+		if refusal := r.h.Dispatcher.Quarantine(now, r.cost); refusal != nil {
+			return nil, refusal
+		}
+	}
 	if r.service.Engine != nil {
 		return r.h.Dispatcher.PlaceEngine(now, r.dispatchRequest(now))
 	}
@@ -97,6 +102,9 @@
 		}
 	} else {
 		a.assignment.Begin(now)
+		if a.response.Status < 300 {
+			a.assignment.Served(now)
+		}
 		r.endAttempt(a, endpointload.Succeeded)
 	}
 	r.h.Metrics.Answered.Inc(1)
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -123,6 +123,9 @@
 	}
 	a.assignment.Receive(now)
 	a.assignment.Begin(now)
+	if eventStream {
+		a.assignment.Served(now)
+	}
 	if !s.headersSent {
 		s.headersSent = true
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
@@ -144,6 +147,7 @@
 		a.err = eris.New("stream ended inside an event")
 		return r.handleStreamError(a, s)
 	}
+	a.assignment.Served(time.Now())
 	if !s.headersSent {
 		s.headersSent = true
 		r.copyResponseHeader(a.response.Header)
--- /dev/null
+++ b/direct/mesh/crashes.go
@@ -0,0 +1,122 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
+	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
+)
+
+const (
+	// crashGossipInterval is the interval at which known crashes are sent to
+	// crashGossipPeers random peers, for those that missed the first report or have
+	// started since.
+	crashGossipInterval = time.Second
+	crashGossipPeers    = 3
+	// minCrashReportInterval is the shortest interval between two reports to all peers.
+	minCrashReportInterval = 40 * time.Millisecond
+	// correctingRouters is the expected number of routers that answer a peer's report
+	// because they know that parts it suspects are sound.
+	correctingRouters = 8
+)
+
+// SendCrashes tells peers about requests that crash engines until ctx is done and returns
+// its error.
+func (m *Mesh) SendCrashes(ctx context.Context) error {
+	ticker := time.NewTicker(crashGossipInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.dispatcher.CrashNews():
+			m.sendCrashes(m.livePeers())
+			// Further news during this time is sent in one report.
+			time.Sleep(minCrashReportInterval)
+		case <-ticker.C:
+			peers := m.livePeers()
+			rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+			m.sendCrashes(peers[:min(len(peers), crashGossipPeers)])
+		}
+	}
+}
+
+func (m *Mesh) sendCrashes(peers []*net.UDPAddr) {
+	facts := m.dispatcher.CrashFacts()
+	if facts.Empty() {
+		return
+	}
+	data := encodeFacts(time.Now(), m.instance, facts).Append(nil)
+	if len(data) > maxDatagram {
+		m.badReports.Inc(1)
+		m.log.Error("crash report not sent: too large", "bytes", len(data))
+		return
+	}
+	for _, address := range peers {
+		// A failed send is treated like a lost datagram.
+		if _, err := m.conn.WriteToUDP(data, address); err == nil {
+			m.reportBytesSent.Inc(int64(len(data)))
+		}
+	}
+}
+
+func (m *Mesh) livePeers() []*net.UDPAddr {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var live []*net.UDPAddr
+	for _, p := range m.peers {
+		if now.Sub(p.lastReport) < inactiveAfter {
+			live = append(live, p.address)
+		}
+	}
+	return live
+}
+
+func (m *Mesh) handleCrashReport(now time.Time, data []byte) {
+	report, err := loadreport.DecodeCrashReport(data)
+	if err != nil {
+		m.badReports.Inc(1)
+		return
+	}
+	if report.Instance == m.instance {
+		return
+	}
+	clears := m.dispatcher.MergeCrashFacts(decodeFacts(now, report))
+	if peers := m.livePeers(); clears && rand.IntN(len(peers)+1) < correctingRouters {
+		m.sendCrashes(peers)
+	}
+}
+
+func encodeFacts(now time.Time, instance string, f quarantine.Facts) *loadreport.CrashReport {
+	r := &loadreport.CrashReport{Instance: instance}
+	for _, i := range f.Interrupted {
+		r.Interrupted = append(r.Interrupted, loadreport.InterruptedRequest{
+			Crash: i.Crash, AgeMs: wireAge(now.Sub(i.At)), Responding: i.Responding, Parts: i.Parts,
+		})
+	}
+	for _, s := range f.Served {
+		r.Served = append(r.Served, loadreport.ServedPart{Part: s.Part, AgeMs: wireAge(now.Sub(s.At))})
+	}
+	return r
+}
+
+func decodeFacts(now time.Time, r *loadreport.CrashReport) quarantine.Facts {
+	var f quarantine.Facts
+	for _, i := range r.Interrupted {
+		f.Interrupted = append(f.Interrupted, quarantine.Interrupted{
+			Crash: i.Crash, At: now.Add(-fromWireAge(i.AgeMs)), Responding: i.Responding, Parts: i.Parts,
+		})
+	}
+	for _, s := range r.Served {
+		f.Served = append(f.Served, quarantine.ServedPart{Part: s.Part, At: now.Add(-fromWireAge(s.AgeMs))})
+	}
+	return f
+}
+
+func wireAge(age time.Duration) uint32 { return wireCount(age.Milliseconds()) }
+
+func fromWireAge(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -351,6 +351,10 @@
 }
 
 func (m *Mesh) handleReport(now time.Time, data []byte) {
+	if loadreport.IsCrashReport(data) {
+		m.handleCrashReport(now, data)
+		return
+	}
 	report, err := loadreport.Decode(data)
 	if err != nil {
 		m.badReports.Inc(1)
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -12,6 +12,8 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
@@ -24,8 +26,9 @@
 // testPeer is the mesh of one router, with its address and rotation state.
 type testPeer struct {
 	*mesh.Mesh
-	address string
-	out     atomic.Bool
+	dispatcher *dispatch.Dispatcher
+	address    string
+	out        atomic.Bool
 }
 
 func newTestPeer(t *testing.T, instance string) *testPeer {
@@ -33,10 +36,13 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	p := &testPeer{address: conn.LocalAddr().String()}
+	p := &testPeer{
+		address:    conn.LocalAddr().String(),
+		dispatcher: dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits()),
+	}
 	topics := map[follow.Topic]*mirror.Topic{follow.Configuration: mirror.NewTopic(), follow.Endpoints: mirror.NewTopic()}
 	p.Mesh = mesh.New(instance, conn.LocalAddr().(*net.UDPAddr).AddrPort(), conn,
-		dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits()),
+		p.dispatcher,
 		mesh.LocalState{
 			ConfigVersion: func() uint64 { return 1 },
 			Mirror:        func(topic follow.Topic) *mirror.Topic { return topics[topic] },
@@ -44,6 +50,7 @@
 			OutOfRotation: p.out.Load,
 		}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	go func() { _ = p.Send(t.Context()) }()
+	go func() { _ = p.SendCrashes(t.Context()) }()
 	go func() { _ = p.Receive(t.Context()) }()
 	return p
 }
@@ -72,3 +79,53 @@
 	c.Leave()
 	waitForRotation(t, a, overload.PeerCounts{Live: 2, Out: 1})
 }
+
+func waitForQuarantine(t *testing.T, p *testPeer, cost prompt.Cost) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), cost) != nil }),
+		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
+// Guards against a part that crashes engines being known only to the routers that saw the
+// crashes: the others, and routers that start later, would let it crash more of them.
+func TestCrashingPartsReachPeers(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	a.Add(b.address)
+	waitForRotation(t, a, overload.PeerCounts{Live: 1})
+	cost := prompt.Parse("5c:800,dead:10,e4:250", "", "")
+	facts := quarantine.Facts{}
+	for i := range uint32(2) {
+		at := time.Now().Add(time.Duration(i) * time.Second)
+		facts.Interrupted = append(facts.Interrupted, quarantine.Interrupted{Crash: i, At: at, Responding: true, Parts: cost.SharedIDs()})
+	}
+	a.dispatcher.MergeCrashFacts(facts)
+	waitForQuarantine(t, b, cost)
+	must.Nil(t, b.dispatcher.Quarantine(time.Now(), prompt.Parse("5c:800,e4:250", "", "")))
+
+	c := newTestPeer(t, "c")
+	c.Add(b.address)
+	waitForQuarantine(t, c, cost)
+}
+
+// Guards against routers that refuse a sound part because they haven't served it
+// themselves, although a peer has.
+func TestServedPartsReachPeers(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	a.Add(b.address)
+	waitForRotation(t, a, overload.PeerCounts{Live: 1})
+	cost := prompt.Parse("5c:800,dead:10,e4:250", "", "")
+	facts := quarantine.Facts{Served: []quarantine.ServedPart{{Part: cost.SharedIDs()[0], At: time.Now()}}}
+	for i := range uint32(2) {
+		at := time.Now().Add(time.Duration(i) * time.Second)
+		facts.Interrupted = append(facts.Interrupted, quarantine.Interrupted{Crash: i, At: at, Responding: true, Parts: cost.SharedIDs()[:1]})
+	}
+	unaware := facts
+	unaware.Served = nil
+	b.dispatcher.MergeCrashFacts(unaware)
+	must.NotNil(t, b.dispatcher.Quarantine(time.Now(), cost))
+	a.dispatcher.MergeCrashFacts(facts)
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return b.dispatcher.Quarantine(time.Now(), cost) == nil }),
+		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -241,6 +241,7 @@
 	group.Go(func() error { return p.updateRotation(ctx) })
 	group.Go(func() error { return p.follower.Run(ctx) })
 	group.Go(func() error { return p.mesh.Send(ctx) })
+	group.Go(func() error { return p.mesh.SendCrashes(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
 	group.Go(func() error { return p.join(ctx) })
 	group.Go(func() error { return p.sweep(ctx) })
@@ -373,6 +374,7 @@
 			metrics.GetOrRegisterGauge("direct.idle_connections", p.metrics).Update(int64(idle))
 			metrics.GetOrRegisterGauge("direct.connections_opened", p.metrics).Update(int64(dialed))
 			metrics.GetOrRegisterGauge("direct.lateness_ms", p.metrics).Update(p.monitor.SchedulingDelay().Milliseconds())
+			metrics.GetOrRegisterGauge("direct.quarantined_prompts", p.metrics).Update(int64(p.dispatcher.QuarantinedSets()))
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
 	}
--- /dev/null
+++ b/protocol/loadreport/crashes.go
@@ -0,0 +1,93 @@
+package loadreport
+
+import "encoding/binary"
+
+// crashFormatVersion is the first byte of a datagram with a CrashReport. Routers that
+// don't know it ignore the datagram.
+const crashFormatVersion = 0xB1
+
+// CrashReport tells peers which requests engines were running when they crashed. It is
+// sent after such a crash and, while any is remembered, at long intervals.
+type CrashReport struct {
+	// Instance is the random identifier of the sending process.
+	Instance    string
+	Interrupted []InterruptedRequest
+	// Served holds parts of these requests with which others were served.
+	Served []ServedPart
+}
+
+// InterruptedRequest is a request that a crashed engine was running, without an event.
+type InterruptedRequest struct {
+	// Crash identifies the incarnation of the engine.
+	Crash ID
+	// AgeMs is the time since the crash, in milliseconds.
+	AgeMs uint32
+	// Responding is set if the response had begun.
+	Responding bool
+	// Parts holds the IDs of the prompt's shared parts.
+	Parts []uint64
+}
+
+// ServedPart is a prompt part with which a request was served.
+type ServedPart struct {
+	Part uint64
+	// AgeMs is the time since the latest one, in milliseconds.
+	AgeMs uint32
+}
+
+// IsCrashReport reports whether a datagram holds a CrashReport.
+func IsCrashReport(data []byte) bool { return len(data) > 0 && data[0] == crashFormatVersion }
+
+// Append appends the encoded report to b.
+func (r *CrashReport) Append(b []byte) []byte {
+	b = append(b, crashFormatVersion)
+	b = binary.AppendUvarint(b, uint64(len(r.Instance)))
+	b = append(b, r.Instance...)
+	b = binary.AppendUvarint(b, uint64(len(r.Interrupted)))
+	for _, i := range r.Interrupted {
+		b = binary.LittleEndian.AppendUint32(b, i.Crash)
+		age := uint64(i.AgeMs) << 1
+		if i.Responding {
+			age |= 1
+		}
+		b = binary.AppendUvarint(b, age)
+		b = binary.AppendUvarint(b, uint64(len(i.Parts)))
+		for _, p := range i.Parts {
+			b = binary.LittleEndian.AppendUint64(b, p)
+		}
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Served)))
+	for _, s := range r.Served {
+		b = binary.LittleEndian.AppendUint64(b, s.Part)
+		b = binary.AppendUvarint(b, uint64(s.AgeMs))
+	}
+	return b
+}
+
+// Smallest sizes of list entries, in bytes.
+const (
+	minInterruptedBytes = 6
+	partBytes           = 8
+	minServedBytes      = 9
+)
+
+// DecodeCrashReport parses a datagram.
+func DecodeCrashReport(data []byte) (*CrashReport, error) {
+	d := decoder{rest: data}
+	if d.uint8() != crashFormatVersion {
+		return nil, errInvalid
+	}
+	r := &CrashReport{Instance: string(d.bytes(d.length(1)))}
+	r.Interrupted = decodeList(&d, minInterruptedBytes, func() InterruptedRequest {
+		i := InterruptedRequest{Crash: d.uint32()}
+		age := d.uvarint()
+		i.AgeMs, i.Responding = uint32(min(age>>1, MaxCount)), age&1 != 0
+		i.Parts = decodeList(&d, partBytes, d.uint64)
+		return i
+	})
+	r.Served = decodeList(&d, minServedBytes, func() ServedPart { return ServedPart{Part: d.uint64(), AgeMs: d.count()} })
+	if d.failed || len(d.rest) > 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
+		return nil, errInvalid
+	}
+	return r, nil
+}
--- a/transport/endpointhttp/pool.go
+++ b/transport/endpointhttp/pool.go
@@ -47,6 +47,10 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, t)
+}
+
+func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	c, err := dial(ctx, t.Address, p.DialTimeout)
 	if err != nil {
 		return nil, err
@@ -57,6 +61,16 @@
 	return c, nil
 }
 
+// Connect opens a connection to an endpoint and adds it to the pool.
+func (p *Pool) Connect(ctx context.Context, t Target) error {
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return err
+	}
+	p.put(t.Instance, c)
+	return nil
+}
+
 // take removes and returns the most recently used idle connection. It returns
 // nil if there is none or if it has been idle for too long.
 func (p *Pool) take(instance string, maxIdle time.Duration) *conn {
