A stream without length or chunks that ends before its first event is broken off

An engine that crashes after the head of such a response closes the connection, and the caller got a complete, empty success. Now the attempt counts as interrupted: it is repeated if the stream may be resumed, and otherwise answered with 502.

TestUnframedStreamWithoutEventsIsNotComplete returned 200 before. TestUnframedStreams keeps sound ones whole and those that end inside an event cut off.

--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -141,11 +141,16 @@
 }
 
 // finishStream handles the normal end of an endpoint's response. A stream that
-// ends inside an event is handled as an error.
+// ends inside an event is handled as an error, and so is one without events that only
+// ended with its connection.
 func (r *request) finishStream(a *attempt, s *streamState, eventStream bool) relayResult {
-	if eventStream && s.splitter.HasPartial() {
+	switch {
+	case eventStream && s.splitter.HasPartial():
 		a.err = eris.New("stream ended inside an event")
 		return r.handleStreamError(a, s)
+	case eventStream && !a.response.Framed() && !a.assignment.Begun():
+		a.err = eris.New("stream ended before its first event")
+		return r.handleStreamError(a, s)
 	}
 	a.assignment.Served(time.Now())
 	if !s.headersSent {
--- a/direct/entry/untrusted_test.go
+++ b/direct/entry/untrusted_test.go
@@ -324,3 +324,29 @@
 	must.LessEq(t, 2, len(e.Calls()), must.Sprint("bodies of three callers exceed the limit"))
 	must.Eq(t, http.StatusOK, r.post("/order/2").status, must.Sprint("the memory is released"))
 }
+
+// Guards against a stream that broke off before its first event being forwarded as a
+// complete, empty one because its response has neither a length nor chunks.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	r := newRouter(t)
+	r.add("e1", "engines", func(c net.Conn, call *directtest.Call) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig\r\n%s\r\n", headers.RequestID, call.ID(), headers.Signature, eventHeader)
+		return false
+	})
+	must.Eq(t, http.StatusBadGateway, r.post("/stream/1").status)
+}
+
+// Guards against treating the end of a sound stream without a length or chunks as a
+// failure, and against forwarding one that ends inside an event as complete.
+func TestUnframedStreams(t *testing.T) {
+	for text, complete := range map[string]bool{directtest.Event(1): true, directtest.Event(1) + "id: 2\ndata": false} {
+		r := newRouter(t)
+		r.add("e1", "engines", func(c net.Conn, call *directtest.Call) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig\r\n%s\r\n%s", headers.RequestID, call.ID(), headers.Signature, eventHeader, text)
+			return false
+		})
+		got := r.post("/stream/1")
+		must.Eq(t, directtest.Event(1), got.body)
+		must.Eq(t, complete, got.err == nil)
+	}
+}
