Crash reports cost little CPU time, and requests that wait with a quarantined part are cancelled

Cause: each report of a peer, several per second, made a router derive all sets again from up to 64 interrupted attempts in pairs, because the times of served parts had changed. Requests of parts that were all cleared were kept and sent, too.

Now sets are derived only if a suspect is cleared or an attempt is added, attempts without suspects are dropped, and a request is refused before its body is read.

TestKnownFactsAreNotJudgedAgain, TestQueuedRequestsWithCrashingPartAreCancelled.

--- a/coordination/quarantine/facts.go
+++ b/coordination/quarantine/facts.go
@@ -9,7 +9,7 @@
 // Facts are the observations from which sets are quarantined. Routers exchange them.
 type Facts struct {
 	Interrupted []Interrupted
-	// Served holds the parts of interrupted attempts that were served.
+	// Served holds the parts of interrupted attempts that are cleared.
 	Served []ServedPart
 }
 
@@ -20,18 +20,14 @@
 }
 
 // Empty reports whether there are no observations.
-func (f *Facts) Empty() bool { return len(f.Interrupted) == 0 }
+func (f *Facts) Empty() bool { return len(f.Interrupted) == 0 && len(f.Served) == 0 }
 
 // Facts returns all observations.
 func (t *Table) Facts() Facts {
 	f := Facts{Interrupted: append([]Interrupted(nil), t.interrupted...)}
-	listed := map[uint64]bool{}
-	for _, i := range t.interrupted {
-		for _, p := range i.Parts {
-			if at, ok := t.served[p]; ok && !listed[p] {
-				listed[p] = true
-				f.Served = append(f.Served, ServedPart{Part: p, At: at})
-			}
+	for p, crash := range t.involved {
+		if t.cleared(p, crash) {
+			f.Served = append(f.Served, ServedPart{Part: p, At: t.served[p]})
 		}
 	}
 	return f
@@ -48,20 +44,29 @@
 // Merge adds a peer's observations. It reports whether this table knows served parts that
 // clear some of them and that the peer doesn't know.
 func (t *Table) Merge(f Facts) (clears bool) {
+	t.mergeServed(f.Served)
 	changed := false
 	for _, i := range f.Interrupted {
 		changed = t.merge(i) || changed
 	}
-	for _, s := range f.Served {
-		if at, ok := t.served[s.Part]; !ok || s.At.After(at.Add(mergeTolerance)) {
-			t.served[s.Part] = s.At
-			changed = true
+	if changed {
+		t.update()
+	}
+	return t.clearsMore(f)
+}
+
+func (t *Table) mergeServed(parts []ServedPart) {
+	changed := false
+	for _, s := range parts {
+		if at, ok := t.served[s.Part]; ok && !s.At.After(at.Add(mergeTolerance)) {
+			continue
 		}
+		changed = changed || t.suspected(s.Part)
+		t.served[s.Part] = s.At
 	}
 	if changed {
 		t.update()
 	}
-	return changed && t.clearsMore(f)
 }
 
 // clearsMore reports whether this table clears a part of f that f itself doesn't clear.
--- a/coordination/quarantine/sets.go
+++ b/coordination/quarantine/sets.go
@@ -42,28 +42,23 @@
 	return slices.IndexFunc(sets, func(s set) bool { return slices.Equal(s.parts, parts) })
 }
 
-// suspects returns the interrupted attempts that still have suspects. Of the attempts in
-// one crash, those whose response had not begun are left out if another's had.
+// suspects drops the interrupted attempts whose parts are all cleared, and returns the
+// others without their cleared parts.
 func (t *Table) suspects() []suspects {
-	responding := map[uint32]bool{}
-	for _, i := range t.interrupted {
-		responding[i.Crash] = responding[i.Crash] || i.Responding
-	}
 	var list []suspects
-	for _, i := range t.interrupted {
-		if i.Responding != responding[i.Crash] {
-			continue
-		}
+	t.interrupted = slices.DeleteFunc(t.interrupted, func(i Interrupted) bool {
 		s := suspects{crash: i.Crash, at: i.At, responding: i.Responding}
 		for _, p := range i.Parts {
 			if !t.cleared(p, i.At) {
 				s.parts = append(s.parts, p)
 			}
 		}
-		if len(s.parts) > 0 {
-			list = append(list, s)
+		if len(s.parts) == 0 {
+			return true
 		}
-	}
+		list = append(list, s)
+		return false
+	})
 	return list
 }
 
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -37,6 +37,10 @@
 	maxInterrupted = 64
 	maxPending     = 256
 	maxServed      = 8192
+	// involvedFor is how long after a crash peers are told that parts of its requests
+	// are sound. maxInvolved bounds their number.
+	involvedFor = time.Minute
+	maxInvolved = 1024
 )
 
 // Interrupted is an attempt that was interrupted before its first event.
@@ -51,10 +55,6 @@
 	Parts []uint64
 }
 
-func (i *Interrupted) same(other *Interrupted) bool {
-	return i.Crash == other.Crash && slices.Equal(i.Parts, other.Parts)
-}
-
 // pending is an interrupted attempt whose endpoint isn't known to be down yet.
 type pending struct {
 	Interrupted
@@ -75,17 +75,19 @@
 type Table struct {
 	interrupted []Interrupted
 	pending     []pending
-	// served holds the time of the latest served request by part.
-	served map[uint64]time.Time
-	sets   []set
-	jitter float64
+	// served holds the time of the latest served request by part, involved the time of the
+	// latest crash by part of the interrupted attempts.
+	served   map[uint64]time.Time
+	involved map[uint64]time.Time
+	sets     []set
+	jitter   float64
 	// news is set while there are observations that peers haven't been told.
 	news bool
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{served: map[uint64]time.Time{}, jitter: maxJitter * rand.Float64()}
+	return &Table{served: map[uint64]time.Time{}, involved: map[uint64]time.Time{}, jitter: maxJitter * rand.Float64()}
 }
 
 // AddInterrupted records an attempt whose connection to the endpoint with this hash broke
@@ -134,30 +136,61 @@
 	}
 }
 
-// merge adds an interrupted attempt unless it is known, and reports whether it did.
+// merge adds an interrupted attempt that has suspects and reports whether that may change
+// the sets. Of the attempts in one crash, those whose response had not begun count only
+// if no other's had.
 func (t *Table) merge(i Interrupted) bool {
-	if at := slices.IndexFunc(t.interrupted, func(k Interrupted) bool { return k.same(&i) }); at >= 0 {
-		k := &t.interrupted[at]
-		changed := i.Responding && !k.Responding || i.At.Before(k.At)
-		k.Responding = k.Responding || i.Responding
-		if i.At.Before(k.At) {
-			k.At = i.At
+	t.recordInvolved(&i)
+	if !t.hasSuspects(&i) {
+		return false
+	}
+	sameCrash := func(k Interrupted) bool { return k.Crash == i.Crash }
+	if !i.Responding && slices.ContainsFunc(t.interrupted, func(k Interrupted) bool { return sameCrash(k) && k.Responding }) {
+		return false
+	}
+	if i.Responding {
+		t.interrupted = slices.DeleteFunc(t.interrupted, func(k Interrupted) bool { return sameCrash(k) && !k.Responding })
+	}
+	at := slices.IndexFunc(t.interrupted, func(k Interrupted) bool { return sameCrash(k) && slices.Equal(k.Parts, i.Parts) })
+	if at >= 0 {
+		known := &t.interrupted[at]
+		earlier := i.At.Before(known.At)
+		if earlier {
+			known.At = i.At
 		}
-		return changed
+		return earlier
 	}
 	if len(t.interrupted) >= maxInterrupted {
-		oldest := 0
-		for n := range t.interrupted {
-			if t.interrupted[n].At.Before(t.interrupted[oldest].At) {
-				oldest = n
-			}
-		}
-		t.interrupted = slices.Delete(t.interrupted, oldest, oldest+1)
+		t.dropOldest()
 	}
 	t.interrupted = append(t.interrupted, i)
 	return true
 }
 
+func (t *Table) recordInvolved(i *Interrupted) {
+	for _, p := range i.Parts {
+		at, ok := t.involved[p]
+		if i.At.After(at) && (ok || len(t.involved) < maxInvolved) {
+			t.involved[p] = i.At
+		}
+	}
+}
+
+func (t *Table) dropOldest() {
+	oldest := 0
+	for n := range t.interrupted {
+		if t.interrupted[n].At.Before(t.interrupted[oldest].At) {
+			oldest = n
+		}
+	}
+	t.interrupted = slices.Delete(t.interrupted, oldest, oldest+1)
+}
+
+// hasSuspects reports whether an interrupted attempt has a part that isn't cleared.
+func (t *Table) hasSuspects(i *Interrupted) bool {
+	return slices.ContainsFunc(i.Parts, func(p uint64) bool { return !t.cleared(p, i.At) })
+}
+
 // Served records that an engine produced an event for a request with these parts, which
 // clears them.
 func (t *Table) Served(now time.Time, parts []uint64) {
@@ -179,7 +212,7 @@
 // cleared after a crash.
 func (t *Table) evictServed(now time.Time) {
 	for p, at := range t.served {
-		if now.Sub(at) > clearedFor && !t.involved(p) {
+		if _, ok := t.involved[p]; !ok && now.Sub(at) > clearedFor {
 			delete(t.served, p)
 		}
 	}
@@ -188,11 +221,6 @@
 	}
 }
 
-// involved reports whether a part was in an interrupted attempt.
-func (t *Table) involved(part uint64) bool {
-	return slices.ContainsFunc(t.interrupted, func(i Interrupted) bool { return slices.Contains(i.Parts, part) })
-}
-
 // suspected reports whether a part is a suspect of an interrupted attempt.
 func (t *Table) suspected(part uint64) bool {
 	return slices.ContainsFunc(t.interrupted, func(i Interrupted) bool {
@@ -225,6 +253,12 @@
 	return time.Time{}, false
 }
 
+// Contains reports whether a request with these parts contains a set that is in
+// quarantine. Unlike Refuse, it allows no trial.
+func (t *Table) Contains(now time.Time, parts []uint64) bool {
+	return slices.ContainsFunc(t.sets, func(s set) bool { return now.Before(s.until) && containsAll(parts, s.parts) })
+}
+
 func containsAll(parts, subset []uint64) bool {
 	for _, p := range subset {
 		if !slices.Contains(parts, p) {
@@ -237,11 +271,17 @@
 // Quarantined returns the number of quarantined sets of parts.
 func (t *Table) Quarantined() int { return len(t.sets) }
 
-// Expire deletes interrupted attempts whose quarantine has ended long ago.
+// Expire deletes interrupted attempts whose quarantine has ended long ago, and the parts
+// that aren't needed to judge the others.
 func (t *Table) Expire(now time.Time) {
 	before := len(t.interrupted)
 	t.interrupted = slices.DeleteFunc(t.interrupted, func(i Interrupted) bool { return now.Sub(i.At) > 2*maxPeriod })
 	if len(t.interrupted) != before {
 		t.update()
 	}
+	for p, at := range t.involved {
+		if now.Sub(at) > involvedFor && !slices.ContainsFunc(t.interrupted, func(i Interrupted) bool { return slices.Contains(i.Parts, p) }) {
+			delete(t.involved, p)
+		}
+	}
 }
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -120,6 +120,7 @@
 // against many requests with one that still does when it ends.
 func TestQuarantineEndsWithOneTrial(t *testing.T) {
 	table := NewTable()
+	table.jitter = 0
 	crash(table, 1, 0, true, deadly)
 	crash(table, 2, time.Second, true, deadly)
 	end := time.Second + table.period(2)
@@ -186,3 +187,20 @@
 	must.SliceEmpty(t, table.interrupted)
 	must.Eq(t, 0, table.Quarantined())
 }
+
+// Guards against reports of peers that cost CPU time although they contain nothing new:
+// the routers of a large fleet get several of them per second.
+func TestKnownFactsAreNotJudgedAgain(t *testing.T) {
+	table := NewTable()
+	for i := range uint32(20) {
+		crash(table, i, time.Duration(i)*time.Second, true, uint64(100+i), uint64(200+i), deadly)
+	}
+	table.Served(start.Add(20*time.Second), []uint64{100, 101, 102})
+	facts := table.Facts()
+	for i := range facts.Served {
+		facts.Served[i].At = facts.Served[i].At.Add(time.Second)
+	}
+	sets := &table.sets[0]
+	table.Merge(facts)
+	must.True(t, sets == &table.sets[0], must.Sprint("the sets were derived again"))
+}
--- a/direct/dispatch/crashes.go
+++ b/direct/dispatch/crashes.go
@@ -39,7 +39,7 @@
 		check = d.crashingParts.AddInterrupted(quarantine.Interrupted{
 			Crash: incarnation(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts,
 		}, endpointload.Hash(a.Endpoint.ID), d.loads.Down(now, a.Endpoint.ID))
-		d.announceCrashes()
+		d.handleCrashes(now)
 	})
 	return check
 }
@@ -66,25 +66,68 @@
 	}
 	a.served = true
 	a.withLock(func() {
+		delete(a.dispatcher.waiting, a)
 		a.dispatcher.crashingParts.Served(now, a.sharedParts)
 		a.dispatcher.announceCrashes()
 	})
 }
 
+// CancelIfQuarantined makes the dispatcher call cancel if parts of the prompt are
+// quarantined before the endpoint has responded.
+func (a *Assignment) CancelIfQuarantined(cancel func()) {
+	if len(a.sharedParts) == 0 {
+		return
+	}
+	a.withLock(func() {
+		a.cancel = cancel
+		a.dispatcher.waiting[a] = struct{}{}
+	})
+}
+
+// Quarantined reports whether the attempt was cancelled because of its prompt's parts.
+func (a *Assignment) Quarantined() bool {
+	quarantined := false
+	a.withLock(func() { quarantined = a.quarantined })
+	return quarantined
+}
+
+// cancelQuarantined cancels the attempts that would crash their engines.
+func (d *Dispatcher) cancelQuarantined(now time.Time) {
+	if d.crashingParts.Quarantined() == 0 {
+		return
+	}
+	for a := range d.waiting {
+		if d.crashingParts.Contains(now, a.sharedParts) {
+			a.quarantined = true
+			delete(d.waiting, a)
+			a.cancel()
+		}
+	}
+}
+
 func (d *Dispatcher) recordEndpointDown(now time.Time, endpoint uint32) {
 	d.crashingParts.EndpointDown(now, endpoint)
-	d.announceCrashes()
+	d.handleCrashes(now)
 }
 
-// announceCrashes signals CrashNews if there is something to tell to peers.
-func (d *Dispatcher) announceCrashes() {
+// handleCrashes acts on interrupted attempts that were added.
+func (d *Dispatcher) handleCrashes(now time.Time) {
+	if d.announceCrashes() {
+		d.cancelQuarantined(now)
+	}
+}
+
+// announceCrashes signals CrashNews if there is something to tell to peers, and reports
+// whether there is.
+func (d *Dispatcher) announceCrashes() bool {
 	if !d.crashingParts.TakeNews() {
-		return
+		return false
 	}
 	select {
 	case d.crashNews <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // CrashNews delivers a value when peers should be sent the crash facts.
@@ -99,10 +142,12 @@
 
 // MergeCrashFacts adds a peer's facts. It reports whether this router knows that parts
 // are sound which the peer suspects.
-func (d *Dispatcher) MergeCrashFacts(f quarantine.Facts) (clears bool) {
+func (d *Dispatcher) MergeCrashFacts(now time.Time, f quarantine.Facts) (clears bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.crashingParts.Merge(f)
+	clears = d.crashingParts.Merge(f)
+	d.cancelQuarantined(now)
+	return clears
 }
 
 // QuarantinedSets returns the number of sets of parts in quarantine.
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -71,6 +71,8 @@
 	// crashingParts is signaled through crashNews when peers should be told about it.
 	crashingParts *quarantine.Table
 	crashNews     chan struct{}
+	// waiting holds the attempts with shared parts that have no response yet.
+	waiting map[*Assignment]struct{}
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -111,6 +113,7 @@
 
 		crashingParts: quarantine.NewTable(),
 		crashNews:     make(chan struct{}, 1),
+		waiting:       map[*Assignment]struct{}{},
 	}
 }
 
@@ -197,6 +200,9 @@
 	// endpoint has served a request with them.
 	sharedParts []uint64
 	served      bool
+	// cancel ends the attempt if its parts are quarantined; quarantined is set if it did.
+	cancel      func()
+	quarantined bool
 	// charge is the charge to the team; nil without a team or after a refund.
 	charge *charge
 }
@@ -428,6 +434,7 @@
 			a.charge = nil
 		}
 		a.attempt.End(now, r)
+		delete(a.dispatcher.waiting, a)
 		if r == endpointload.ConnectFailed {
 			a.dispatcher.recordEndpointDown(now, endpointload.Hash(a.Endpoint.ID))
 		}
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -123,6 +123,7 @@
 	for name, values := range extra {
 		out.Header[name] = values
 	}
+	assignment.CancelIfQuarantined(cancel)
 	target := endpointhttp.Target{Instance: assignment.Endpoint.ID, Address: assignment.Endpoint.Address}
 	a.response, a.err = r.h.Pool.Do(ctx, target, out)
 	a.duration, a.dialTimeout = time.Since(now), r.h.Pool.DialTimeout
@@ -223,7 +224,7 @@
 
 // resultOf returns the result of an attempt without a usable response.
 func (r *request) resultOf(a *attempt) endpointload.Result {
-	if r.callerDisconnected() {
+	if r.callerDisconnected() || a.assignment.Quarantined() {
 		return endpointload.Abandoned
 	}
 	switch a.outcome {
--- a/direct/entry/crashing_part_test.go
+++ b/direct/entry/crashing_part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 )
 
@@ -99,3 +102,31 @@
 	must.Eq(t, http.StatusServiceUnavailable, refused.status)
 	must.NotEq(t, "", refused.header.Get("Retry-After"))
 }
+
+// Guards against requests that were already sent when their part was quarantined: they
+// would still crash the engines at which they wait.
+func TestQueuedRequestsWithCrashingPartAreCancelled(t *testing.T) {
+	r := newRouter(t)
+	received, closed := make(chan struct{}), make(chan struct{})
+	r.add("e1", "engines", func(c net.Conn, _ *directtest.Call) bool {
+		close(received)
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+		return false
+	})
+	in := r.request(http.MethodPost, "/resumable/x", "body")
+	in.Header.Set(headers.PromptParts, "caller:100,dead:70,own:9")
+	answer := make(chan result, 1)
+	go func() { answer <- r.do(in) }()
+	<-received
+	now := time.Now()
+	var facts quarantine.Facts
+	for i := range uint32(2) {
+		facts.Interrupted = append(facts.Interrupted, quarantine.Interrupted{
+			Crash: i, At: now.Add(-time.Duration(i) * time.Second), Responding: true, Parts: prompt.Parse("dead:70,own:9", "", "").SharedIDs(),
+		})
+	}
+	r.handler.Dispatcher.MergeCrashFacts(now, facts)
+	<-closed
+	must.Eq(t, http.StatusBadGateway, (<-answer).status, must.Sprint("it was sent, and may have run"))
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -133,7 +133,7 @@
 		r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedRetryAfter())
 		return
 	}
-	if !r.resolve() || r.refuseIfOverloaded() {
+	if !r.resolve() || r.refuseIfQuarantined() || r.refuseIfOverloaded() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(in.Context(), r.deadline.Add(responseGrace))
@@ -157,13 +157,24 @@
 	if !r.h.Overload.Refuse(func() bool { return r.h.Dispatcher.AboveShare(now, r.team) }) {
 		return false
 	}
-	r.parseCost()
 	r.h.Dispatcher.RecordRequest(now, r.service.Name, r.team, r.cost.Units())
 	r.h.Metrics.Shed.Inc(1)
 	r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedRetryAfter())
 	return true
 }
 
+// refuseIfQuarantined refuses a request with prompt parts that crash engines, before its
+// body is read, and reports whether it did. It doesn't count as demand of its team.
+func (r *request) refuseIfQuarantined() bool {
+	r.parseCost()
+	refusal := r.h.Dispatcher.Quarantine(time.Now(), r.cost)
+	if refusal == nil {
+		return false
+	}
+	r.rejectUnplaced(refusal)
+	return true
+}
+
 // parseCost parses the cost of a request to a model engine.
 func (r *request) parseCost() {
 	if r.route.PromptAffinity || r.service.Engine != nil {
@@ -348,13 +359,7 @@
 	// Without a write deadline, a caller that reads slowly could occupy the memory of
 	// the request indefinitely.
 	_ = http.NewResponseController(r.w).SetWriteDeadline(r.deadline.Add(writeGrace))
-	r.parseCost()
-	now := time.Now()
-	if refusal := r.h.Dispatcher.Quarantine(now, r.cost); refusal != nil {
-		r.rejectUnplaced(refusal)
-		return
-	}
-	r.h.Dispatcher.RecordRequest(now, r.service.Name, r.team, r.cost.Units())
+	r.h.Dispatcher.RecordRequest(time.Now(), r.service.Name, r.team, r.cost.Units())
 	if r.refuseIfDraining() {
 		return
 	}
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -176,7 +176,7 @@
 // may have been executed, and if so consumes one retry of the service's retry budget,
 // unless a's stall watch has taken it.
 func (r *request) takeRetry(a *attempt) bool {
-	return r.route.Repeatable() && r.possibleExecutions < r.route.Attempts && !r.callerDisconnected() &&
+	return r.route.Repeatable() && r.possibleExecutions < r.route.Attempts && !r.callerDisconnected() && !a.assignment.Quarantined() &&
 		time.Until(r.deadline) > minRetryTime && (a.stall.tookRetry() || r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name))
 }
 
--- a/direct/mesh/crashes.go
+++ b/direct/mesh/crashes.go
@@ -85,7 +85,7 @@
 	if report.Instance == m.instance {
 		return
 	}
-	clears := m.dispatcher.MergeCrashFacts(decodeFacts(now, report))
+	clears := m.dispatcher.MergeCrashFacts(now, decodeFacts(now, report))
 	if peers := m.livePeers(); clears && rand.IntN(len(peers)+1) < correctingRouters {
 		m.sendCrashes(peers)
 	}
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -99,7 +99,7 @@
 		at := time.Now().Add(time.Duration(i) * time.Second)
 		facts.Interrupted = append(facts.Interrupted, quarantine.Interrupted{Crash: i, At: at, Responding: true, Parts: cost.SharedIDs()})
 	}
-	a.dispatcher.MergeCrashFacts(facts)
+	a.dispatcher.MergeCrashFacts(time.Now(), facts)
 	waitForQuarantine(t, b, cost)
 	must.Nil(t, b.dispatcher.Quarantine(time.Now(), prompt.Parse("5c:800,e4:250", "", "")))
 
@@ -122,9 +122,9 @@
 	}
 	unaware := facts
 	unaware.Served = nil
-	b.dispatcher.MergeCrashFacts(unaware)
+	b.dispatcher.MergeCrashFacts(time.Now(), unaware)
 	must.NotNil(t, b.dispatcher.Quarantine(time.Now(), cost))
-	a.dispatcher.MergeCrashFacts(facts)
+	a.dispatcher.MergeCrashFacts(time.Now(), facts)
 	must.Wait(t, wait.InitialSuccess(
 		wait.BoolFunc(func() bool { return b.dispatcher.Quarantine(time.Now(), cost) == nil }),
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
