A host that refuses half of its requests for lack of CPU time leaves the rotation

Cause: two mechanisms undid each other.

Now the refused fraction counts as pressure. TestHostThatRefusesHalfLeavesRotation replays a flood of 2.5 times the capacity with early refusals and stays in the rotation without this.

--- a/direct/overload/rotation.go
+++ b/direct/overload/rotation.go
@@ -13,6 +13,9 @@
 	// Requests arrive in bursts, so a host with an average utilization of 0.8 is
 	// saturated for a part of the time.
 	leaveUtilization = 0.8
+	// leaveRefused is the fraction of refused requests at which a router leaves. The
+	// refusals keep its utilization below leaveUtilization.
+	leaveRefused = 0.5
 	// leaveAfter is how long the pressure must last, in addition to the time
 	// over which it is measured. The load balancer takes two more seconds to
 	// react.
@@ -38,10 +41,12 @@
 	SchedulingDelay time.Duration
 	// Utilization is the used fraction of the CPU time that the process may use.
 	Utilization float64
+	// Refused is the fraction of requests that is refused for lack of CPU time.
+	Refused float64
 }
 
 func (p Pressure) high() bool {
-	return p.SchedulingDelay >= leaveDelay || p.Utilization >= leaveUtilization
+	return p.SchedulingDelay >= leaveDelay || p.Utilization >= leaveUtilization || p.Refused >= leaveRefused
 }
 
 // PeerCounts counts the peers of this router.
--- a/direct/overload/rotation_test.go
+++ b/direct/overload/rotation_test.go
@@ -105,3 +105,24 @@
 	}
 	must.LessEq(t, minOutTime, s.run(2*minOutTime, noPressure, fleet))
 }
+
+// Guards against an overloaded host that stays in the rotation because its early refusals
+// keep its CPU utilization low: it refuses most requests of its callers for as long as
+// they come, while other hosts have capacity.
+func TestHostThatRefusesHalfLeavesRotation(t *testing.T) {
+	const (
+		load           = 2.5 // CPU utilization if all requests were admitted
+		costOfRefusal  = 0.15
+		highestAllowed = leaveUtilization - 0.05
+	)
+	s := newSimulation()
+	var admission Admission
+	s.run(startupGrace, noPressure, fleet)
+	for range 20 {
+		admitted := admission.Admitted()
+		utilization := load * (admitted + costOfRefusal*(1-admitted))
+		admission.Step(utilization)
+		s.run(stepInterval, Pressure{Utilization: min(utilization, highestAllowed), Refused: 1 - admission.Admitted()}, fleet)
+	}
+	must.True(t, s.r.Out())
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -320,6 +320,7 @@
 			}
 			measured = err == nil
 			pressure := p.monitor.Pressure()
+			pressure.Refused = 1 - p.admission.Admitted()
 			utilization.Update(pressure.Utilization)
 			p.stepRotation(now, pressure)
 		}
@@ -330,7 +331,7 @@
 	peers := p.mesh.Rotation()
 	if p.rotation.Step(now, pressure, peers) {
 		p.log.Warn("rotation changed", "out", p.rotation.Out(), "lateness_ms", pressure.SchedulingDelay.Milliseconds(),
-			"busy", pressure.Utilization, "live_routers", peers.Live, "routers_out", peers.Out)
+			"busy", pressure.Utilization, "refused", pressure.Refused, "live_routers", peers.Live, "routers_out", peers.Out)
 	}
 }
 
