Quarantined prompt parts survive the restart of all routers

The observations were only in the routers' memory.

A router that has observed something new writes what it knows to the topic keyed.crashes of the store, at most every 0.5 s and only while a quarantine exists; a starting router reads it.

TestCrashesSurviveTheRestartOfAllRouters, TestSavedCrashesKeepTheirAge. Store.Announce became Store.Write with a topic.

--- /dev/null
+++ b/direct/crashes.go
@@ -0,0 +1,93 @@
+package direct
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
+	"github.com/acaciaspar/acaciaspar/direct/mesh"
+)
+
+const (
+	// saveInterval is the interval at which new observations of crashes are written to
+	// the store, for routers that start when no other is running.
+	saveInterval = 500 * time.Millisecond
+	// saveRetryDelay is the delay before a failed write is repeated.
+	saveRetryDelay = 2 * time.Second
+	// minLoadBackoff and maxLoadAttempts bound the reading of these observations from a
+	// store that does not respond. Peers send them, too.
+	minLoadBackoff  = 500 * time.Millisecond
+	maxLoadAttempts = 6
+	// savedTimeBytes is the size of the time in front of the saved observations.
+	savedTimeBytes = 8
+)
+
+// keepCrashes loads the observations of requests that crash engines from the store and
+// saves this router's new ones until ctx is done.
+func (p *process) keepCrashes(ctx context.Context) error {
+	p.loadCrashes(ctx)
+	ticker := time.NewTicker(saveInterval)
+	defer ticker.Stop()
+	var retryAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			if now.Before(retryAt) || !p.dispatcher.TakeUnsavedCrashes() {
+				continue
+			}
+			if err := p.follower.SaveCrashes(ctx, encodeSaved(now, p.dispatcher.CrashFacts())); err != nil {
+				p.log.Warn("save crashes failed; retrying", "error", err.Error())
+				p.dispatcher.KeepCrashesUnsaved()
+				retryAt = now.Add(saveRetryDelay)
+			}
+		}
+	}
+}
+
+func (p *process) loadCrashes(ctx context.Context) {
+	backoff := minLoadBackoff
+	for range maxLoadAttempts {
+		saved, err := p.follower.LoadCrashes(ctx)
+		now := time.Now()
+		var facts quarantine.Facts
+		if err == nil && saved != nil {
+			facts, err = decodeSaved(now, saved)
+		}
+		if err == nil {
+			p.dispatcher.MergeCrashFacts(now, facts)
+			if n := p.dispatcher.QuarantinedSets(); n > 0 {
+				p.log.Info("quarantined prompt parts loaded", "sets", n)
+			}
+			return
+		}
+		p.log.Warn("load crashes failed", "error", err.Error())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(backoff):
+		}
+		backoff *= 2
+	}
+}
+
+// encodeSaved encodes facts with the time of day, from which their age follows later.
+func encodeSaved(now time.Time, facts quarantine.Facts) []byte {
+	saved := binary.BigEndian.AppendUint64(nil, uint64(now.UnixMilli()))
+	return append(saved, mesh.EncodeCrashes(now, "saved", facts)...)
+}
+
+func decodeSaved(now time.Time, saved []byte) (quarantine.Facts, error) {
+	if len(saved) < savedTimeBytes {
+		return quarantine.Facts{}, eris.New("saved crashes are truncated")
+	}
+	savedAt := time.UnixMilli(int64(binary.BigEndian.Uint64(saved)))
+	// The clock of the host that saved them may be ahead.
+	age := max(now.Sub(savedAt), 0)
+	_, facts, err := mesh.DecodeCrashes(now.Add(-age), saved[savedTimeBytes:])
+	return facts, eris.Wrap(err, "decode saved crashes")
+}
--- /dev/null
+++ b/direct/crashes_test.go
@@ -0,0 +1,93 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/placement"
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
+	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/direct/directtest"
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
+	"github.com/acaciaspar/acaciaspar/direct/follow"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+var crashingPrompt = prompt.Parse("5c:800,dead:10,e4:250", "", "")
+
+// startCrashKeeper starts the part of a router that keeps crashes in the store.
+func startCrashKeeper(ctx context.Context, store *directtest.Store) (*process, *registry.Table) {
+	endpoints := registry.NewTable()
+	p := &process{
+		log:        slog.New(slog.DiscardHandler),
+		dispatcher: dispatch.New("z", endpoints, placement.DefaultPolicy(), retry.DefaultLimits()),
+		follower:   follow.New(follow.Options{Store: store, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry()}),
+	}
+	go func() { _ = p.keepCrashes(ctx) }()
+	return p, endpoints
+}
+
+func waitUntilQuarantined(t *testing.T, p *process) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), crashingPrompt) != nil }),
+		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
+// Guards against a fleet that forgets the parts that crash engines when all routers stop
+// at the same time: each restart would cost several engines.
+func TestCrashesSurviveTheRestartOfAllRouters(t *testing.T) {
+	store := directtest.NewStore()
+	ctx, stop := context.WithCancel(t.Context())
+	first, endpoints := startCrashKeeper(ctx, store)
+	for i := range 2 {
+		id := fmt.Sprintf("engine-%d", i)
+		endpoints.Put(registry.Endpoint{ID: id, Service: "engines", Zone: "z", Slots: 8})
+		now := time.Now().Add(time.Duration(i) * time.Second)
+		a, refusal := first.dispatcher.PlaceEngine(now, &dispatch.Request{Service: "engines", Cost: crashingPrompt, Target: time.Minute})
+		must.Nil(t, refusal)
+		a.Interrupted(now, true)
+		a.End(now, endpointload.Failed)
+		first.dispatcher.RecordConnectFailure(now, a.Endpoint.ID)
+	}
+	waitUntilQuarantined(t, first)
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool {
+			saved, err := first.follower.LoadCrashes(ctx)
+			return err == nil && saved != nil
+		}), wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	stop()
+
+	store.SetUnreachable(true)
+	second, _ := startCrashKeeper(t.Context(), store)
+	must.Nil(t, second.dispatcher.Quarantine(time.Now(), crashingPrompt))
+	store.SetUnreachable(false)
+	waitUntilQuarantined(t, second)
+}
+
+// Guards against saved crashes that get younger or older with each restart, and against
+// ones from a host whose clock is ahead.
+func TestSavedCrashesKeepTheirAge(t *testing.T) {
+	now := time.Now()
+	facts := quarantine.Facts{Interrupted: []quarantine.Interrupted{{Crash: 1, At: now.Add(-time.Minute), Parts: []uint64{1}}}}
+	saved := encodeSaved(now, facts)
+	for later, age := range map[time.Duration]time.Duration{time.Hour: time.Hour + time.Minute, -5 * time.Second: time.Minute} {
+		loaded, err := decodeSaved(now.Add(later), saved)
+		must.NoError(t, err)
+		got := now.Add(later).Sub(loaded.Interrupted[0].At)
+		must.Between(t, age-time.Second, got, age+time.Second)
+	}
+	for n := range saved {
+		_, err := decodeSaved(now, saved[:n])
+		must.Error(t, err)
+	}
+}
--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -129,14 +129,14 @@
 	}
 }
 
-// Announce implements follow.Store.
-func (s *Store) Announce(_ context.Context, name, address string) error {
+// Write implements follow.Store.
+func (s *Store) Write(_ context.Context, topic follow.Topic, key string, value []byte) error {
 	s.mu.Lock()
 	unreachable := s.unreachable
 	s.mu.Unlock()
 	if unreachable {
 		return ErrUnreachable
 	}
-	s.Append(follow.Members, name, address)
+	s.Append(topic, key, string(value))
 	return nil
 }
--- a/direct/dispatch/crashes.go
+++ b/direct/dispatch/crashes.go
@@ -123,6 +123,7 @@
 	if !d.crashingParts.TakeNews() {
 		return false
 	}
+	d.unsavedCrashes = true
 	select {
 	case d.crashNews <- struct{}{}:
 	default:
@@ -130,6 +131,25 @@
 	return true
 }
 
+// TakeUnsavedCrashes reports whether there is a quarantine and this router has observed
+// something since the last call.
+func (d *Dispatcher) TakeUnsavedCrashes() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.unsavedCrashes || d.crashingParts.Quarantined() == 0 {
+		return false
+	}
+	d.unsavedCrashes = false
+	return true
+}
+
+// KeepCrashesUnsaved makes the next call to TakeUnsavedCrashes return true.
+func (d *Dispatcher) KeepCrashesUnsaved() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unsavedCrashes = true
+}
+
 // CrashNews delivers a value when peers should be sent the crash facts.
 func (d *Dispatcher) CrashNews() <-chan struct{} { return d.crashNews }
 
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -71,6 +71,8 @@
 	// crashingParts is signaled through crashNews when peers should be told about it.
 	crashingParts *quarantine.Table
 	crashNews     chan struct{}
+	// unsavedCrashes is set while this router's observations aren't in the store.
+	unsavedCrashes bool
 	// waiting holds the attempts with shared parts that have no response yet.
 	waiting map[*Assignment]struct{}
 	// candidateBuffer and usableBuffer are reused across placements.
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -330,7 +330,7 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callMargin)
 		f.storeCalls.Inc(1)
-		err := f.store.Announce(call, name, address)
+		err := f.store.Write(call, Members, name, []byte(address))
 		cancel()
 		if err == nil {
 			return
@@ -342,6 +342,34 @@
 	}
 }
 
+// crashesKey is the key of the only record of Crashes. A router writes all that it knows.
+const crashesKey = "crashes"
+
+// SaveCrashes writes what is known about requests that crash engines to the store.
+func (f *Follower) SaveCrashes(ctx context.Context, value []byte) error {
+	call, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	f.storeCalls.Inc(1)
+	return f.store.Write(call, Crashes, crashesKey, value)
+}
+
+// LoadCrashes returns what SaveCrashes wrote last, or nil.
+func (f *Follower) LoadCrashes(ctx context.Context) ([]byte, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	f.storeCalls.Inc(1)
+	records, _, err := f.store.List(call, Crashes)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range records {
+		if r.Key == crashesKey && !r.IsTombstone() {
+			return r.Value, nil
+		}
+	}
+	return nil, nil
+}
+
 // ListMembers returns the addresses that routers announced in the store.
 func (f *Follower) ListMembers(ctx context.Context) ([]string, error) {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -20,10 +20,14 @@
 	Endpoints
 	// Members holds the address of each router that announced itself.
 	Members
+	// Crashes holds what routers know about requests that crash engines.
+	Crashes
 )
 
 // String returns the topic's name for logs.
-func (t Topic) String() string { return [...]string{"configuration", "endpoints", "members"}[t] }
+func (t Topic) String() string {
+	return [...]string{"configuration", "endpoints", "members", "crashes"}[t]
+}
 
 // ErrCompacted is returned by Store.Read if the store no longer holds the
 // records at the offset.
@@ -39,8 +43,8 @@
 	// returns as soon as there is a record, or none after wait. It returns
 	// ErrCompacted if the store no longer holds the records at from.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (records []mirror.Record, next int64, err error)
-	// Announce writes a router's address to Members under its name.
-	Announce(ctx context.Context, name, address string) error
+	// Write appends a record to Members or Crashes.
+	Write(ctx context.Context, topic Topic, key string, value []byte) error
 }
 
 // Decoder decodes the values of records.
--- a/direct/mesh/crashes.go
+++ b/direct/mesh/crashes.go
@@ -49,7 +49,7 @@
 	if facts.Empty() {
 		return
 	}
-	data := encodeFacts(time.Now(), m.instance, facts).Append(nil)
+	data := EncodeCrashes(time.Now(), m.instance, facts)
 	if len(data) > maxDatagram {
 		m.badReports.Inc(1)
 		m.log.Error("crash report not sent: too large", "bytes", len(data))
@@ -77,21 +77,22 @@
 }
 
 func (m *Mesh) handleCrashReport(now time.Time, data []byte) {
-	report, err := loadreport.DecodeCrashReport(data)
+	instance, facts, err := DecodeCrashes(now, data)
 	if err != nil {
 		m.badReports.Inc(1)
 		return
 	}
-	if report.Instance == m.instance {
+	if instance == m.instance {
 		return
 	}
-	clears := m.dispatcher.MergeCrashFacts(now, decodeFacts(now, report))
+	clears := m.dispatcher.MergeCrashFacts(now, facts)
 	if peers := m.livePeers(); clears && rand.IntN(len(peers)+1) < correctingRouters {
 		m.sendCrashes(peers)
 	}
 }
 
-func encodeFacts(now time.Time, instance string, f quarantine.Facts) *loadreport.CrashReport {
+// EncodeCrashes encodes facts with their ages at now.
+func EncodeCrashes(now time.Time, instance string, f quarantine.Facts) []byte {
 	r := &loadreport.CrashReport{Instance: instance}
 	for _, i := range f.Interrupted {
 		r.Interrupted = append(r.Interrupted, loadreport.InterruptedRequest{
@@ -101,11 +102,16 @@
 	for _, s := range f.Served {
 		r.Served = append(r.Served, loadreport.ServedPart{Part: s.Part, AgeMs: wireAge(now.Sub(s.At))})
 	}
-	return r
+	return r.Append(nil)
 }
 
-func decodeFacts(now time.Time, r *loadreport.CrashReport) quarantine.Facts {
-	var f quarantine.Facts
+// DecodeCrashes decodes the result of EncodeCrashes. now is the time to which the ages
+// refer.
+func DecodeCrashes(now time.Time, data []byte) (instance string, f quarantine.Facts, err error) {
+	r, err := loadreport.DecodeCrashReport(data)
+	if err != nil {
+		return "", f, err
+	}
 	for _, i := range r.Interrupted {
 		f.Interrupted = append(f.Interrupted, quarantine.Interrupted{
 			Crash: i.Crash, At: now.Add(-fromWireAge(i.AgeMs)), Responding: i.Responding, Parts: i.Parts,
@@ -114,7 +120,7 @@
 	for _, s := range r.Served {
 		f.Served = append(f.Served, quarantine.ServedPart{Part: s.Part, At: now.Add(-fromWireAge(s.AgeMs))})
 	}
-	return f
+	return r.Instance, f, nil
 }
 
 func wireAge(age time.Duration) uint32 { return wireCount(age.Milliseconds()) }
