Limits that endpoints name are logged and counted

The header was relayed and not looked at; no log line told who knew which limit, and when. Nothing acts on a limit yet.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
 	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
@@ -74,7 +75,8 @@
 	// unsavedCrashes is set while this router's observations aren't in the store.
 	unsavedCrashes bool
 	// waiting holds the attempts with shared parts that have no response yet.
-	waiting map[*Assignment]struct{}
+	waiting       map[*Assignment]struct{}
+	requestLimits *requestlimit.Table
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -116,6 +118,7 @@
 		crashingParts: quarantine.NewTable(),
 		crashNews:     make(chan struct{}, 1),
 		waiting:       map[*Assignment]struct{}{},
+		requestLimits: requestlimit.NewTable(),
 	}
 }
 
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
@@ -136,6 +139,7 @@
 		a.outcome = indeterminate
 	default:
 		r.sentAttempts++
+		r.recordLimit(a)
 		a.outcome = r.classify(a.response)
 		if a.outcome != refused {
 			r.possibleExecutions++
@@ -144,6 +148,25 @@
 	return a
 }
 
+// recordLimit records the limit on requests that the endpoint names in its response.
+// Only a success without one shows that there is none.
+func (r *request) recordLimit(a *attempt) {
+	rate := float64(requestlimit.NoLimit)
+	switch value := a.response.Header.Get(r.h.Dialect.RequestLimit); {
+	case value != "":
+		parsed, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(parsed >= 0) || math.IsInf(parsed, 1) {
+			return
+		}
+		rate = parsed
+	case a.response.Status >= 300:
+		return
+	}
+	if a.assignment.RecordLimit(time.Now(), rate, a.startedAt) {
+		r.h.Log.Info("endpoint's request limit changed", "endpoint", a.assignment.Endpoint.ID, "requests_per_second", rate)
+	}
+}
+
 // classify derives the outcome of an attempt from the status and headers of the
 // response.
 func (r *request) classify(response *endpointhttp.Response) attemptOutcome {
--- a/direct/process.go
+++ b/direct/process.go
@@ -377,6 +377,7 @@
 			metrics.GetOrRegisterGauge("direct.connections_opened", p.metrics).Update(int64(dialed))
 			metrics.GetOrRegisterGauge("direct.lateness_ms", p.metrics).Update(p.monitor.SchedulingDelay().Milliseconds())
 			metrics.GetOrRegisterGauge("direct.quarantined_prompts", p.metrics).Update(int64(p.dispatcher.QuarantinedSets()))
+			metrics.GetOrRegisterGauge("direct.limited_endpoints", p.metrics).Update(int64(p.dispatcher.LimitedEndpoints()))
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
 	}
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -27,6 +27,9 @@
 	TokenCounts string
 	// LengthHint is the caller's estimate of the number of generated tokens.
 	LengthHint string
+	// RequestLimit in an endpoint's response is the number of requests per second that
+	// the endpoint accepts from all routers together, for as long as it sends it.
+	RequestLimit string
 	// LastEventID is the identifier of the event after which a stream is resumed.
 	LastEventID string
 	// Reserved lists headers that only the fleet may set in requests to endpoints.
@@ -49,6 +52,7 @@
 		PromptParts:       "Acaciaspar-Prompt-Parts",
 		TokenCounts:       "Acaciaspar-Tokens",
 		LengthHint:        "Acaciaspar-Length-Hint",
+		RequestLimit:      "Acaciaspar-Request-Limit",
 		LastEventID:       "Last-Event-Id",
 	}
 }
