Routers share the limit that an endpoint names

Cause: the header was relayed and never read. Reading it in each router would not do: the limit holds for the fleet, and the last of five routers got its first response with it 11 s after the first one.

Now a router that sees a limit tells its peers at once, and all report how many requests they have. Each sends its part of the limit at a steady rate, in proportion to its requests, with a small reserve; of more routers than a limit can give a reserve to, the busiest ones use the endpoint. An endpoint whose part is used up is no candidate: other endpoints take the request, or it is refused at once. A success without the header ends the limit.

The sum of the parts is the limit and the sum of the reserves at most twice the limit + 5, so that no 4 s can get more than 1.5 times the limit + 5.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -75,8 +75,10 @@
 	// unsavedCrashes is set while this router's observations aren't in the store.
 	unsavedCrashes bool
 	// waiting holds the attempts with shared parts that have no response yet.
-	waiting       map[*Assignment]struct{}
+	waiting map[*Assignment]struct{}
+	// requestLimits is signaled through limitNews when peers should be told about it.
 	requestLimits *requestlimit.Table
+	limitNews     chan struct{}
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -119,6 +121,7 @@
 		crashNews:     make(chan struct{}, 1),
 		waiting:       map[*Assignment]struct{}{},
 		requestLimits: requestlimit.NewTable(),
+		limitNews:     make(chan struct{}, 1),
 	}
 }
 
@@ -143,7 +146,9 @@
 	endpoints := d.readyEndpoints(&Request{Service: service, Exclude: exclude})
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.ContainsFunc(endpoints, func(e registry.Endpoint) bool { return d.loads.View(now, e.ID, nil).Usable })
+	return slices.ContainsFunc(endpoints, func(e registry.Endpoint) bool {
+		return d.loads.View(now, e.ID, nil).Usable && d.allowed(now, e.ID)
+	})
 }
 
 // Request describes a request to place.
@@ -251,9 +256,13 @@
 	if !request.Repeated {
 		allowance = d.allowance(now, request.Team)
 	}
+	d.countRequest(now, request)
 	home := homeEndpoint(request.Cost.Affinity(), endpoints)
-	candidates, usable := d.candidates(now, endpoints, request.Cost.SharedParts, home)
-	if len(candidates) == 0 {
+	candidates, usable, limited := d.candidates(now, endpoints, request.Cost.SharedParts, home)
+	switch {
+	case len(candidates) == 0 && limited > 0:
+		return nil, refuse(request, 1, 0, limited)
+	case len(candidates) == 0:
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter, Allowance: allowance}
 	}
 	if allowance == 0 {
@@ -269,6 +278,7 @@
 		d.recordPlaced(chosen.ID, request.Cost)
 	}
 	c := &candidates[index]
+	d.requestLimits.Take(now, endpointload.Hash(chosen.ID))
 	attempt := d.loads.StartAttempt(now, chosen.ID, request.Cost, c.Pending)
 	return &Assignment{
 		Endpoint: chosen, ExpectedWait: c.Wait(), UncachedTokens: c.UncachedTokens, dispatcher: d, attempt: attempt,
@@ -285,9 +295,17 @@
 	return c
 }
 
+// countRequest counts a request, but not its further attempts.
+func (d *Dispatcher) countRequest(now time.Time, request *Request) {
+	if len(request.Exclude) == 0 {
+		d.requestLimits.CountRequest(now)
+	}
+}
+
 // candidates returns the usable engines and their indexes in endpoints. Engines
-// that peers report as unreachable are omitted while there are others.
-func (d *Dispatcher) candidates(now time.Time, endpoints []registry.Endpoint, shared []prompt.Part, home string) ([]placement.Candidate, []int) {
+// that peers report as unreachable are omitted while there are others. limited is the
+// number of engines that would be usable without their request limit.
+func (d *Dispatcher) candidates(now time.Time, endpoints []registry.Endpoint, shared []prompt.Part, home string) (_ []placement.Candidate, _ []int, limited int) {
 	candidates, usable := d.candidateBuffer[:0], d.usableBuffer[:0]
 	for _, unreachable := range []bool{false, true} {
 		for i, e := range endpoints {
@@ -295,6 +313,10 @@
 			if !v.Usable || v.UnreachableFromPeers != unreachable {
 				continue
 			}
+			if !d.allowed(now, e.ID) {
+				limited++
+				continue
+			}
 			if e.ID == home {
 				v.UncachedTokens = 0
 			}
@@ -309,7 +331,7 @@
 		}
 	}
 	d.candidateBuffer, d.usableBuffer = candidates, usable
-	return candidates, usable
+	return candidates, usable, limited
 }
 
 // noEndpointRetryAfter is the delay after which a caller should retry when no
@@ -373,6 +395,7 @@
 	endpoints := d.readyEndpoints(request)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.countRequest(now, request)
 	best, bestScore, usable := -1, 0.0, 0
 	for i, e := range endpoints {
 		v := d.loads.View(now, e.ID, nil)
@@ -380,7 +403,7 @@
 			continue
 		}
 		usable++
-		if v.Running >= plainQueueFactor*max(e.Slots, 1) {
+		if v.Running >= plainQueueFactor*max(e.Slots, 1) || !d.allowed(now, e.ID) {
 			continue
 		}
 		score := float64(v.Running) + v.FailureRate*failurePenalty
@@ -400,6 +423,7 @@
 	if best < 0 {
 		return nil, refuse(request, 1, 0, usable)
 	}
+	d.requestLimits.Take(now, endpointload.Hash(endpoints[best].ID))
 	attempt := d.loads.StartAttempt(now, endpoints[best].ID, prompt.Cost{}, 0)
 	return &Assignment{Endpoint: endpoints[best], dispatcher: d, attempt: attempt}, nil
 }
@@ -484,6 +508,7 @@
 		return
 	}
 	d.routers = n
+	d.requestLimits.SetRouters(n)
 	for _, b := range d.budgets {
 		b.SetLimits(d.limits.Divide(n))
 	}
@@ -496,6 +521,7 @@
 	defer d.mu.Unlock()
 	if d.loads.SetStartTime(id, started) {
 		d.recordEndpointDown(time.Now(), endpointload.Hash(id))
+		d.requestLimits.Forget(endpointload.Hash(id))
 	}
 }
 
@@ -510,6 +536,7 @@
 	})
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
+	d.expireLimits(now)
 	for name, t := range d.teams {
 		if now.Sub(t.lastRequest) > usageIdleTimeout {
 			delete(d.teams, name)
--- a/direct/mesh/crashes.go
+++ b/direct/mesh/crashes.go
@@ -50,17 +50,7 @@
 		return
 	}
 	data := EncodeCrashes(time.Now(), m.instance, facts)
-	if len(data) > maxDatagram {
-		m.badReports.Inc(1)
-		m.log.Error("crash report not sent: too large", "bytes", len(data))
-		return
-	}
-	for _, address := range peers {
-		// A failed send is treated like a lost datagram.
-		if _, err := m.conn.WriteToUDP(data, address); err == nil {
-			m.reportBytesSent.Inc(int64(len(data)))
-		}
-	}
+	m.sendToPeers(data, peers)
 }
 
 func (m *Mesh) livePeers() []*net.UDPAddr {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -121,6 +121,7 @@
 // New returns a mesh that sends and receives reports on conn. instance
 // identifies this router; address is the one at which peers reach it.
 func New(instance string, address netip.AddrPort, conn *net.UDPConn, d *dispatch.Dispatcher, local LocalState, log *slog.Logger, registry metrics.Registry) *Mesh {
+	d.SetInstance(instance)
 	return &Mesh{
 		instance: instance, address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), conn: conn, dispatcher: d, local: local, log: log,
 		client:          &http.Client{Timeout: fetchTimeout, Transport: limitedTransport{http.DefaultTransport}},
@@ -229,10 +230,13 @@
 	if sequence%membersEvery == 1 {
 		message.Members = m.members(now)
 	}
-	data := message.Append(nil)
+	m.sendToPeers(message.Append(nil), targets)
+}
+
+func (m *Mesh) sendToPeers(data []byte, targets []*net.UDPAddr) {
 	if len(data) > maxDatagram {
 		m.badReports.Inc(1)
-		m.log.Error("load report not sent: too large", "bytes", len(data))
+		m.log.Error("report not sent: too large", "bytes", len(data))
 		return
 	}
 	for _, address := range targets {
@@ -351,9 +355,13 @@
 }
 
 func (m *Mesh) handleReport(now time.Time, data []byte) {
-	if loadreport.IsCrashReport(data) {
+	switch {
+	case loadreport.IsCrashReport(data):
 		m.handleCrashReport(now, data)
 		return
+	case loadreport.IsLimitReport(data):
+		m.handleLimitReport(now, data)
+		return
 	}
 	report, err := loadreport.Decode(data)
 	if err != nil {
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
 	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
+	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
@@ -51,6 +52,7 @@
 		}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	go func() { _ = p.Send(t.Context()) }()
 	go func() { _ = p.SendCrashes(t.Context()) }()
+	go func() { _ = p.SendLimits(t.Context()) }()
 	go func() { _ = p.Receive(t.Context()) }()
 	return p
 }
@@ -129,3 +131,28 @@
 		wait.BoolFunc(func() bool { return b.dispatcher.Quarantine(time.Now(), cost) == nil }),
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
+
+// Guards against routers that send as before to an endpoint whose limit only a peer
+// knows, and against a limit that they keep after it has ended.
+func TestLimitsReachPeers(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	a.Add(b.address)
+	waitForRotation(t, a, overload.PeerCounts{Live: 1})
+	waitForLimits := func(p *testPeer, n int) {
+		must.Wait(t, wait.InitialSuccess(
+			wait.BoolFunc(func() bool { return p.dispatcher.LimitedEndpoints() == n }),
+			wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+	limit := requestlimit.Limit{Endpoint: 7, Rate: 4.25, At: time.Now()}
+	a.dispatcher.MergeLimits(time.Now(), "other", 1, []requestlimit.Limit{limit})
+	waitForLimits(b, 1)
+	limits, _ := b.dispatcher.Limits(time.Now())
+	must.Eq(t, 4.25, limits[0].Rate)
+	c := newTestPeer(t, "c")
+	c.Add(b.address)
+	waitForLimits(c, 1)
+	ended := requestlimit.Limit{Endpoint: 7, Rate: requestlimit.NoLimit, At: time.Now().Add(time.Second)}
+	a.dispatcher.MergeLimits(time.Now(), "other", 1, []requestlimit.Limit{ended})
+	waitForLimits(b, 0)
+	waitForLimits(c, 0)
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -242,6 +242,7 @@
 	group.Go(func() error { return p.follower.Run(ctx) })
 	group.Go(func() error { return p.mesh.Send(ctx) })
 	group.Go(func() error { return p.mesh.SendCrashes(ctx) })
+	group.Go(func() error { return p.mesh.SendLimits(ctx) })
 	group.Go(func() error { return p.keepCrashes(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
 	group.Go(func() error { return p.join(ctx) })
