--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -66,6 +66,18 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	return startFleet(t, func(f *fleet) {
+		for i := range numEngines {
+			f.addEndpoint(fmt.Sprintf("engine-%d", i), "engines")
+		}
+		for i := range numPlain {
+			f.addEndpoint(fmt.Sprintf("plain-%d", i), "plain")
+		}
+	})
+}
+
+// startFleet starts a fleet with the endpoints that addEndpoints adds.
+func startFleet(t *testing.T, addEndpoints func(*fleet)) *fleet {
 	if _, err := os.Stat(binaryPath); err != nil {
 		t.Skip("binaries are not built; run make build")
 	}
@@ -73,12 +85,7 @@
 	storeAddress := f.serve(f.store)
 	f.storeProxy = f.newProxy(storeAddress)
 	f.publish()
-	for i := range numEngines {
-		f.addEndpoint(fmt.Sprintf("engine-%d", i), "engines")
-	}
-	for i := range numPlain {
-		f.addEndpoint(fmt.Sprintf("plain-%d", i), "plain")
-	}
+	addEndpoints(f)
 	port := findFreePorts(t)
 	for i := range numRouters {
 		ip := routerIP(i)
