Routers log the store's era, listings and records that they ignore

The logs could not tell whether a router gets a configuration from a store that was restored from an older copy and ignores it, or doesn't get it. follow.Store now returns the era with the records.

--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -81,11 +81,11 @@
 }
 
 // List implements follow.Store.
-func (s *Store) List(_ context.Context, topic follow.Topic) ([]mirror.Record, int64, error) {
+func (s *Store) List(_ context.Context, topic follow.Topic) (follow.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachable {
-		return nil, 0, ErrUnreachable
+		return follow.Batch{}, ErrUnreachable
 	}
 	newest := map[string]mirror.Record{}
 	for _, r := range s.logs[topic] {
@@ -97,11 +97,11 @@
 			records = append(records, r)
 		}
 	}
-	return records, int64(len(s.logs[topic])), nil
+	return follow.Batch{Records: records, Next: int64(len(s.logs[topic]))}, nil
 }
 
 // Read implements follow.Store.
-func (s *Store) Read(ctx context.Context, topic follow.Topic, from int64, wait time.Duration) ([]mirror.Record, int64, error) {
+func (s *Store) Read(ctx context.Context, topic follow.Topic, from int64, wait time.Duration) (follow.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -111,19 +111,19 @@
 		s.mu.Unlock()
 		switch {
 		case unreachable:
-			return nil, 0, ErrUnreachable
+			return follow.Batch{}, ErrUnreachable
 		case from < first:
-			return nil, 0, follow.ErrCompacted
+			return follow.Batch{}, follow.ErrCompacted
 		case from < int64(len(log)):
-			return log[from:], int64(len(log)), nil
+			return follow.Batch{Records: log[from:], Next: int64(len(log))}, nil
 		case wait == 0:
-			return nil, from, nil
+			return follow.Batch{Next: from}, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return follow.Batch{}, ctx.Err()
 		case <-timer.C:
-			return nil, from, nil
+			return follow.Batch{Next: from}, nil
 		case <-changed:
 		}
 	}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -169,13 +169,15 @@
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.storeCalls.Inc(1)
-	records, next, err := f.store.List(call, topic)
+	batch, err := f.store.List(call, topic)
 	if err != nil {
 		return err
 	}
-	removals := f.mirrors[topic].MissingTombstones(records, next)
-	f.Apply(topic, append(records, removals...))
-	f.mirrors[topic].AdvanceTo(next)
+	f.log.Info("topic listed", "topic", topic.String(), "era", batch.Era, "end", batch.Next, "records", len(batch.Records),
+		"known_end", f.mirrors[topic].NextOffset())
+	removals := f.mirrors[topic].MissingTombstones(batch.Records, batch.Next)
+	f.Apply(topic, append(batch.Records, removals...))
+	f.mirrors[topic].AdvanceTo(batch.Next)
 	f.listed[topic].Store(true)
 	f.loaded[topic].Store(true)
 	return nil
@@ -191,12 +193,12 @@
 		// the next record.
 		wait = 0
 	}
-	records, next, err := f.store.Read(call, topic, f.mirrors[topic].NextOffset(), wait)
+	batch, err := f.store.Read(call, topic, f.mirrors[topic].NextOffset(), wait)
 	if err != nil {
 		return err
 	}
-	f.Apply(topic, records)
-	f.mirrors[topic].AdvanceTo(next)
+	f.Apply(topic, batch.Records)
+	f.mirrors[topic].AdvanceTo(batch.Next)
 	return nil
 }
 
@@ -213,6 +215,10 @@
 		}
 	}
 	f.mu.Unlock()
+	if ignored := len(records) - len(applied); ignored > 0 && f.limiter.Allow(time.Now(), topic.String(), "older records") {
+		f.log.Info("records not newer than the known ones ignored", "topic", topic.String(), "records", ignored,
+			"known_end", f.mirrors[topic].NextOffset())
+	}
 	if len(applied) > 0 {
 		f.OnChange()
 	}
@@ -237,6 +243,8 @@
 	}
 	if f.routes.Advance(table) {
 		f.log.Info("configuration in force", "version", table.Version, "offset", r.Offset, "routes", len(config.Routes))
+	} else {
+		f.log.Info("configuration not newer than the one in force", "version", table.Version, "offset", r.Offset)
 	}
 }
 
@@ -358,11 +366,11 @@
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.storeCalls.Inc(1)
-	records, _, err := f.store.List(call, Crashes)
+	batch, err := f.store.List(call, Crashes)
 	if err != nil {
 		return nil, err
 	}
-	for _, r := range records {
+	for _, r := range batch.Records {
 		if r.Key == crashesKey && !r.IsTombstone() {
 			return r.Value, nil
 		}
@@ -375,12 +383,12 @@
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.storeCalls.Inc(1)
-	records, _, err := f.store.List(call, Members)
+	batch, err := f.store.List(call, Members)
 	if err != nil {
 		return nil, err
 	}
-	addresses := make([]string, 0, len(records))
-	for _, r := range records {
+	addresses := make([]string, 0, len(batch.Records))
+	for _, r := range batch.Records {
 		if !r.IsTombstone() {
 			addresses = append(addresses, string(r.Value))
 		}
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -30,7 +30,8 @@
 	if p.store == nil {
 		return nil, next, nil
 	}
-	return p.store.Read(ctx, topic, next, 0)
+	batch, err := p.store.Read(ctx, topic, next, 0)
+	return batch.Records, batch.Next, err
 }
 
 func (p peers) ShouldReadStore() bool { return !p.peersReadStore }
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -33,16 +33,26 @@
 // records at the offset.
 var ErrCompacted = errors.New("the store no longer holds the records at this offset")
 
+// Batch is a response of the store to a call that returns records.
+type Batch struct {
+	Records []mirror.Record
+	// Next is the offset after the records.
+	Next int64
+	// Era counts how often the store was restored from an older copy. Offsets of
+	// different eras can't be compared.
+	Era int64
+}
+
 // Store gives access to the store, which holds a log of keyed records for each
 // topic. The newest record of each key is retained.
 type Store interface {
-	// List returns the newest record of each key, and the offset from which Read
+	// List returns the newest record of each key. Reading from the batch's next offset
 	// returns all records that the list may lack.
-	List(ctx context.Context, topic Topic) (records []mirror.Record, next int64, err error)
-	// Read returns the records at and after from, and the offset after them. It
-	// returns as soon as there is a record, or none after wait. It returns
-	// ErrCompacted if the store no longer holds the records at from.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (records []mirror.Record, next int64, err error)
+	List(ctx context.Context, topic Topic) (Batch, error)
+	// Read returns the records at and after from. It returns as soon as there is a
+	// record, or none after wait. It returns ErrCompacted if the store doesn't hold
+	// the records at from.
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Batch, error)
 	// Write appends a record to Members or Crashes.
 	Write(ctx context.Context, topic Topic, key string, value []byte) error
 }
