--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -24,12 +24,14 @@
 	unreachable       bool
 	dropNotifications bool
 	changed           chan struct{}
-	reads             int
+	reads, lists      int
+	era               int64
+	refuseReads       bool
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{logs: map[follow.Topic][]mirror.Record{}, first: map[follow.Topic]int64{}, changed: make(chan struct{})}
+	return &Store{logs: map[follow.Topic][]mirror.Record{}, first: map[follow.Topic]int64{}, changed: make(chan struct{}), era: 1}
 }
 
 // Append adds a record; an empty value removes the key.
@@ -73,6 +75,47 @@
 	s.notifyReaders()
 }
 
+// Copy is a copy of the store's content at some moment.
+type Copy map[follow.Topic]int
+
+// Copy copies the store's content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{}
+	for topic, log := range s.logs {
+		c[topic] = len(log)
+	}
+	return c
+}
+
+// Restore replaces the content by a copy and begins a new era. What was written since
+// the copy is lost, and its offsets are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for topic, log := range s.logs {
+		s.logs[topic] = append([]mirror.Record(nil), log[:c[topic]]...)
+	}
+	s.era++
+	s.notifyReaders()
+}
+
+// RefuseReads makes all reads fail with follow.ErrCompacted, or succeed again.
+func (s *Store) RefuseReads(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseReads = refuse
+	s.notifyReaders()
+}
+
+// Lists returns the number of listings so far.
+func (s *Store) Lists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
 // Reads returns the number of reads so far.
 func (s *Store) Reads() int {
 	s.mu.Lock()
@@ -87,6 +130,7 @@
 	if s.unreachable {
 		return follow.Batch{}, ErrUnreachable
 	}
+	s.lists++
 	newest := map[string]mirror.Record{}
 	for _, r := range s.logs[topic] {
 		newest[r.Key] = r
@@ -97,7 +141,7 @@
 			records = append(records, r)
 		}
 	}
-	return follow.Batch{Records: records, Next: int64(len(s.logs[topic]))}, nil
+	return follow.Batch{Records: records, Next: int64(len(s.logs[topic])), Era: s.era}, nil
 }
 
 // Read implements follow.Store.
@@ -107,23 +151,24 @@
 	for {
 		s.mu.Lock()
 		s.reads++
-		log, first, unreachable, changed := s.logs[topic], s.first[topic], s.unreachable, s.changed
+		log, first, unreachable, changed, era := s.logs[topic], s.first[topic], s.unreachable, s.changed, s.era
+		refused := s.refuseReads
 		s.mu.Unlock()
 		switch {
 		case unreachable:
 			return follow.Batch{}, ErrUnreachable
-		case from < first:
+		case refused || from < first || from > int64(len(log)):
 			return follow.Batch{}, follow.ErrCompacted
 		case from < int64(len(log)):
-			return follow.Batch{Records: log[from:], Next: int64(len(log))}, nil
+			return follow.Batch{Records: log[from:], Next: int64(len(log)), Era: era}, nil
 		case wait == 0:
-			return follow.Batch{Next: from}, nil
+			return follow.Batch{Next: from, Era: era}, nil
 		}
 		select {
 		case <-ctx.Done():
 			return follow.Batch{}, ctx.Err()
 		case <-timer.C:
-			return follow.Batch{Next: from}, nil
+			return follow.Batch{Next: from, Era: era}, nil
 		case <-changed:
 		}
 	}
