Positions in the store's topics belong to an era of the store

Cause: routers compared offsets across the restoration. Offsets go back and are given out again, so a new record counted as older than the known one of its key, and a read from the old end was refused or skipped records.

Change: a position is an era and an offset, in the mirror, in load reports (new format version) and between peers. A complete listing of a later era replaces the records; anything else of another era is not applied. Configurations are ordered by their versions, which the restoration doesn't change, so a router never goes back, and a router that has only the restored, older one gets the newer one from a peer. Endpoints that the copy lacks have the grace period of an outage; a copied entry of an instance that left or drained since doesn't make it ready.

Fetching by version was not shown red on its own.

--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -124,11 +124,11 @@
 }
 
 // List implements follow.Store.
-func (s *Store) List(_ context.Context, topic follow.Topic) (follow.Batch, error) {
+func (s *Store) List(_ context.Context, topic follow.Topic) (mirror.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachable {
-		return follow.Batch{}, ErrUnreachable
+		return mirror.Batch{}, ErrUnreachable
 	}
 	s.lists++
 	newest := map[string]mirror.Record{}
@@ -141,11 +141,11 @@
 			records = append(records, r)
 		}
 	}
-	return follow.Batch{Records: records, Next: int64(len(s.logs[topic])), Era: s.era}, nil
+	return mirror.Batch{Records: records, End: mirror.Position{Era: s.era, Next: int64(len(s.logs[topic]))}, Complete: true}, nil
 }
 
 // Read implements follow.Store.
-func (s *Store) Read(ctx context.Context, topic follow.Topic, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *Store) Read(ctx context.Context, topic follow.Topic, from int64, wait time.Duration) (mirror.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -156,19 +156,19 @@
 		s.mu.Unlock()
 		switch {
 		case unreachable:
-			return follow.Batch{}, ErrUnreachable
+			return mirror.Batch{}, ErrUnreachable
 		case refused || from < first || from > int64(len(log)):
-			return follow.Batch{}, follow.ErrCompacted
+			return mirror.Batch{}, follow.ErrCompacted
 		case from < int64(len(log)):
-			return follow.Batch{Records: log[from:], Next: int64(len(log)), Era: era}, nil
+			return mirror.Batch{Records: log[from:], End: mirror.Position{Era: era, Next: int64(len(log))}}, nil
 		case wait == 0:
-			return follow.Batch{Next: from, Era: era}, nil
+			return mirror.Batch{End: mirror.Position{Era: era, Next: from}}, nil
 		}
 		select {
 		case <-ctx.Done():
-			return follow.Batch{}, ctx.Err()
+			return mirror.Batch{}, ctx.Err()
 		case <-timer.C:
-			return follow.Batch{Next: from, Era: era}, nil
+			return mirror.Batch{End: mirror.Position{Era: era, Next: from}}, nil
 		case <-changed:
 		}
 	}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -141,6 +141,8 @@
 			f.markStoreReachable(topic)
 			backoff = minBackoff
 			sleep(ctx, minReadInterval-time.Since(began))
+		case errors.Is(err, mirror.ErrLaterEra):
+			f.listed[topic].Store(false)
 		case errors.Is(err, ErrCompacted):
 			f.log.Info("the store compacted the topic; listing it again", "topic", topic.String())
 			f.listed[topic].Store(false)
@@ -173,11 +175,12 @@
 	if err != nil {
 		return err
 	}
-	f.log.Info("topic listed", "topic", topic.String(), "era", batch.Era, "end", batch.Next, "records", len(batch.Records),
-		"known_end", f.mirrors[topic].NextOffset())
-	removals := f.mirrors[topic].MissingTombstones(batch.Records, batch.Next)
-	f.Apply(topic, append(batch.Records, removals...))
-	f.mirrors[topic].AdvanceTo(batch.Next)
+	known := f.mirrors[topic].Position()
+	f.log.Info("topic listed", "topic", topic.String(), "era", batch.End.Era, "end", batch.End.Next, "records", len(batch.Records),
+		"known_era", known.Era, "known_end", known.Next)
+	if err := f.Apply(topic, batch); err != nil {
+		return err
+	}
 	f.listed[topic].Store(true)
 	f.loaded[topic].Store(true)
 	return nil
@@ -193,62 +196,103 @@
 		// the next record.
 		wait = 0
 	}
-	batch, err := f.store.Read(call, topic, f.mirrors[topic].NextOffset(), wait)
+	known := f.mirrors[topic].Position()
+	batch, err := f.store.Read(call, topic, known.Next, wait)
 	if err != nil {
 		return err
 	}
-	f.Apply(topic, batch.Records)
-	f.mirrors[topic].AdvanceTo(batch.Next)
-	return nil
+	if batch.End.Era > known.Era {
+		// The offset from which was read is of another era, so records may be missing,
+		// even if a peer's records have moved the mirror to this era meanwhile.
+		return mirror.ErrLaterEra
+	}
+	return f.Apply(topic, batch)
 }
 
-// Apply applies records from the store or from a peer. Records older than those
-// in the mirror are ignored.
-func (f *Follower) Apply(topic Topic, records []mirror.Record) {
+// Apply applies a batch from the store or from a peer. Records older than those in the
+// mirror are ignored. It returns the error of mirror.Topic.Apply.
+func (f *Follower) Apply(topic Topic, batch mirror.Batch) error {
 	f.mu.Lock()
-	applied := f.mirrors[topic].Apply(records)
-	for _, r := range applied {
-		if topic == Configuration {
-			f.applyConfig(r)
-		} else {
-			f.applyEndpoint(r)
+	var tables map[uint64]*routing.Table
+	if topic == Configuration {
+		batch.Records, tables = f.compileConfigs(batch.Records)
+	}
+	known := f.mirrors[topic].Position()
+	change, err := f.mirrors[topic].Apply(batch)
+	if change.Restored {
+		f.log.Warn("the store was restored from an older copy", "topic", topic.String(), "era", batch.End.Era, "end", batch.End.Next,
+			"known_era", known.Era, "known_end", known.Next)
+		if topic == Endpoints {
+			f.endpoints.StoreRestored(time.Now())
+		}
+	}
+	for _, r := range change.Applied {
+		switch {
+		case topic == Endpoints:
+			f.applyEndpoint(r, change.Restored)
+		case tables[r.Revision] != nil:
+			f.applyConfig(r, tables[r.Revision])
 		}
 	}
 	f.mu.Unlock()
-	if ignored := len(records) - len(applied); ignored > 0 && f.limiter.Allow(time.Now(), topic.String(), "older records") {
+	if ignored := len(batch.Records) - len(change.Applied); ignored > 0 && f.limiter.Allow(time.Now(), topic.String(), "older records") {
 		f.log.Info("records not newer than the known ones ignored", "topic", topic.String(), "records", ignored,
-			"known_end", f.mirrors[topic].NextOffset())
+			"era", batch.End.Era, "known_era", known.Era, "known_end", known.Next)
 	}
-	if len(applied) > 0 {
+	if len(change.Applied) > 0 {
 		f.OnChange()
 	}
+	return err
+}
+
+// compileConfigs compiles the configurations among records. It returns the records with
+// the versions as their revisions, so that an older configuration that a restored store
+// returns doesn't replace a newer one, and the tables by version.
+func (f *Follower) compileConfigs(records []mirror.Record) ([]mirror.Record, map[uint64]*routing.Table) {
+	revised := make([]mirror.Record, len(records))
+	tables := map[uint64]*routing.Table{}
+	for i, r := range records {
+		if table := f.compileConfig(r); table != nil {
+			r.Revision = table.Version
+			tables[table.Version] = table
+		}
+		revised[i] = r
+	}
+	return revised, tables
 }
 
-func (f *Follower) applyConfig(r mirror.Record) {
+// compileConfig returns nil for a record that holds no valid configuration.
+func (f *Follower) compileConfig(r mirror.Record) *routing.Table {
 	if r.IsTombstone() {
-		return
+		return nil
 	}
 	config, err := f.decoder.Config(r)
 	if err != nil {
 		f.ignoreRecord(r, err)
-		return
+		return nil
 	}
 	if config == nil {
-		return
+		return nil
 	}
 	table, err := routing.Compile(config)
 	if err != nil {
 		f.ignoreRecord(r, err)
-		return
+		return nil
 	}
+	return table
+}
+
+func (f *Follower) applyConfig(r mirror.Record, table *routing.Table) {
 	if f.routes.Advance(table) {
-		f.log.Info("configuration in force", "version", table.Version, "offset", r.Offset, "routes", len(config.Routes))
+		f.log.Info("configuration in force", "version", table.Version, "offset", r.Offset, "routes", table.Routes())
 	} else {
 		f.log.Info("configuration not newer than the one in force", "version", table.Version, "offset", r.Offset)
 	}
 }
 
-func (f *Follower) applyEndpoint(r mirror.Record) {
+// applyEndpoint applies the entry of an endpoint. restored is set if the record is from an
+// older copy of the store.
+func (f *Follower) applyEndpoint(r mirror.Record, restored bool) {
 	now := time.Now()
 	if r.IsTombstone() {
 		f.endpoints.Remove(r.Key, now)
@@ -266,7 +310,11 @@
 		f.log.Info("endpoint entry changed", "endpoint", endpoint.ID, "service", endpoint.Service,
 			"draining", endpoint.State == registry.Draining, "address", endpoint.Address, "offset", r.Offset)
 	}
-	f.endpoints.Put(endpoint)
+	if restored {
+		f.endpoints.PutRestored(endpoint, now)
+	} else {
+		f.endpoints.Put(endpoint)
+	}
 }
 
 func (f *Follower) ignoreRecord(r mirror.Record, err error) {
@@ -307,7 +355,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		f.endpoints.Expire(time.Now())
+		if f.endpoints.Expire(time.Now()) {
+			f.OnChange()
+		}
 		for _, topic := range []Topic{Configuration, Endpoints} {
 			f.fetchFromPeers(ctx, topic)
 		}
@@ -317,19 +367,27 @@
 // fetchFromPeers fetches and applies the records of a topic that a peer has and
 // that this router has not received from the store yet.
 func (f *Follower) fetchFromPeers(ctx context.Context, topic Topic) {
-	records, next, err := f.peers.Records(ctx, topic, f.mirrors[topic].NextOffset())
+	batch, found, err := f.peers.Records(ctx, topic, f.mirrors[topic].Position())
 	if err != nil {
 		if f.limiter.Allow(time.Now(), topic.String(), "peer") {
 			f.log.Warn("fetch records from peer failed", "topic", topic.String(), "error", err.Error())
 		}
 		return
 	}
-	if len(records) > 0 {
-		f.log.Info("records taken from a peer", "topic", topic.String(), "records", len(records))
-		f.Apply(topic, records)
+	if !found {
+		return
+	}
+	if len(batch.Records) > 0 {
+		f.log.Info("records taken from a peer", "topic", topic.String(), "records", len(batch.Records), "era", batch.End.Era)
+	}
+	err = f.Apply(topic, batch)
+	if err != nil && !errors.Is(err, mirror.ErrEarlierEra) {
+		f.log.Warn("apply records from peer failed", "topic", topic.String(), "error", err.Error())
+		return
+	}
+	if len(batch.Records) > 0 {
 		f.loaded[topic].Store(true)
 	}
-	f.mirrors[topic].AdvanceTo(next)
 }
 
 // Announce writes this router's address to the store, and retries until the
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -26,12 +26,15 @@
 	peersReadStore bool
 }
 
-func (p peers) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, int64, error) {
+func (p peers) Records(ctx context.Context, topic follow.Topic, known mirror.Position) (mirror.Batch, bool, error) {
 	if p.store == nil {
-		return nil, next, nil
+		return mirror.Batch{}, false, nil
 	}
-	batch, err := p.store.Read(ctx, topic, next, 0)
-	return batch.Records, batch.Next, err
+	if listed, err := p.store.List(ctx, topic); err != nil || listed.End.Era != known.Era {
+		return listed, err == nil, err
+	}
+	batch, err := p.store.Read(ctx, topic, known.Next, 0)
+	return batch, err == nil, err
 }
 
 func (p peers) ShouldReadStore() bool { return !p.peersReadStore }
--- a/direct/follow/restored_store_test.go
+++ b/direct/follow/restored_store_test.go
@@ -111,6 +111,8 @@
 		for _, id := range []string{"left", "draining", "stays"} {
 			f.store.Append(follow.Endpoints, id, endpoint(id))
 		}
+		time.Sleep(time.Second)
+		must.Eq(t, 3, f.readyEndpoints())
 		older := f.store.Copy()
 		f.store.Append(follow.Endpoints, "left", "")
 		f.store.Append(follow.Endpoints, "draining", directtest.Encode(registry.Endpoint{
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -29,30 +29,21 @@
 	return [...]string{"configuration", "endpoints", "members", "crashes"}[t]
 }
 
-// ErrCompacted is returned by Store.Read if the store no longer holds the
-// records at the offset.
-var ErrCompacted = errors.New("the store no longer holds the records at this offset")
-
-// Batch is a response of the store to a call that returns records.
-type Batch struct {
-	Records []mirror.Record
-	// Next is the offset after the records.
-	Next int64
-	// Era counts how often the store was restored from an older copy. Offsets of
-	// different eras can't be compared.
-	Era int64
-}
+// ErrCompacted is returned by Store.Read if the store doesn't hold the records at the
+// offset.
+var ErrCompacted = errors.New("the store doesn't hold the records at this offset")
 
 // Store gives access to the store, which holds a log of keyed records for each
 // topic. The newest record of each key is retained.
 type Store interface {
-	// List returns the newest record of each key. Reading from the batch's next offset
-	// returns all records that the list may lack.
-	List(ctx context.Context, topic Topic) (Batch, error)
-	// Read returns the records at and after from. It returns as soon as there is a
-	// record, or none after wait. It returns ErrCompacted if the store doesn't hold
-	// the records at from.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Batch, error)
+	// List returns the newest record of each key, as a complete batch. Reading from its
+	// end returns all records that the list may lack.
+	List(ctx context.Context, topic Topic) (mirror.Batch, error)
+	// Read returns the records at and after from in the store's present era. It returns
+	// as soon as there is a record, or none after wait. It returns ErrCompacted if the
+	// store doesn't hold the records at from: they were compacted, or the store was
+	// restored from a copy that ends before.
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
 	// Write appends a record to Members or Crashes.
 	Write(ctx context.Context, topic Topic, key string, value []byte) error
 }
@@ -68,9 +59,9 @@
 
 // Peers gives access to other routers' mirrors.
 type Peers interface {
-	// Records returns the records at and after next of a peer that has any, and
-	// the offset after them. If no peer has any, it returns no records and next.
-	Records(ctx context.Context, topic Topic, next int64) ([]mirror.Record, int64, error)
+	// Records returns the records that a peer has beyond the known position, or a newer
+	// configuration than the one in force here. It reports whether any peer has.
+	Records(ctx context.Context, topic Topic, known mirror.Position) (batch mirror.Batch, found bool, err error)
 	// ShouldReadStore reports whether this router should read the store itself.
 	ShouldReadStore() bool
 }
--- a/direct/mesh/endless_test.go
+++ b/direct/mesh/endless_test.go
@@ -27,7 +27,7 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	d := dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits())
-	local := LocalState{Mirror: func(follow.Topic) *mirror.Topic { return mirror.NewTopic() }}
+	local := LocalState{ConfigVersion: func() uint64 { return 0 }, Mirror: func(follow.Topic) *mirror.Topic { return mirror.NewTopic() }}
 	return New("self", netip.MustParseAddrPort("127.0.0.1:1"), conn, d, local, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 }
 
@@ -54,8 +54,8 @@
 	address := server.Listener.Addr().String()
 	m.Add(address)
 	m.peers[address].lastReport = time.Now()
-	m.peers[address].nextOffsets = [2]int64{10, 10}
-	_, _, err := m.Records(context.Background(), follow.Configuration, 0)
+	m.peers[address].ends = [2]mirror.Position{{Next: 10}, {Next: 10}}
+	_, _, err := m.Records(context.Background(), follow.Configuration, mirror.Position{})
 	must.Error(t, err)
 	// The sockets' buffers take some bytes beyond the limit.
 	must.Less(t, 2*maxRecordsReply, int(<-sent))
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -112,8 +112,10 @@
 	// addedAt is when the peer was added, lastReport when its latest report was
 	// received.
 	addedAt, lastReport time.Time
-	// nextOffsets holds, by topic, the offset after the peer's newest record.
-	nextOffsets   [2]int64
+	// ends holds, by topic, the position after the peer's newest record.
+	ends [2]mirror.Position
+	// configVersion is the version of the configuration in force at the peer.
+	configVersion uint64
 	readsStore    bool
 	outOfRotation bool
 }
@@ -298,9 +300,9 @@
 	message := &loadreport.Report{
 		Instance: m.instance, Address: m.address, Sequence: sequence, Leaving: leaving,
 		ConfigVersion: m.local.ConfigVersion(), ReadsStore: m.local.ReadsStore(), OutOfRotation: m.local.OutOfRotation(),
-		ConfigNext:    m.local.Mirror(follow.Configuration).NextOffset(),
-		EndpointsNext: m.local.Mirror(follow.Endpoints).NextOffset(),
-		HasTeams:      now.Sub(m.teamsSentAt) >= teamsInterval,
+		ConfigEnd:    m.local.Mirror(follow.Configuration).Position(),
+		EndpointsEnd: m.local.Mirror(follow.Endpoints).Position(),
+		HasTeams:     now.Sub(m.teamsSentAt) >= teamsInterval,
 	}
 	for id, load := range report.Loads {
 		message.Endpoints = append(message.Endpoints, loadreport.EndpointLoad{
@@ -379,7 +381,8 @@
 	m.mu.Lock()
 	if p := m.peers[address]; p != nil {
 		p.lastReport = now
-		p.nextOffsets = [2]int64{report.ConfigNext, report.EndpointsNext}
+		p.ends = [2]mirror.Position{report.ConfigEnd, report.EndpointsEnd}
+		p.configVersion = report.ConfigVersion
 		p.readsStore = report.ReadsStore && !report.Leaving
 		p.outOfRotation = report.OutOfRotation || report.Leaving
 	}
@@ -423,23 +426,29 @@
 
 // Records implements follow.Peers. It fetches the records from a random live peer
 // that has any.
-func (m *Mesh) Records(ctx context.Context, topic follow.Topic, next int64) ([]mirror.Record, int64, error) {
-	address := m.peerWithRecords(topic, next)
+func (m *Mesh) Records(ctx context.Context, topic follow.Topic, known mirror.Position) (mirror.Batch, bool, error) {
+	address, from := m.peerWithRecords(topic, known)
 	if address == "" {
-		return nil, next, nil
+		return mirror.Batch{}, false, nil
 	}
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	client := fleetpb.NewMirrorProtobufClient("http://"+address, m.client)
-	reply, err := client.FetchRecords(call, &fleetpb.RecordsRequest{Topic: wireTopic(topic), From: next})
+	reply, err := client.FetchRecords(call, &fleetpb.RecordsRequest{Topic: wireTopic(topic), Era: from.Era, From: from.Next})
 	if err != nil {
-		return nil, next, eris.Wrapf(err, "fetch records from %s", address)
+		return mirror.Batch{}, false, eris.Wrapf(err, "fetch records from %s", address)
+	}
+	batch := mirror.Batch{
+		Records: make([]mirror.Record, 0, len(reply.Records)), Complete: reply.Complete,
+		End: mirror.Position{Era: reply.Era, Next: reply.Next},
 	}
-	records := make([]mirror.Record, 0, len(reply.Records))
 	for _, r := range reply.Records {
-		records = append(records, mirror.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		batch.Records = append(batch.Records, mirror.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	if !batch.Complete && batch.End.Era != known.Era {
+		return mirror.Batch{}, false, eris.Errorf("incomplete records of era %d from %s, era %d is known", reply.Era, address, known.Era)
 	}
-	return records, max(reply.Next, next), nil
+	return batch, true, nil
 }
 
 const (
@@ -502,21 +511,29 @@
 const readersKey = "store-readers"
 
 // peerWithRecords returns the address of a random live peer that has records of
-// the topic at or after next, or "" if there is none.
-func (m *Mesh) peerWithRecords(topic follow.Topic, next int64) string {
+// the topic after the known position, or "" if there is none, and the position from
+// which to fetch. A router that was restored with the store's older copy has none of them,
+// so a newer configuration is looked for by its version and fetched with all records.
+func (m *Mesh) peerWithRecords(topic follow.Topic, known mirror.Position) (address string, from mirror.Position) {
 	now := time.Now()
+	version := m.local.ConfigVersion()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var candidates []string
 	for address, p := range m.peers {
-		if p.nextOffsets[topic] > next && now.Sub(p.lastReport) < inactiveAfter {
+		newerConfig := topic == follow.Configuration && p.configVersion > version
+		if (newerConfig || known.Before(p.ends[topic])) && now.Sub(p.lastReport) < inactiveAfter {
 			candidates = append(candidates, address)
 		}
 	}
 	if len(candidates) == 0 {
-		return ""
+		return "", known
+	}
+	address = candidates[rand.IntN(len(candidates))]
+	if !known.Before(m.peers[address].ends[topic]) {
+		return address, mirror.Position{Era: known.Era}
 	}
-	return candidates[rand.IntN(len(candidates))]
+	return address, known
 }
 
 func wireTopic(topic follow.Topic) fleetpb.Topic {
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -1,8 +1,10 @@
 package mesh_test
 
 import (
+	"errors"
 	"log/slog"
 	"net"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,6 +32,8 @@
 	dispatcher *dispatch.Dispatcher
 	address    string
 	out        atomic.Bool
+	topics     map[follow.Topic]*mirror.Topic
+	version    atomic.Uint64
 }
 
 func newTestPeer(t *testing.T, instance string) *testPeer {
@@ -41,12 +45,13 @@
 		address:    conn.LocalAddr().String(),
 		dispatcher: dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits()),
 	}
-	topics := map[follow.Topic]*mirror.Topic{follow.Configuration: mirror.NewTopic(), follow.Endpoints: mirror.NewTopic()}
+	p.topics = map[follow.Topic]*mirror.Topic{follow.Configuration: mirror.NewTopic(), follow.Endpoints: mirror.NewTopic()}
+	p.version.Store(1)
 	p.Mesh = mesh.New(instance, conn.LocalAddr().(*net.UDPAddr).AddrPort(), conn,
 		p.dispatcher,
 		mesh.LocalState{
-			ConfigVersion: func() uint64 { return 1 },
-			Mirror:        func(topic follow.Topic) *mirror.Topic { return topics[topic] },
+			ConfigVersion: p.version.Load,
+			Mirror:        func(topic follow.Topic) *mirror.Topic { return p.topics[topic] },
 			ReadsStore:    func() bool { return true },
 			OutOfRotation: p.out.Load,
 		}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
@@ -54,6 +59,12 @@
 	go func() { _ = p.SendCrashes(t.Context()) }()
 	go func() { _ = p.SendLimits(t.Context()) }()
 	go func() { _ = p.Receive(t.Context()) }()
+	fleet := httptest.NewUnstartedServer(p.Handler())
+	must.NoError(t, fleet.Listener.Close())
+	fleet.Listener, err = net.Listen("tcp4", p.address)
+	must.NoError(t, err)
+	fleet.Start()
+	t.Cleanup(fleet.Close)
 	return p
 }
 
@@ -156,3 +167,76 @@
 	waitForLimits(b, 0)
 	waitForLimits(c, 0)
 }
+
+// fetch waits until a peer of p has records of the topic beyond those of p and returns them.
+func fetch(t *testing.T, p *testPeer, topic follow.Topic) mirror.Batch {
+	t.Helper()
+	var batch mirror.Batch
+	must.Wait(t, wait.InitialSuccess(wait.ErrorFunc(func() error {
+		var found bool
+		var err error
+		if batch, found, err = p.Records(t.Context(), topic, p.topics[topic].Position()); err == nil && !found {
+			return errors.New("no peer has newer records")
+		}
+		return err
+	}), wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	return batch
+}
+
+func configBatch(era, next int64, revision uint64) mirror.Batch {
+	r := mirror.Record{Key: "config", Value: []byte{byte(revision)}, Offset: next - 1, Revision: revision}
+	return mirror.Batch{Records: []mirror.Record{r}, End: mirror.Position{Era: era, Next: next}, Complete: true}
+}
+
+// Guards against a router that serves an older configuration, from a store that was
+// restored from a copy, while its peers have the newer one: it would compare offsets only.
+func TestNewerConfigurationIsFetchedAcrossRestoration(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	for _, batch := range []mirror.Batch{configBatch(1, 5, 9), configBatch(2, 2, 4)} {
+		_, err := a.topics[follow.Configuration].Apply(batch)
+		must.NoError(t, err)
+	}
+	a.version.Store(9)
+	_, err := b.topics[follow.Configuration].Apply(configBatch(2, 2, 4))
+	must.NoError(t, err)
+	b.version.Store(4)
+	b.Add(a.address)
+	batch := fetch(t, b, follow.Configuration)
+	must.Len(t, 1, batch.Records)
+	must.Eq(t, []byte{9}, batch.Records[0].Value)
+
+	// A peer that has not noticed the restoration has it, too.
+	c := newTestPeer(t, "c")
+	_, err = c.topics[follow.Configuration].Apply(configBatch(1, 5, 9))
+	must.NoError(t, err)
+	c.version.Store(9)
+	d := newTestPeer(t, "d")
+	_, err = d.topics[follow.Configuration].Apply(configBatch(2, 2, 4))
+	must.NoError(t, err)
+	d.version.Store(4)
+	d.Add(c.address)
+	must.Eq(t, []byte{9}, fetch(t, d, follow.Configuration).Records[0].Value)
+}
+
+// Guards against records of the era before the restoration being taken for those of the
+// present one: a router that doesn't reach the store needs all of a peer's records.
+func TestRecordsOfLaterEraAreFetchedCompletely(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	entry := func(key string, offset int64) mirror.Record {
+		return mirror.Record{Key: key, Value: []byte("x"), Offset: offset}
+	}
+	_, err := a.topics[follow.Endpoints].Apply(mirror.Batch{
+		Records: []mirror.Record{entry("kept", 1), entry("new", 3)}, End: mirror.Position{Era: 2, Next: 4}, Complete: true})
+	must.NoError(t, err)
+	_, err = b.topics[follow.Endpoints].Apply(mirror.Batch{
+		Records: []mirror.Record{entry("kept", 1), entry("lost", 7)}, End: mirror.Position{Era: 1, Next: 8}, Complete: true})
+	must.NoError(t, err)
+	b.Add(a.address)
+	batch := fetch(t, b, follow.Endpoints)
+	must.True(t, batch.Complete)
+	must.Len(t, 2, batch.Records)
+	change, err := b.topics[follow.Endpoints].Apply(batch)
+	must.NoError(t, err)
+	must.True(t, change.Restored)
+	must.Eq(t, mirror.Position{Era: 2, Next: 4}, b.topics[follow.Endpoints].Position())
+}
--- a/direct/mesh/server.go
+++ b/direct/mesh/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 // mirrorServer implements fleetpb.Mirror.
@@ -29,9 +30,9 @@
 	default:
 		return nil, twirp.InvalidArgumentError("topic", "is unknown")
 	}
-	mirror := s.local.Mirror(topic)
-	reply := &fleetpb.RecordsReply{Next: mirror.NextOffset()}
-	for _, r := range mirror.Since(in.From) {
+	batch := s.local.Mirror(topic).Since(mirror.Position{Era: in.Era, Next: in.From})
+	reply := &fleetpb.RecordsReply{Era: batch.End.Era, Next: batch.End.Next, Complete: batch.Complete}
+	for _, r := range batch.Records {
 		reply.Records = append(reply.Records, &fleetpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
 	return reply, nil
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -5,11 +5,13 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
 // refused.
-const formatVersion = 0xA1
+const formatVersion = 0xA4
 
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
@@ -28,9 +30,9 @@
 	Sequence uint64
 	// ConfigVersion is the version of the configuration in force at the sender.
 	ConfigVersion uint64
-	// ConfigNext and EndpointsNext are the offsets after the newest records that the
+	// ConfigEnd and EndpointsEnd are the positions after the newest records that the
 	// sender has of both topics of the store.
-	ConfigNext, EndpointsNext int64
+	ConfigEnd, EndpointsEnd mirror.Position
 	// Leaving is set while the sender stops and accepts no more requests.
 	Leaving bool
 	// ReadsStore is set while the sender reads the store and the store responds.
@@ -101,8 +103,10 @@
 	b = appendAddress(b, r.Address)
 	b = binary.AppendUvarint(b, r.Sequence)
 	b = binary.AppendUvarint(b, r.ConfigVersion)
-	b = binary.AppendVarint(b, r.ConfigNext)
-	b = binary.AppendVarint(b, r.EndpointsNext)
+	for _, p := range []mirror.Position{r.ConfigEnd, r.EndpointsEnd} {
+		b = binary.AppendVarint(b, p.Era)
+		b = binary.AppendVarint(b, p.Next)
+	}
 	b = binary.AppendUvarint(b, uint64(len(r.Members)))
 	for _, m := range r.Members {
 		b = appendAddress(b, m)
@@ -162,7 +166,7 @@
 	r.Instance = string(d.bytes(d.length(1)))
 	r.Address = d.address()
 	r.Sequence, r.ConfigVersion = d.uvarint(), d.uvarint()
-	r.ConfigNext, r.EndpointsNext = d.varint(), d.varint()
+	r.ConfigEnd, r.EndpointsEnd = d.position(), d.position()
 	r.Members = decodeList(&d, addressBytes, d.address)
 	r.Endpoints = decodeList(&d, minEndpointBytes, func() EndpointLoad {
 		e := EndpointLoad{Endpoint: d.uint32(), PendingTokens: d.count()}
@@ -213,6 +217,10 @@
 	return v
 }
 
+func (d *decoder) position() mirror.Position {
+	return mirror.Position{Era: d.varint(), Next: d.varint()}
+}
+
 func (d *decoder) varint() int64 {
 	v, n := binary.Varint(d.rest)
 	d.skip(n)
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 func drawAddress(t *rapid.T) netip.AddrPort {
@@ -14,13 +16,17 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(ip)), rapid.Uint16().Draw(t, "port"))
 }
 
+func drawPosition(t *rapid.T) mirror.Position {
+	return mirror.Position{Era: rapid.Int64().Draw(t, "era"), Next: rapid.Int64().Draw(t, "next")}
+}
+
 func drawReport(t *rapid.T) *Report {
 	count := rapid.Uint32Range(0, MaxCount)
 	id := rapid.Uint32()
 	r := &Report{
 		Instance: rapid.StringMatching(`[a-z0-9]{1,64}`).Draw(t, "instance"), Address: drawAddress(t),
 		Sequence: rapid.Uint64().Draw(t, "sequence"), ConfigVersion: rapid.Uint64().Draw(t, "version"),
-		ConfigNext: rapid.Int64().Draw(t, "config next"), EndpointsNext: rapid.Int64().Draw(t, "endpoints next"),
+		ConfigEnd: drawPosition(t), EndpointsEnd: drawPosition(t),
 		Leaving: rapid.Bool().Draw(t, "leaving"), ReadsStore: rapid.Bool().Draw(t, "reads store"),
 		OutOfRotation: rapid.Bool().Draw(t, "out"), HasTeams: rapid.Bool().Draw(t, "has teams"),
 	}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -1,9 +1,12 @@
 // Package mirror keeps the newest record of each key of a log topic, so that a
 // router that can't reach the store can get the records it missed from a peer.
-// Topic holds the records; offsets never decrease.
+// Topic holds the records. Within an era of the store, offsets never decrease.
 package mirror
 
-import "sync"
+import (
+	"errors"
+	"sync"
+)
 
 // Record is one keyed record. A record without a value is a tombstone: it
 // removes its key.
@@ -11,11 +14,60 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Revision orders the records of a key that carry one, across eras: a record never
+	// replaces one with a higher revision. Zero if the offset alone orders the records.
+	Revision uint64
 }
 
 // IsTombstone reports whether the record is a tombstone.
 func (r Record) IsTombstone() bool { return len(r.Value) == 0 }
 
+// replaces reports whether r replaces the stored record of its key in the same era.
+func (r Record) replaces(stored Record) bool {
+	if r.Revision != stored.Revision {
+		return r.Revision > stored.Revision
+	}
+	return r.Offset > stored.Offset
+}
+
+// Position is a place in a topic: the offset of the next record, in an era. The era
+// rises each time the store is restored from an older copy of its content, whereby
+// offsets are given out again.
+type Position struct{ Era, Next int64 }
+
+// Before reports whether p comes before q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || (p.Era == q.Era && p.Next < q.Next)
+}
+
+// noEra is the era of a topic of which nothing is known. It is below all eras.
+const noEra = -1
+
+// Batch holds records of one era.
+type Batch struct {
+	Records []Record
+	// End is the position after the records.
+	End Position
+	// Complete is set if the newest record of each key below End is included.
+	Complete bool
+}
+
+// Change is the effect of a batch.
+type Change struct {
+	// Applied holds the records that were stored, and tombstones for the keys that
+	// a complete batch lacks.
+	Applied []Record
+	// Restored is set if the batch replaced records of an earlier era.
+	Restored bool
+}
+
+var (
+	// ErrEarlierEra is returned for records of an era that has ended.
+	ErrEarlierEra = errors.New("the records are of an earlier era of the store")
+	// ErrLaterEra is returned for records of a later era that are not complete.
+	ErrLaterEra = errors.New("the store was restored from an older copy")
+)
+
 // maxTombstones is the maximum number of tombstones that are kept for peers.
 // When it is exceeded, all tombstones are deleted.
 const maxTombstones = 4096
@@ -25,40 +77,102 @@
 type Topic struct {
 	mu         sync.Mutex
 	records    map[string]Record
-	next       int64
+	position   Position
 	tombstones int
 }
 
 // NewTopic returns an empty mirror.
-func NewTopic() *Topic { return &Topic{records: map[string]Record{}} }
+func NewTopic() *Topic { return &Topic{records: map[string]Record{}, position: Position{Era: noEra}} }
 
-// Apply stores the records that are newer than the stored records of their keys
-// and returns them.
-func (t *Topic) Apply(records []Record) []Record {
+// Apply stores the records that replace the stored ones of their keys. A complete
+// batch of a later era replaces all records except those with a higher revision. It
+// returns ErrLaterEra if a batch of a later era is not complete, and ErrEarlierEra
+// for one of an earlier era, of which only higher revisions are stored.
+func (t *Topic) Apply(b Batch) (Change, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var newer []Record
+	switch {
+	case b.End.Era < t.position.Era:
+		return Change{Applied: t.storeHigherRevisions(b.Records)}, ErrEarlierEra
+	case b.End.Era == t.position.Era:
+	case !b.Complete:
+		return Change{}, ErrLaterEra
+	case t.position.Era != noEra:
+		return Change{Applied: t.restore(b), Restored: true}, nil
+	}
+	applied := t.store(b.Records)
+	if b.Complete {
+		applied = append(applied, t.store(t.missingTombstones(b))...)
+	}
+	t.position = Position{Era: b.End.Era, Next: max(t.position.Next, b.End.Next)}
+	return Change{Applied: applied}, nil
+}
+
+// store stores the records that replace the stored ones and returns them.
+func (t *Topic) store(records []Record) []Record {
+	var stored []Record
 	for _, r := range records {
-		stored, ok := t.records[r.Key]
-		if ok && stored.Offset >= r.Offset {
+		if known, ok := t.records[r.Key]; ok && !r.replaces(known) {
 			continue
 		}
-		if ok && stored.IsTombstone() {
-			t.tombstones--
-		}
-		if r.IsTombstone() {
-			t.tombstones++
-		}
-		t.records[r.Key] = r
-		newer = append(newer, r)
-		if r.Offset >= t.next {
-			t.next = r.Offset + 1
-		}
+		t.set(r)
+		stored = append(stored, r)
+		t.position.Next = max(t.position.Next, r.Offset+1)
 	}
 	if t.tombstones > maxTombstones {
 		t.deleteTombstones()
 	}
-	return newer
+	return stored
+}
+
+func (t *Topic) set(r Record) {
+	if known, ok := t.records[r.Key]; ok && known.IsTombstone() {
+		t.tombstones--
+	}
+	if r.IsTombstone() {
+		t.tombstones++
+	}
+	t.records[r.Key] = r
+}
+
+// storeHigherRevisions stores the records of an earlier era whose revision is higher
+// than that of the stored record, under the offset of the stored record.
+func (t *Topic) storeHigherRevisions(records []Record) []Record {
+	var stored []Record
+	for _, r := range records {
+		known := t.records[r.Key]
+		if r.Revision <= known.Revision {
+			continue
+		}
+		r.Offset = known.Offset
+		t.set(r)
+		stored = append(stored, r)
+	}
+	return stored
+}
+
+// restore replaces the records by those of a later era. What was written since the
+// copy was made is lost there, so higher revisions are kept.
+func (t *Topic) restore(b Batch) []Record {
+	earlier := t.records
+	t.records, t.tombstones = make(map[string]Record, len(b.Records)), 0
+	var kept []Record
+	for _, r := range earlier {
+		if r.Revision > 0 {
+			kept = append(kept, r)
+		}
+	}
+	t.position = b.End
+	applied := t.store(b.Records)
+	t.storeHigherRevisions(kept)
+	for key, r := range earlier {
+		if _, ok := t.records[key]; !ok && !r.IsTombstone() {
+			tombstone := Record{Key: key, Offset: max(b.End.Next-1, 0)}
+			t.set(tombstone)
+			applied = append(applied, tombstone)
+		}
+	}
+	return applied
 }
 
 func (t *Topic) deleteTombstones() {
@@ -70,49 +184,40 @@
 	t.tombstones = 0
 }
 
-// AdvanceTo raises the next offset to next unless it is higher already. It must
-// be called after the records below next have been applied.
-func (t *Topic) AdvanceTo(next int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.next = max(t.next, next)
-}
-
-// NextOffset returns the offset after the newest known record.
-func (t *Topic) NextOffset() int64 {
+// Position returns the position after the newest known record.
+func (t *Topic) Position() Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.next
+	return t.position
 }
 
-// Since returns the records at or after offset, in no particular order.
-func (t *Topic) Since(offset int64) []Record {
+// Since returns the records at or after a position, in no particular order: all of
+// them if the position is of another era.
+func (t *Topic) Since(from Position) Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var records []Record
+	b := Batch{End: t.position, Complete: from.Era != t.position.Era || from.Next == 0}
 	for _, r := range t.records {
-		if r.Offset >= offset {
-			records = append(records, r)
+		if b.Complete || r.Offset >= from.Next {
+			b.Records = append(b.Records, r)
 		}
 	}
-	return records
+	return b
 }
 
-// MissingTombstones returns tombstones for the stored keys that a complete
-// listing of the records below end no longer contains. A tombstone has the
-// offset end-1, or the one after the stored record if that is higher. Keys whose
-// stored record is at or after end are not included.
-func (t *Topic) MissingTombstones(listed []Record, end int64) []Record {
-	present := make(map[string]bool, len(listed))
-	for _, r := range listed {
+// missingTombstones returns tombstones for the stored keys that a complete
+// batch no longer contains. A tombstone has the offset before the end of the batch, or
+// the one after the stored record if that is higher. Keys whose stored record is at or
+// after the end are not included.
+func (t *Topic) missingTombstones(b Batch) []Record {
+	present := make(map[string]bool, len(b.Records))
+	for _, r := range b.Records {
 		present[r.Key] = true
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	var tombstones []Record
 	for key, r := range t.records {
-		if !present[key] && !r.IsTombstone() && r.Offset < end {
-			tombstones = append(tombstones, Record{Key: key, Offset: max(end-1, r.Offset+1)})
+		if !present[key] && !r.IsTombstone() && r.Offset < b.End.Next {
+			tombstones = append(tombstones, Record{Key: key, Offset: max(b.End.Next-1, r.Offset+1)})
 		}
 	}
 	return tombstones
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -23,11 +23,12 @@
 			newest[r.Key] = r
 		}
 		topic := NewTopic()
+		apply(t, topic, Batch{End: Position{Era: 1}, Complete: true})
 		for _, i := range rapid.SliceOfN(rapid.IntRange(0, n-1), 0, 60).Draw(t, "order") {
-			topic.Apply(log[i : i+1])
+			apply(t, topic, Batch{Records: log[i : i+1], End: Position{Era: 1, Next: int64(i + 1)}})
 		}
-		topic.Apply(log)
-		got := topic.Since(0)
+		apply(t, topic, Batch{Records: log, End: Position{Era: 1, Next: int64(n)}})
+		got := topic.Since(Position{}).Records
 		if len(got) != len(newest) {
 			t.Fatalf("%d keys, want %d", len(got), len(newest))
 		}
@@ -36,8 +37,8 @@
 				t.Fatalf("key %s at offset %d, want %d", r.Key, r.Offset, newest[r.Key].Offset)
 			}
 		}
-		if topic.NextOffset() != int64(n) {
-			t.Fatalf("next %d, want %d", topic.NextOffset(), n)
+		if want := (Position{Era: 1, Next: int64(n)}); topic.Position() != want {
+			t.Fatalf("position %v, want %v", topic.Position(), want)
 		}
 	})
 }
@@ -46,10 +47,85 @@
 // longer has, and against removing a key that was added after the listing.
 func TestMissingTombstonesOfUnlistedKeys(t *testing.T) {
 	topic := NewTopic()
-	topic.Apply([]Record{{Key: "old", Value: []byte("x"), Offset: 3}, {Key: "new", Value: []byte("x"), Offset: 9}})
-	tombstones := topic.MissingTombstones([]Record{{Key: "other", Value: []byte("x"), Offset: 5}}, 8)
-	must.Len(t, 1, tombstones)
-	must.Eq(t, "old", tombstones[0].Key)
-	must.True(t, tombstones[0].IsTombstone())
-	must.Len(t, 1, topic.Apply(tombstones))
+	apply(t, topic, Batch{End: Position{Era: 1}, Complete: true})
+	apply(t, topic, Batch{
+		Records: []Record{{Key: "old", Value: []byte("x"), Offset: 3}, {Key: "new", Value: []byte("x"), Offset: 9}},
+		End:     Position{Era: 1, Next: 10},
+	})
+	change := apply(t, topic, Batch{
+		Records: []Record{{Key: "other", Value: []byte("x"), Offset: 5}}, End: Position{Era: 1, Next: 8}, Complete: true,
+	})
+	must.Len(t, 2, change.Applied)
+	must.Eq(t, "old", change.Applied[1].Key)
+	must.True(t, change.Applied[1].IsTombstone())
+}
+
+type testingT interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// apply applies a batch that must be accepted.
+func apply(t testingT, topic *Topic, b Batch) Change {
+	t.Helper()
+	change, err := topic.Apply(b)
+	if err != nil {
+		t.Fatalf("apply: %v", err)
+	}
+	return change
+}
+
+// Guards against records of a log that ended with the restoration of an older copy: they
+// would hide or outlive those that the store gives the same offsets afterwards.
+func TestRestorationReplacesRecords(t *testing.T) {
+	topic := NewTopic()
+	apply(t, topic, Batch{
+		Records: []Record{{Key: "a", Value: []byte("a9"), Offset: 9}, {Key: "lost", Value: []byte("x"), Offset: 8}},
+		End:     Position{Era: 1, Next: 10}, Complete: true,
+	})
+	_, err := topic.Apply(Batch{Records: []Record{{Key: "a", Value: []byte("a5"), Offset: 5}}, End: Position{Era: 2, Next: 6}})
+	must.ErrorIs(t, err, ErrLaterEra)
+	change := apply(t, topic, Batch{
+		Records: []Record{{Key: "a", Value: []byte("a4"), Offset: 4}}, End: Position{Era: 2, Next: 5}, Complete: true,
+	})
+	must.True(t, change.Restored)
+	must.Eq(t, Position{Era: 2, Next: 5}, topic.Position())
+	must.Eq(t, []Record{{Key: "a", Value: []byte("a4"), Offset: 4}, {Key: "lost", Offset: 4}}, change.Applied)
+	_, err = topic.Apply(Batch{Records: []Record{{Key: "a", Value: []byte("a9"), Offset: 9}}, End: Position{Era: 1, Next: 10}})
+	must.ErrorIs(t, err, ErrEarlierEra)
+	apply(t, topic, Batch{Records: []Record{{Key: "a", Value: []byte("a5"), Offset: 5}}, End: Position{Era: 2, Next: 6}})
+	batch := topic.Since(Position{Era: 2, Next: 5})
+	must.False(t, batch.Complete)
+	must.Eq(t, []Record{{Key: "a", Value: []byte("a5"), Offset: 5}}, batch.Records)
+	must.True(t, topic.Since(Position{Era: 1, Next: 10}).Complete)
+}
+
+// Guards against an older revision that replaces a newer one because the store was
+// restored, whatever the order of listings, records and eras of peers.
+func TestHighestRevisionOutlivesRestorations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		topic := NewTopic()
+		var highest uint64
+		for range rapid.IntRange(1, 40).Draw(t, "batches") {
+			r := Record{Key: "config", Value: []byte("x"), Offset: rapid.Int64Range(0, 5).Draw(t, "offset"),
+				Revision: rapid.Uint64Range(1, 1000).Draw(t, "revision")}
+			era := rapid.Int64Range(0, 6).Draw(t, "era")
+			b := Batch{Records: []Record{r}, End: Position{Era: era, Next: r.Offset + 1}, Complete: rapid.Bool().Draw(t, "complete")}
+			if rapid.IntRange(0, 4).Draw(t, "empty") == 0 {
+				b.Records = nil
+			}
+			before := topic.Position()
+			_, err := topic.Apply(b)
+			if topic.Position().Before(before) {
+				t.Fatalf("position went back from %v to %v", before, topic.Position())
+			}
+			if err != ErrLaterEra && len(b.Records) > 0 {
+				highest = max(highest, r.Revision)
+			}
+			records := topic.Since(Position{}).Records
+			if highest > 0 && (len(records) != 1 || records[0].Revision != highest) {
+				t.Fatalf("records %v, want revision %d", records, highest)
+			}
+		}
+	})
 }
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -46,6 +46,9 @@
 	// requests to a drained endpoint must stop, because the endpoint may also have
 	// deregistered, and the outage may have affected only this router.
 	ExpiryGracePeriod = 1700 * time.Millisecond
+	// departureRetention is how long the departure of an endpoint is remembered. The
+	// store is restored from copies that are some seconds old.
+	departureRetention = time.Minute
 )
 
 // Table holds the registered endpoints. It is safe for concurrent use. Its mutex
@@ -58,6 +61,22 @@
 	outage    bool
 	// ready caches the lists that Ready returns. It is cleared on each change.
 	ready map[string][]Endpoint
+	// departed holds the endpoints that were removed, by ID.
+	departed map[string]departure
+	// suspended holds ready entries of departed endpoints that a restored store
+	// returned.
+	suspended map[string]suspension
+}
+
+type departure struct {
+	// started is the start of the instance that departed.
+	started, at time.Time
+}
+
+type suspension struct {
+	endpoint Endpoint
+	// until is when the entry counts unless it was removed before.
+	until time.Time
 }
 
 type entry struct {
@@ -68,17 +87,42 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{endpoints: map[string]*entry{}} }
+func NewTable() *Table {
+	return &Table{endpoints: map[string]*entry{}, departed: map[string]departure{}, suspended: map[string]suspension{}}
+}
 
 // Put adds or replaces an endpoint.
 func (t *Table) Put(e Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.put(e)
+}
+
+func (t *Table) put(e Endpoint) {
 	known := t.endpoints[e.ID]
 	if known == nil || known.endpoint != e {
 		t.ready = nil
 	}
 	t.endpoints[e.ID] = &entry{endpoint: e}
+	delete(t.departed, e.ID)
+	delete(t.suspended, e.ID)
+}
+
+// PutRestored handles an entry that a store returned, at now, when it came back from an
+// older copy. An instance that was draining or had departed since the copy does not
+// become ready by it. If its removal isn't written again within RecoveryTime, the entry
+// of a departed instance counts.
+func (t *Table) PutRestored(e Endpoint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.endpoints[e.ID]; known != nil && known.endpoint.State == Draining && known.endpoint.Started.Equal(e.Started) {
+		return
+	}
+	if left, ok := t.departed[e.ID]; ok && left.started.Equal(e.Started) && e.State == Ready {
+		t.suspended[e.ID] = suspension{endpoint: e, until: now.Add(RecoveryTime)}
+		return
+	}
+	t.put(e)
 }
 
 // Remove handles the removal of an endpoint's entry from the store, read at now.
@@ -86,6 +130,7 @@
 func (t *Table) Remove(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.suspended, id)
 	e := t.endpoints[id]
 	if e == nil {
 		return
@@ -96,6 +141,11 @@
 		}
 		return
 	}
+	t.remove(id, now)
+}
+
+func (t *Table) remove(id string, now time.Time) {
+	t.departed[id] = departure{started: t.endpoints[id].endpoint.Started, at: now}
 	t.ready = nil
 	delete(t.endpoints, id)
 }
@@ -121,16 +171,38 @@
 	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryTime)))
 }
 
-// Expire removes the endpoints whose grace period has ended at now.
-func (t *Table) Expire(now time.Time) {
+// StoreRestored records that the store came back, at now, from an older copy. Entries of
+// live endpoints that it lacks are written again within RecoveryTime.
+func (t *Table) StoreRestored(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recovered = now
+}
+
+// Expire removes the endpoints whose grace period has ended at now, and adds those whose
+// entries were suspended until now. It reports whether it changed the table.
+func (t *Table) Expire(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
 	for id, e := range t.endpoints {
 		if !e.removeAt.IsZero() && now.After(e.removeAt) {
-			t.ready = nil
-			delete(t.endpoints, id)
+			t.remove(id, now)
+			changed = true
+		}
+	}
+	for _, s := range t.suspended {
+		if now.After(s.until) {
+			t.put(s.endpoint)
+			changed = true
+		}
+	}
+	for id, d := range t.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(t.departed, id)
 		}
 	}
+	return changed
 }
 
 // Ready returns the endpoints of a service that accept requests, ordered by ID.
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -81,3 +81,31 @@
 	table.Expire(start.Add(drainLimit - 200*time.Millisecond))
 	must.Eq(t, []string{}, ids(table.Ready("s")))
 }
+
+// Guards against requests to an endpoint that had left or was draining, after the store
+// came back from a copy with its earlier entry, and against an endpoint that is never
+// used again although the store keeps its entry or the endpoint has restarted.
+func TestRestoredEntryOfDepartedEndpointIsSuspended(t *testing.T) {
+	table := NewTable()
+	draining := ready("draining")
+	draining.State = Draining
+	table.Put(draining)
+	for _, id := range []string{"left", "restarted", "gone"} {
+		table.Put(ready(id))
+		table.Remove(id, start)
+	}
+	restored := start.Add(5 * time.Second)
+	table.StoreRestored(restored)
+	table.PutRestored(ready("draining"), restored)
+	table.PutRestored(ready("left"), restored)
+	table.PutRestored(ready("gone"), restored)
+	restarted := ready("restarted")
+	restarted.Started = start.Add(time.Second)
+	table.PutRestored(restarted, restored)
+	must.Eq(t, []string{"restarted"}, ids(table.Ready("s")))
+	table.Remove("gone", restored.Add(time.Second))
+	must.False(t, table.Expire(restored.Add(RecoveryTime)))
+	must.Eq(t, []string{"restarted"}, ids(table.Ready("s")))
+	must.True(t, table.Expire(restored.Add(RecoveryTime+time.Millisecond)))
+	must.Eq(t, []string{"left", "restarted"}, ids(table.Ready("s")))
+}
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -98,6 +98,15 @@
 // TeamOf returns the team that an API key belongs to, or nil.
 func (t *Table) TeamOf(key string) *Team { return t.keys[key] }
 
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, routes := range t.routes {
+		n += len(routes)
+	}
+	return n
+}
+
 // RequiresKeys reports whether the configuration has any teams, in which case
 // callers need an API key for routes that are not public.
 func (t *Table) RequiresKeys() bool { return t.teams > 0 }
