Routers write again what the store lost with its restoration

After the store came back from a copy, the announcements of routers and the saved crashes were missing there: a router that starts without a live seed finds no peers, and after a restart of all routers quarantined prompts crash engines again.

Cause: the same as for the configurations, an acknowledged write was taken as lasting. Both were written once.

Change: a write returns its era; a router repeats it when it knows a later one. The checks of the announcement are spread at random, so that a large fleet stays below the store's rate.

--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -21,6 +21,8 @@
 	// store that does not respond. Peers send them, too.
 	minLoadBackoff  = 500 * time.Millisecond
 	maxLoadAttempts = 6
+	// unsavedEra stands for a router that has saved no crashes.
+	unsavedEra = -1
 	// savedTimeBytes is the size of the time in front of the saved observations.
 	savedTimeBytes = 8
 )
@@ -32,15 +34,25 @@
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
 	var retryAt time.Time
+	// savedEra is the era of the latest record of this router.
+	savedEra := int64(unsavedEra)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			if savedEra != unsavedEra && p.follower.Era() > savedEra {
+				p.log.Info("the saved crashes may be lost; saving them again", "era", p.follower.Era(), "saved_era", savedEra)
+				p.dispatcher.KeepCrashesUnsaved()
+				savedEra = unsavedEra
+			}
 			if now.Before(retryAt) || !p.dispatcher.TakeUnsavedCrashes() {
 				continue
 			}
-			if err := p.follower.SaveCrashes(ctx, encodeSaved(now, p.dispatcher.CrashFacts())); err != nil {
+			era, err := p.follower.SaveCrashes(ctx, encodeSaved(now, p.dispatcher.CrashFacts()))
+			savedEra = era
+			if err != nil {
+				savedEra = unsavedEra
 				p.log.Warn("save crashes failed; retrying", "error", err.Error())
 				p.dispatcher.KeepCrashesUnsaved()
 				retryAt = now.Add(saveRetryDelay)
--- a/direct/crashes_test.go
+++ b/direct/crashes_test.go
@@ -43,23 +43,30 @@
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
 
-// Guards against a fleet that forgets the parts that crash engines when all routers stop
-// at the same time: each restart would cost several engines.
-func TestCrashesSurviveTheRestartOfAllRouters(t *testing.T) {
-	store := directtest.NewStore()
-	ctx, stop := context.WithCancel(t.Context())
-	first, endpoints := startCrashKeeper(ctx, store)
+// crashEngines lets two engines crash with crashingPrompt at router p and waits until it is
+// quarantined.
+func crashEngines(t *testing.T, p *process, endpoints *registry.Table) {
+	t.Helper()
 	for i := range 2 {
 		id := fmt.Sprintf("engine-%d", i)
 		endpoints.Put(registry.Endpoint{ID: id, Service: "engines", Zone: "z", Slots: 8})
 		now := time.Now().Add(time.Duration(i) * time.Second)
-		a, refusal := first.dispatcher.PlaceEngine(now, &dispatch.Request{Service: "engines", Cost: crashingPrompt, Target: time.Minute})
+		a, refusal := p.dispatcher.PlaceEngine(now, &dispatch.Request{Service: "engines", Cost: crashingPrompt, Target: time.Minute})
 		must.Nil(t, refusal)
 		a.Interrupted(now, true)
 		a.End(now, endpointload.Failed)
-		first.dispatcher.RecordConnectFailure(now, a.Endpoint.ID)
+		p.dispatcher.RecordConnectFailure(now, a.Endpoint.ID)
 	}
-	waitUntilQuarantined(t, first)
+	waitUntilQuarantined(t, p)
+}
+
+// Guards against a fleet that forgets the parts that crash engines when all routers stop
+// at the same time: each restart would cost several engines.
+func TestCrashesSurviveTheRestartOfAllRouters(t *testing.T) {
+	store := directtest.NewStore()
+	ctx, stop := context.WithCancel(t.Context())
+	first, endpoints := startCrashKeeper(ctx, store)
+	crashEngines(t, first, endpoints)
 	must.Wait(t, wait.InitialSuccess(
 		wait.BoolFunc(func() bool {
 			saved, err := first.follower.LoadCrashes(ctx)
@@ -74,6 +81,25 @@
 	waitUntilQuarantined(t, second)
 }
 
+// Guards against saved crashes that were lost when the store was restored from an older
+// copy and are missing at the next start of all routers.
+func TestCrashesAreSavedAgainAfterRestoration(t *testing.T) {
+	store := directtest.NewStore()
+	empty := store.Copy()
+	p, endpoints := startCrashKeeper(t.Context(), store)
+	crashEngines(t, p, endpoints)
+	isSaved := wait.BoolFunc(func() bool {
+		saved, err := p.follower.LoadCrashes(t.Context())
+		return err == nil && saved != nil
+	})
+	must.Wait(t, wait.InitialSuccess(isSaved, wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	store.Restore(empty)
+	batch, err := store.List(t.Context(), follow.Endpoints)
+	must.NoError(t, err)
+	must.NoError(t, p.follower.Apply(follow.Endpoints, batch))
+	must.Wait(t, wait.InitialSuccess(isSaved, wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
 // Guards against saved crashes that get younger or older with each restart, and against
 // ones from a host whose clock is ahead.
 func TestSavedCrashesKeepTheirAge(t *testing.T) {
--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -175,13 +175,13 @@
 }
 
 // Write implements follow.Store.
-func (s *Store) Write(_ context.Context, topic follow.Topic, key string, value []byte) error {
+func (s *Store) Write(_ context.Context, topic follow.Topic, key string, value []byte) (int64, error) {
 	s.mu.Lock()
-	unreachable := s.unreachable
+	unreachable, era := s.unreachable, s.era
 	s.mu.Unlock()
 	if unreachable {
-		return ErrUnreachable
+		return 0, ErrUnreachable
 	}
 	s.Append(topic, key, string(value))
-	return nil
+	return era, nil
 }
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -39,6 +39,9 @@
 	readerCheckInterval = 100 * time.Millisecond
 	// announceRetryDelay is the delay before a failed announcement is retried.
 	announceRetryDelay = 2 * time.Second
+	// announceCheckInterval is the mean interval at which a router checks whether the
+	// store was restored since it announced itself.
+	announceCheckInterval = 5 * time.Second
 )
 
 // Follower applies records from the store and from peers to the routing and
@@ -69,6 +72,8 @@
 	loaded [2]atomic.Bool
 	// reading is set while the store responds to this router's reads of a topic.
 	reading [2]atomic.Bool
+	// announced is closed once the store has acknowledged the announcement.
+	announced chan struct{}
 }
 
 // Options holds the settings and dependencies of a Follower.
@@ -94,6 +99,7 @@
 		storeCalls: metrics.GetOrRegisterCounter("direct.store_calls", o.Metrics),
 		badRecords: metrics.GetOrRegisterCounter("direct.bad_records", o.Metrics),
 		OnChange:   func() {},
+		announced:  make(chan struct{}),
 		mirrors:    [2]*mirror.Topic{mirror.NewTopic(), mirror.NewTopic()},
 	}
 }
@@ -396,29 +402,63 @@
 	}
 }
 
-// Announce writes this router's address to the store, and retries until the
-// store acknowledges it or ctx is done.
-func (f *Follower) Announce(ctx context.Context, name, address string) {
+// Era returns the latest era of the store that is known here. Records written in an
+// earlier one may be lost.
+func (f *Follower) Era() int64 {
+	return max(f.mirrors[Configuration].Position().Era, f.mirrors[Endpoints].Position().Era)
+}
+
+// Announce writes this router's address to the store, again in each era of the store,
+// until ctx is done and returns its error. It retries until the store acknowledges it.
+// It must be called once.
+func (f *Follower) Announce(ctx context.Context, name, address string) error {
+	announced := f.announceOnce(ctx, name, address)
+	close(f.announced)
+	for ctx.Err() == nil {
+		// All routers start at the same time. The random interval spreads their calls.
+		sleep(ctx, announceCheckInterval/2+rand.N(announceCheckInterval))
+		if era := f.Era(); era > announced && ctx.Err() == nil {
+			f.log.Info("the announcement of this router may be lost; announcing it again", "era", era, "announced_era", announced)
+			announced = f.announceOnce(ctx, name, address)
+		}
+	}
+	return ctx.Err()
+}
+
+// AwaitAnnounced waits until the store has acknowledged the announcement of this router.
+func (f *Follower) AwaitAnnounced(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-f.announced:
+		return nil
+	}
+}
+
+// announceOnce returns the era to which the acknowledged record belongs.
+func (f *Follower) announceOnce(ctx context.Context, name, address string) (era int64) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callMargin)
 		f.storeCalls.Inc(1)
-		err := f.store.Write(call, Members, name, []byte(address))
+		era, err := f.store.Write(call, Members, name, []byte(address))
 		cancel()
 		if err == nil {
-			return
+			return era
 		}
 		if f.limiter.Allow(time.Now(), "announce", "store") {
 			f.log.Warn("announce router failed; retrying", "error", err.Error())
 		}
 		sleep(ctx, announceRetryDelay)
 	}
+	return 0
 }
 
 // crashesKey is the key of the only record of Crashes. A router writes all that it knows.
 const crashesKey = "crashes"
 
-// SaveCrashes writes what is known about requests that crash engines to the store.
-func (f *Follower) SaveCrashes(ctx context.Context, value []byte) error {
+// SaveCrashes writes what is known about requests that crash engines to the store. It
+// returns the era to which the record belongs.
+func (f *Follower) SaveCrashes(ctx context.Context, value []byte) (era int64, err error) {
 	call, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
 	f.storeCalls.Inc(1)
--- a/direct/follow/restored_store_test.go
+++ b/direct/follow/restored_store_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -143,3 +144,25 @@
 		f.store.RefuseReads(false)
 	})
 }
+
+// Guards against a router whose announcement was lost with the restoration, so that
+// routers that start later don't find it.
+func TestRouterIsAnnouncedAgainAfterRestoration(t *testing.T) {
+	runFollower(t, nil, func(f *fixture) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		empty := f.store.Copy()
+		go func() { done <- f.follower.Announce(ctx, "r1", "10.0.0.1:7400") }()
+		must.NoError(t, f.follower.AwaitAnnounced(ctx))
+		time.Sleep(time.Second)
+		f.restore(empty)
+		time.Sleep(10 * time.Second)
+		members, err := f.follower.ListMembers(ctx)
+		must.NoError(t, err)
+		must.Eq(t, []string{"10.0.0.1:7400"}, members)
+		time.Sleep(time.Minute)
+		must.Eq(t, 1, f.store.Copy()[follow.Members], must.Sprint("one record in each era"))
+		cancel()
+		must.ErrorIs(t, <-done, context.Canceled)
+	})
+}
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -44,8 +44,9 @@
 	// store doesn't hold the records at from: they were compacted, or the store was
 	// restored from a copy that ends before.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
-	// Write appends a record to Members or Crashes.
-	Write(ctx context.Context, topic Topic, key string, value []byte) error
+	// Write appends a record to Members or Crashes and returns the era that it belongs
+	// to. If the store is restored from a copy later, the record may be lost.
+	Write(ctx context.Context, topic Topic, key string, value []byte) (era int64, err error)
 }
 
 // Decoder decodes the values of records.
--- a/direct/process.go
+++ b/direct/process.go
@@ -245,6 +245,9 @@
 	group.Go(func() error { return p.mesh.SendLimits(ctx) })
 	group.Go(func() error { return p.keepCrashes(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
+	group.Go(func() error {
+		return p.follower.Announce(ctx, p.options.Settings.Name, p.listeners.fleet.Addr().String())
+	})
 	group.Go(func() error { return p.join(ctx) })
 	group.Go(func() error { return p.sweep(ctx) })
 	group.Go(func() error { return p.awaitStop(ctx, traffic) })
@@ -337,11 +340,12 @@
 	}
 }
 
-// join announces this router in the store. While this router has no live peers,
-// join periodically adds the routers that are announced there as peers.
+// join periodically adds the routers that are announced in the store as peers while this
+// router has no live peers.
 func (p *process) join(ctx context.Context) error {
-	s := &p.options.Settings
-	p.follower.Announce(ctx, s.Name, p.listeners.fleet.Addr().String())
+	if err := p.follower.AwaitAnnounced(ctx); err != nil {
+		return err
+	}
 	ticker := time.NewTicker(membersInterval)
 	defer ticker.Stop()
 	for {
