Failed sends are logged with a fingerprint of the request

The logs could not tell whether the requests that were interrupted in different crashes are the same: their identifiers are new with each attempt of a client.

--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -267,6 +267,7 @@
 		slog.String("request", r.id), slog.String("route", r.route.Name),
 		slog.String("endpoint", a.assignment.Endpoint.ID), slog.String("result", resultName(result)),
 		slog.Int64("after_ms", time.Since(a.startedAt).Milliseconds()), slog.Int("sends", r.sentAttempts),
+		slog.String("fingerprint", strconv.FormatUint(r.fingerprint(), 16)),
 	}
 	if a.err != nil {
 		attrs = append(attrs, slog.String("error", a.err.Error()))
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -110,6 +110,8 @@
 	service    *routing.Service
 	body       []byte
 	cost       prompt.Cost
+	// cachedFingerprint is the result of fingerprint, or 0 before its first call.
+	cachedFingerprint uint64
 	// sentAttempts counts the attempts in which the request was sent.
 	sentAttempts int
 	// possibleExecutions counts the attempts that may have executed the request.
