Requests that crash endpoints are quarantined by their fingerprint

Cause: the quarantine knew only the parts of prompts. Requests to plain services have none, and nothing else connects the crashes.

Change: an interrupted attempt has the fingerprint of its request (team, method, host, target, body) and goes through the same table, reports and record in the store as the prompt parts. The request with the most crashes explains them; two crashes suffice if it is the only one they have in common, three otherwise. Any complete answer clears it, a refusal doesn't. A quarantined request gets 503 with Retry-After at once, before it is sent.

TestRefusalDoesNotClearCrashingRequest fails if refusals count as answers (trial).

--- a/coordination/quarantine/facts.go
+++ b/coordination/quarantine/facts.go
@@ -9,11 +9,13 @@
 // Facts are the observations from which sets are quarantined. Routers exchange them.
 type Facts struct {
 	Interrupted []Interrupted
-	// Served holds the parts of interrupted attempts that are cleared.
+	// Served holds the parts of interrupted attempts, and the fingerprints of their requests,
+	// that are cleared.
 	Served []ServedPart
 }
 
-// ServedPart is a part and the time of the latest served request with it.
+// ServedPart is a part and the time of the latest served request with it, or the
+// fingerprint of a request and the time of its latest answer.
 type ServedPart struct {
 	Part uint64
 	At   time.Time
@@ -26,8 +28,8 @@
 func (t *Table) Facts() Facts {
 	f := Facts{Interrupted: append([]Interrupted(nil), t.interrupted...)}
 	for p, crash := range t.involved {
-		if t.cleared(p, crash) {
-			f.Served = append(f.Served, ServedPart{Part: p, At: t.served[p]})
+		if at, _ := t.servedAt(p); t.cleared(p, crash) {
+			f.Served = append(f.Served, ServedPart{Part: p, At: at})
 		}
 	}
 	return f
@@ -81,7 +83,7 @@
 		known[s.Part] = s.At
 	}
 	for _, i := range f.Interrupted {
-		for _, p := range i.Parts {
+		for _, p := range i.ids() {
 			at, ok := known[p]
 			if t.cleared(p, i.At) && (!ok || !at.After(i.At.Add(-clearedFor))) {
 				return true
--- a/coordination/quarantine/sets.go
+++ b/coordination/quarantine/sets.go
@@ -11,15 +11,18 @@
 	at         time.Time
 	responding bool
 	parts      []uint64
+	// request is 0 if the whole request is cleared.
+	request uint64
 }
 
 // update derives the quarantined sets from the interrupted attempts.
 func (t *Table) update() {
 	list := t.suspects()
+	t.updateRequests(list)
 	previous := t.sets
 	t.sets = nil
 	for i := range list {
-		t.quarantine(list[i].parts, list, minCrashes)
+		t.quarantineSet(list[i].parts, list, minCrashes)
 	}
 	// The common part of different sets proves less: two parts may crash engines, and
 	// their requests may share sound parts. Only crashes that no set explains count.
@@ -28,7 +31,7 @@
 	})
 	for i := range list {
 		for j := range i {
-			t.quarantine(intersection(list[i].parts, list[j].parts), list, minCommonCrashes)
+			t.quarantineSet(intersection(list[i].parts, list[j].parts), list, minCommonCrashes)
 		}
 	}
 	for i := range t.sets {
@@ -42,8 +45,8 @@
 	return slices.IndexFunc(sets, func(s set) bool { return slices.Equal(s.parts, parts) })
 }
 
-// suspects drops the interrupted attempts whose parts are all cleared, and returns the
-// others without their cleared parts.
+// suspects drops the interrupted attempts of which nothing is suspected, and returns the
+// others without what is cleared.
 func (t *Table) suspects() []suspects {
 	var list []suspects
 	t.interrupted = slices.DeleteFunc(t.interrupted, func(i Interrupted) bool {
@@ -53,7 +56,10 @@
 				s.parts = append(s.parts, p)
 			}
 		}
-		if len(s.parts) == 0 {
+		if i.Request != 0 && !t.cleared(i.Request, i.At) {
+			s.request = i.Request
+		}
+		if len(s.parts) == 0 && s.request == 0 {
 			return true
 		}
 		list = append(list, s)
@@ -62,8 +68,8 @@
 	return list
 }
 
-// quarantine adds the set with these parts if it recurs in enough crashes of list.
-func (t *Table) quarantine(parts []uint64, list []suspects, minimum int) {
+// quarantineSet adds the set with these parts if it recurs in enough crashes of list.
+func (t *Table) quarantineSet(parts []uint64, list []suspects, minimum int) {
 	if len(parts) == 0 || indexOfSet(t.sets, parts) >= 0 {
 		return
 	}
@@ -88,7 +94,7 @@
 	if last.Sub(first) < span {
 		return
 	}
-	t.sets = append(t.sets, set{parts: parts, crashes: len(crashes), until: last.Add(t.period(len(crashes)))})
+	t.sets = append(t.sets, set{parts: parts, quarantine: quarantine{until: last.Add(t.period(len(crashes)))}})
 }
 
 func timeRange(times map[uint32]time.Time) (first, last time.Time) {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -34,7 +34,7 @@
 	trialTime = 5 * time.Second
 	// maxInterrupted bounds the interrupted attempts that are kept, maxPending those
 	// that are not confirmed, and maxServed the served parts.
-	maxInterrupted = 64
+	maxInterrupted = 128
 	maxPending     = 256
 	maxServed      = 8192
 	// involvedFor is how long after a crash peers are told that parts of its requests
@@ -53,6 +53,9 @@
 	Responding bool
 	// Parts holds the IDs of the request's shared parts.
 	Parts []uint64
+	// Request is the fingerprint of the whole request, or 0 if it is unknown. Repetitions
+	// of a request have the same one.
+	Request uint64
 }
 
 // pending is an interrupted attempt whose endpoint isn't known to be down yet.
@@ -63,11 +66,8 @@
 
 // set is a quarantined set of parts. A request is refused if it contains all of them.
 type set struct {
-	parts   []uint64
-	crashes int
-	until   time.Time
-	// trialAt is when the latest trial after the quarantine began.
-	trialAt time.Time
+	parts []uint64
+	quarantine
 }
 
 // Table holds the interrupted attempts and the sets in quarantine. It is not safe for
@@ -80,14 +80,21 @@
 	served   map[uint64]time.Time
 	involved map[uint64]time.Time
 	sets     []set
-	jitter   float64
+	// requests holds the quarantined requests by fingerprint.
+	requests map[uint64]*quarantine
+	// recent holds the fingerprints of requests that were answered lately.
+	recent recentRequests
+	jitter float64
 	// news holds the observations that peers haven't been told.
 	news Facts
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{served: map[uint64]time.Time{}, involved: map[uint64]time.Time{}, jitter: maxJitter * rand.Float64()}
+	return &Table{
+		served: map[uint64]time.Time{}, involved: map[uint64]time.Time{}, requests: map[uint64]*quarantine{},
+		jitter: maxJitter * rand.Float64(),
+	}
 }
 
 // AddInterrupted records an attempt whose connection to the endpoint with this hash broke
@@ -95,7 +102,7 @@
 // otherwise the attempt counts once EndpointDown is called for it, and check is true for
 // the first one at an endpoint.
 func (t *Table) AddInterrupted(i Interrupted, endpoint uint32, down bool) (check bool) {
-	if len(i.Parts) == 0 {
+	if len(i.Parts) == 0 && i.Request == 0 {
 		return false
 	}
 	if down {
@@ -140,21 +147,24 @@
 }
 
 // merge adds an interrupted attempt that has suspects and reports whether that may change
-// the sets. Of the attempts in one crash, those whose response had not begun count only
-// if no other's had.
+// the sets. Of the attempts with parts in one crash, those whose response had not begun count
+// only if no other's had: engines begin the response when they begin to run a prompt.
 func (t *Table) merge(i Interrupted) bool {
 	t.recordInvolved(&i)
 	if !t.hasSuspects(&i) {
 		return false
 	}
-	sameCrash := func(k Interrupted) bool { return k.Crash == i.Crash }
-	if !i.Responding && slices.ContainsFunc(t.interrupted, func(k Interrupted) bool { return sameCrash(k) && k.Responding }) {
+	hasParts := len(i.Parts) > 0
+	sameEngine := func(k Interrupted) bool { return k.Crash == i.Crash && hasParts && len(k.Parts) > 0 }
+	if !i.Responding && slices.ContainsFunc(t.interrupted, func(k Interrupted) bool { return sameEngine(k) && k.Responding }) {
 		return false
 	}
 	if i.Responding {
-		t.interrupted = slices.DeleteFunc(t.interrupted, func(k Interrupted) bool { return sameCrash(k) && !k.Responding })
+		t.interrupted = slices.DeleteFunc(t.interrupted, func(k Interrupted) bool { return sameEngine(k) && !k.Responding })
 	}
-	at := slices.IndexFunc(t.interrupted, func(k Interrupted) bool { return sameCrash(k) && slices.Equal(k.Parts, i.Parts) })
+	at := slices.IndexFunc(t.interrupted, func(k Interrupted) bool {
+		return k.Crash == i.Crash && k.Request == i.Request && slices.Equal(k.Parts, i.Parts)
+	})
 	if at >= 0 {
 		known := &t.interrupted[at]
 		earlier := i.At.Before(known.At)
@@ -171,7 +181,7 @@
 }
 
 func (t *Table) recordInvolved(i *Interrupted) {
-	for _, p := range i.Parts {
+	for _, p := range i.ids() {
 		at, ok := t.involved[p]
 		if i.At.After(at) && (ok || len(t.involved) < maxInvolved) {
 			t.involved[p] = i.At
@@ -179,6 +189,14 @@
 	}
 }
 
+// ids returns the IDs of the parts and the fingerprint of the request.
+func (i *Interrupted) ids() []uint64 {
+	if i.Request == 0 {
+		return i.Parts
+	}
+	return append(slices.Clone(i.Parts), i.Request)
+}
+
 func (t *Table) dropOldest() {
 	oldest := 0
 	for n := range t.interrupted {
@@ -189,9 +207,10 @@
 	t.interrupted = slices.Delete(t.interrupted, oldest, oldest+1)
 }
 
-// hasSuspects reports whether an interrupted attempt has a part that isn't cleared.
+// hasSuspects reports whether an interrupted attempt has a part that isn't cleared, or the
+// request itself isn't.
 func (t *Table) hasSuspects(i *Interrupted) bool {
-	return slices.ContainsFunc(i.Parts, func(p uint64) bool { return !t.cleared(p, i.At) })
+	return slices.ContainsFunc(i.ids(), func(p uint64) bool { return !t.cleared(p, i.At) })
 }
 
 // Served records that an engine produced an event for a request with these parts, which
@@ -213,6 +232,16 @@
 	}
 }
 
+// Answered records that an endpoint answered the request with this fingerprint completely,
+// so that it doesn't crash endpoints.
+func (t *Table) Answered(now time.Time, request uint64) {
+	if _, ok := t.involved[request]; ok {
+		t.Served(now, []uint64{request})
+		return
+	}
+	t.recent.add(now, request)
+}
+
 // evictServed deletes the parts that no longer count as sound, except those that were
 // cleared after a crash.
 func (t *Table) evictServed(now time.Time) {
@@ -229,38 +258,49 @@
 // suspected reports whether a part is a suspect of an interrupted attempt.
 func (t *Table) suspected(part uint64) bool {
 	return slices.ContainsFunc(t.interrupted, func(i Interrupted) bool {
-		return slices.Contains(i.Parts, part) && !t.cleared(part, i.At)
+		return (i.Request == part || slices.Contains(i.Parts, part)) && !t.cleared(part, i.At)
 	})
 }
 
 // cleared reports whether a part counts as sound for a crash at this time.
 func (t *Table) cleared(part uint64, crash time.Time) bool {
-	at, ok := t.served[part]
+	at, ok := t.servedAt(part)
 	return ok && at.After(crash.Add(-clearedFor))
 }
 
-// Refuse reports whether a request with these parts must be refused, and until when. After
-// a quarantine has ended, it lets one request at a time through.
-func (t *Table) Refuse(now time.Time, parts []uint64) (until time.Time, refuse bool) {
+// servedAt returns the time of the latest served request with a part, or of the latest
+// answer to the request with this fingerprint.
+func (t *Table) servedAt(id uint64) (at time.Time, ok bool) {
+	if at, ok = t.served[id]; ok {
+		return at, true
+	}
+	return t.recent.lookup(id)
+}
+
+// Refuse reports whether a request with these parts and this fingerprint must be refused,
+// and until when. After a quarantine has ended, it lets one request at a time through. The
+// fingerprint is 0 if it is unknown.
+func (t *Table) Refuse(now time.Time, parts []uint64, request uint64) (until time.Time, refuse bool) {
 	for i := range t.sets {
-		s := &t.sets[i]
-		if !containsAll(parts, s.parts) {
+		if !containsAll(parts, t.sets[i].parts) {
 			continue
 		}
-		if now.Before(s.until) {
-			return s.until, true
+		if until, refuse := t.sets[i].refuse(now); refuse {
+			return until, true
 		}
-		if trialEnd := s.trialAt.Add(trialTime); now.Before(trialEnd) {
-			return trialEnd, true
-		}
-		s.trialAt = now
+	}
+	if q := t.requests[request]; q != nil {
+		return q.refuse(now)
 	}
 	return time.Time{}, false
 }
 
 // Contains reports whether a request with these parts contains a set that is in
-// quarantine. Unlike Refuse, it allows no trial.
-func (t *Table) Contains(now time.Time, parts []uint64) bool {
+// quarantine, or is itself. Unlike Refuse, it allows no trial.
+func (t *Table) Contains(now time.Time, parts []uint64, request uint64) bool {
+	if q := t.requests[request]; q != nil && now.Before(q.until) {
+		return true
+	}
 	return slices.ContainsFunc(t.sets, func(s set) bool { return now.Before(s.until) && containsAll(parts, s.parts) })
 }
 
@@ -273,8 +313,8 @@
 	return true
 }
 
-// Quarantined returns the number of quarantined sets of parts.
-func (t *Table) Quarantined() int { return len(t.sets) }
+// Quarantined returns the number of quarantined sets of parts and requests.
+func (t *Table) Quarantined() int { return len(t.sets) + len(t.requests) }
 
 // Expire deletes interrupted attempts whose quarantine has ended long ago, and the parts
 // that aren't needed to judge the others.
@@ -285,7 +325,7 @@
 		t.update()
 	}
 	for p, at := range t.involved {
-		if now.Sub(at) > involvedFor && !slices.ContainsFunc(t.interrupted, func(i Interrupted) bool { return slices.Contains(i.Parts, p) }) {
+		if now.Sub(at) > involvedFor && !slices.ContainsFunc(t.interrupted, func(i Interrupted) bool { return slices.Contains(i.ids(), p) }) {
 			delete(t.involved, p)
 		}
 	}
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -21,7 +21,7 @@
 }
 
 func refuses(t *Table, at time.Duration, parts ...uint64) bool {
-	_, refuse := t.Refuse(start.Add(at), parts)
+	_, refuse := t.Refuse(start.Add(at), parts, 0)
 	return refuse
 }
 
--- a/direct/crashes_test.go
+++ b/direct/crashes_test.go
@@ -39,7 +39,7 @@
 func waitUntilQuarantined(t *testing.T, p *process) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), crashingPrompt) != nil }),
+		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), crashingPrompt, 0) != nil }),
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
 
@@ -76,7 +76,7 @@
 
 	store.SetUnreachable(true)
 	second, _ := startCrashKeeper(t.Context(), store)
-	must.Nil(t, second.dispatcher.Quarantine(time.Now(), crashingPrompt))
+	must.Nil(t, second.dispatcher.Quarantine(time.Now(), crashingPrompt, 0))
 	store.SetUnreachable(false)
 	waitUntilQuarantined(t, second)
 }
--- a/direct/dispatch/crashes.go
+++ b/direct/dispatch/crashes.go
@@ -12,15 +12,16 @@
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
-// Quarantine returns a refusal if requests with some of the prompt's parts crash engines,
-// and otherwise nil.
-func (d *Dispatcher) Quarantine(now time.Time, cost prompt.Cost) *Refusal {
+// Quarantine returns a refusal if the request with this fingerprint crashes endpoints, or if
+// requests with some of the prompt's parts crash engines, and otherwise nil. The fingerprint
+// is 0 while it is unknown.
+func (d *Dispatcher) Quarantine(now time.Time, cost prompt.Cost, fingerprint uint64) *Refusal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.crashingParts.Quarantined() == 0 {
 		return nil
 	}
-	until, refuse := d.crashingParts.Refuse(now, cost.SharedIDs())
+	until, refuse := d.crashingParts.Refuse(now, cost.SharedIDs(), fingerprint)
 	if !refuse {
 		return nil
 	}
@@ -32,12 +33,12 @@
 // caller should check whether the endpoint is down.
 func (a *Assignment) Interrupted(now time.Time, responding bool) (check bool) {
 	a.withLock(func() {
-		if a.attempt.FirstEventReceived() || len(a.sharedParts) == 0 {
+		if a.attempt.FirstEventReceived() {
 			return
 		}
 		d := a.dispatcher
 		check = d.crashingParts.AddInterrupted(quarantine.Interrupted{
-			Crash: incarnation(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts,
+			Crash: incarnation(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts, Request: a.fingerprint,
 		}, endpointload.Hash(a.Endpoint.ID), d.loads.Down(now, a.Endpoint.ID))
 		d.handleCrashes(now)
 	})
@@ -61,21 +62,35 @@
 // Served records that the endpoint responded with an event, or with a complete response.
 // Only the first call has an effect.
 func (a *Assignment) Served(now time.Time) {
-	if a.served || len(a.sharedParts) == 0 {
+	if a.served {
 		return
 	}
 	a.served = true
 	a.withLock(func() {
 		delete(a.dispatcher.waiting, a)
+		if len(a.sharedParts) == 0 {
+			return
+		}
 		a.dispatcher.crashingParts.Served(now, a.sharedParts)
 		a.dispatcher.announceCrashes()
 	})
 }
 
-// CancelIfQuarantined makes the dispatcher call cancel if parts of the prompt are
-// quarantined before the endpoint has responded.
+// Answered records that the endpoint responded completely, with any status.
+func (a *Assignment) Answered(now time.Time) {
+	if a.fingerprint == 0 {
+		return
+	}
+	a.withLock(func() {
+		a.dispatcher.crashingParts.Answered(now, a.fingerprint)
+		a.dispatcher.announceCrashes()
+	})
+}
+
+// CancelIfQuarantined makes the dispatcher call cancel if the request or parts of its prompt
+// are quarantined before the endpoint has responded.
 func (a *Assignment) CancelIfQuarantined(cancel func()) {
-	if len(a.sharedParts) == 0 {
+	if len(a.sharedParts) == 0 && a.fingerprint == 0 {
 		return
 	}
 	a.withLock(func() {
@@ -84,7 +99,7 @@
 	})
 }
 
-// Quarantined reports whether the attempt was cancelled because of its prompt's parts.
+// Quarantined reports whether the attempt was cancelled because of the quarantine.
 func (a *Assignment) Quarantined() bool {
 	quarantined := false
 	a.withLock(func() { quarantined = a.quarantined })
@@ -97,7 +112,7 @@
 		return
 	}
 	for a := range d.waiting {
-		if d.crashingParts.Contains(now, a.sharedParts) {
+		if d.crashingParts.Contains(now, a.sharedParts, a.fingerprint) {
 			a.quarantined = true
 			delete(d.waiting, a)
 			a.cancel()
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -156,6 +156,8 @@
 	Service string
 	Team    string
 	Cost    prompt.Cost
+	// Fingerprint identifies repetitions of the request; 0 if it is unknown.
+	Fingerprint uint64
 	// Target is the latency target.
 	Target time.Duration
 	// Exclude lists the IDs of endpoints that were tried before.
@@ -191,8 +193,9 @@
 	// OverShare means that the team exceeds its fair share and no endpoint has
 	// capacity left for its reduced allowance.
 	OverShare Reason = "team is above its share"
-	// Quarantined means that requests with some of the prompt's parts crash engines.
-	Quarantined Reason = "the prompt contains parts that crash engines"
+	// Quarantined means that the request, or requests with some of the prompt's parts,
+	// crash endpoints.
+	Quarantined Reason = "the request crashes endpoints"
 )
 
 // Assignment is one attempt to run a request at an endpoint.
@@ -210,7 +213,8 @@
 	// endpoint has served a request with them.
 	sharedParts []uint64
 	served      bool
-	// cancel ends the attempt if its parts are quarantined; quarantined is set if it did.
+	fingerprint uint64
+	// cancel ends the attempt if the request is quarantined; quarantined is set if it did.
 	cancel      func()
 	quarantined bool
 	// charge is the charge to the team; nil without a team or after a refund.
@@ -282,7 +286,7 @@
 	attempt := d.loads.StartAttempt(now, chosen.ID, request.Cost, c.Pending)
 	return &Assignment{
 		Endpoint: chosen, ExpectedWait: c.Wait(), UncachedTokens: c.UncachedTokens, dispatcher: d, attempt: attempt,
-		sharedParts: request.Cost.SharedIDs(), charge: d.charge(now, request),
+		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint, charge: d.charge(now, request),
 	}, nil
 }
 
@@ -425,7 +429,7 @@
 	}
 	d.requestLimits.Take(now, endpointload.Hash(endpoints[best].ID))
 	attempt := d.loads.StartAttempt(now, endpoints[best].ID, prompt.Cost{}, 0)
-	return &Assignment{Endpoint: endpoints[best], dispatcher: d, attempt: attempt}, nil
+	return &Assignment{Endpoint: endpoints[best], dispatcher: d, attempt: attempt, fingerprint: request.Fingerprint}, nil
 }
 
 const (
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -200,6 +200,9 @@
 	if result == endpointload.Failed && a.err != nil && a.assignment.Interrupted(now, a.response != nil) {
 		go r.h.checkEndpoint(a.assignment.Endpoint)
 	}
+	if a.outcome == responded && a.err == nil && result != endpointload.Abandoned {
+		a.assignment.Answered(now)
+	}
 	a.assignment.End(now, result)
 	r.h.Metrics.countAttempt(result)
 	if result != endpointload.Succeeded {
@@ -267,7 +270,7 @@
 		slog.String("request", r.id), slog.String("route", r.route.Name),
 		slog.String("endpoint", a.assignment.Endpoint.ID), slog.String("result", resultName(result)),
 		slog.Int64("after_ms", time.Since(a.startedAt).Milliseconds()), slog.Int("sends", r.sentAttempts),
-		slog.String("fingerprint", strconv.FormatUint(r.fingerprint(), 16)),
+		slog.String("fingerprint", formatFingerprint(r.fingerprint())),
 	}
 	if a.err != nil {
 		attrs = append(attrs, slog.String("error", a.err.Error()))
--- a/direct/entry/crashing_request_test.go
+++ b/direct/entry/crashing_request_test.go
@@ -41,6 +41,27 @@
 	close(ready)
 }
 
+// Guards against taking a refusal by a full endpoint for an answer, which would clear the
+// request that crashes endpoints.
+func TestRefusalDoesNotClearCrashingRequest(t *testing.T) {
+	f := &mortalFleet{router: newRouter(t), service: "plain"}
+	for range 4 {
+		f.addMortalEndpoint()
+	}
+	f.send("/order/x", deadlyBody)
+	time.Sleep(crashInterval)
+	full := f.add("a-full", "plain", func(c net.Conn, call *directtest.Call) bool {
+		directtest.Respond(c, call, http.StatusServiceUnavailable, "full", headers.NotExecuted+": 1")
+		return true
+	})
+	for range 8 {
+		f.send("/order/x", deadlyBody)
+		time.Sleep(crashInterval)
+	}
+	must.Positive(t, len(full.Calls()))
+	must.LessEq(t, 3, f.numCrashes())
+}
+
 // mortalFleet is a router in front of such endpoints.
 type mortalFleet struct {
 	*router
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -135,7 +135,11 @@
 		r.refuse(http.StatusServiceUnavailable, "the router is overloaded", shedRetryAfter())
 		return
 	}
-	if !r.resolve() || r.refuseIfQuarantined() || r.refuseIfOverloaded() {
+	if !r.resolve() {
+		return
+	}
+	r.parseCost()
+	if r.refuseIfQuarantined(r.cost, noFingerprint) || r.refuseIfOverloaded() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(in.Context(), r.deadline.Add(responseGrace))
@@ -148,6 +152,9 @@
 	if r.connectionClosed() {
 		r.abortDisconnected(errConnectionClosed)
 	}
+	if r.refuseIfQuarantined(prompt.Cost{}, r.fingerprint()) {
+		return
+	}
 	r.forward()
 }
 
@@ -165,11 +172,12 @@
 	return true
 }
 
-// refuseIfQuarantined refuses a request with prompt parts that crash engines, before its
-// body is read, and reports whether it did. It doesn't count as demand of its team.
-func (r *request) refuseIfQuarantined() bool {
-	r.parseCost()
-	refusal := r.h.Dispatcher.Quarantine(time.Now(), r.cost)
+// refuseIfQuarantined refuses a request that crashes endpoints, or with prompt parts that
+// crash engines, and reports whether it did. It doesn't count as demand of its team. The
+// parts are checked before the body is read. They must not be checked again after it: if
+// the request is a trial of a quarantine that has ended, it would be refused itself.
+func (r *request) refuseIfQuarantined(parts prompt.Cost, fingerprint uint64) bool {
+	refusal := r.h.Dispatcher.Quarantine(time.Now(), parts, fingerprint)
 	if refusal == nil {
 		return false
 	}
@@ -383,7 +391,7 @@
 
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
 	return &dispatch.Request{
-		Service: r.service.Name, Team: r.team, Cost: r.cost,
+		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
 		Target: r.latencyTarget(now), Exclude: r.exclude,
 		Repeated: r.possibleExecutions > 0,
 	}
--- a/direct/entry/log.go
+++ b/direct/entry/log.go
@@ -32,7 +32,7 @@
 		slog.Int64("units", r.cost.Units()),
 	}
 	if refusal.Reason == dispatch.Quarantined {
-		attrs = append(attrs, slog.String("prompt_parts", r.promptPartsForLog()))
+		attrs = append(attrs, slog.String("prompt_parts", r.promptPartsForLog()), slog.String("fingerprint", formatFingerprint(r.cachedFingerprint)))
 	}
 	return attrs
 }
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -42,7 +42,7 @@
 
 func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
 	if r.sentAttempts > 0 {
-		if refusal := r.h.Dispatcher.Quarantine(now, r.cost); refusal != nil {
+		if refusal := r.h.Dispatcher.Quarantine(now, r.cost, r.fingerprint()); refusal != nil {
 			return nil, refusal
 		}
 	}
--- a/direct/mesh/crashes.go
+++ b/direct/mesh/crashes.go
@@ -85,7 +85,7 @@
 	r := &loadreport.CrashReport{Instance: instance}
 	for _, i := range f.Interrupted {
 		r.Interrupted = append(r.Interrupted, loadreport.InterruptedRequest{
-			Crash: i.Crash, AgeMs: wireAge(now.Sub(i.At)), Responding: i.Responding, Parts: i.Parts,
+			Crash: i.Crash, AgeMs: wireAge(now.Sub(i.At)), Responding: i.Responding, Parts: i.Parts, Request: i.Request,
 		})
 	}
 	for _, s := range f.Served {
@@ -103,7 +103,7 @@
 	}
 	for _, i := range r.Interrupted {
 		f.Interrupted = append(f.Interrupted, quarantine.Interrupted{
-			Crash: i.Crash, At: now.Add(-fromWireAge(i.AgeMs)), Responding: i.Responding, Parts: i.Parts,
+			Crash: i.Crash, At: now.Add(-fromWireAge(i.AgeMs)), Responding: i.Responding, Parts: i.Parts, Request: i.Request,
 		})
 	}
 	for _, s := range r.Served {
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -96,7 +96,7 @@
 func waitForQuarantine(t *testing.T, p *testPeer, cost prompt.Cost) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), cost) != nil }),
+		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), cost, 0) != nil }),
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
 
@@ -114,7 +114,7 @@
 	}
 	a.dispatcher.MergeCrashFacts(time.Now(), facts)
 	waitForQuarantine(t, b, cost)
-	must.Nil(t, b.dispatcher.Quarantine(time.Now(), prompt.Parse("5c:800,e4:250", "", "")))
+	must.Nil(t, b.dispatcher.Quarantine(time.Now(), prompt.Parse("5c:800,e4:250", "", ""), 0))
 
 	c := newTestPeer(t, "c")
 	c.Add(b.address)
@@ -136,10 +136,10 @@
 	unaware := facts
 	unaware.Served = nil
 	b.dispatcher.MergeCrashFacts(time.Now(), unaware)
-	must.NotNil(t, b.dispatcher.Quarantine(time.Now(), cost))
+	must.NotNil(t, b.dispatcher.Quarantine(time.Now(), cost, 0))
 	a.dispatcher.MergeCrashFacts(time.Now(), facts)
 	must.Wait(t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool { return b.dispatcher.Quarantine(time.Now(), cost) == nil }),
+		wait.BoolFunc(func() bool { return b.dispatcher.Quarantine(time.Now(), cost, 0) == nil }),
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
 
--- a/protocol/loadreport/crashes.go
+++ b/protocol/loadreport/crashes.go
@@ -4,7 +4,7 @@
 
 // crashFormatVersion is the first byte of a datagram with a CrashReport. Routers that
 // don't know it ignore the datagram.
-const crashFormatVersion = 0xB1
+const crashFormatVersion = 0xB4
 
 // CrashReport tells peers which requests engines were running when they crashed. It is
 // sent after such a crash and, while any is remembered, at long intervals.
@@ -12,7 +12,8 @@
 	// Instance is the random identifier of the sending process.
 	Instance    string
 	Interrupted []InterruptedRequest
-	// Served holds parts of these requests with which others were served.
+	// Served holds parts of these requests with which others were served, and fingerprints
+	// of those that were answered.
 	Served []ServedPart
 }
 
@@ -26,9 +27,12 @@
 	Responding bool
 	// Parts holds the IDs of the prompt's shared parts.
 	Parts []uint64
+	// Request is the fingerprint of the request, or 0 if it is unknown.
+	Request uint64
 }
 
-// ServedPart is a prompt part with which a request was served.
+// ServedPart is a prompt part with which a request was served, or the fingerprint of a
+// request that was answered.
 type ServedPart struct {
 	Part uint64
 	// AgeMs is the time since the latest one, in milliseconds.
@@ -55,6 +59,7 @@
 		for _, p := range i.Parts {
 			b = binary.LittleEndian.AppendUint64(b, p)
 		}
+		b = binary.LittleEndian.AppendUint64(b, i.Request)
 	}
 	b = binary.AppendUvarint(b, uint64(len(r.Served)))
 	for _, s := range r.Served {
@@ -66,7 +71,7 @@
 
 // Smallest sizes of list entries, in bytes.
 const (
-	minInterruptedBytes = 6
+	minInterruptedBytes = 14
 	partBytes           = 8
 	minServedBytes      = 9
 )
@@ -83,6 +88,7 @@
 		age := d.uvarint()
 		i.AgeMs, i.Responding = uint32(min(age>>1, MaxCount)), age&1 != 0
 		i.Parts = decodeList(&d, partBytes, d.uint64)
+		i.Request = d.uint64()
 		return i
 	})
 	r.Served = decodeList(&d, minServedBytes, func() ServedPart { return ServedPart{Part: d.uint64(), AgeMs: d.count()} })
--- a/protocol/loadreport/crashes_test.go
+++ b/protocol/loadreport/crashes_test.go
@@ -12,7 +12,8 @@
 	age := rapid.Uint32Range(0, MaxCount)
 	r := &CrashReport{Instance: rapid.StringMatching(`[a-z0-9]{1,64}`).Draw(t, "instance")}
 	for range rapid.IntRange(0, 4).Draw(t, "interrupted") {
-		i := InterruptedRequest{Crash: rapid.Uint32().Draw(t, "crash"), AgeMs: age.Draw(t, "age"), Responding: rapid.Bool().Draw(t, "responding")}
+		i := InterruptedRequest{Crash: rapid.Uint32().Draw(t, "crash"), AgeMs: age.Draw(t, "age"), Responding: rapid.Bool().Draw(t, "responding"),
+			Request: rapid.Uint64().Draw(t, "request")}
 		for range rapid.IntRange(0, 4).Draw(t, "parts") {
 			i.Parts = append(i.Parts, rapid.Uint64().Draw(t, "part"))
 		}
