Only events continue a stream that has begun

What callers saw: a resumable stream had begun and broke off, and the second endpoint answered with a success that is no event stream. Its text stood in the middle of the caller's stream, or the stream ended as if it were complete.

Cause: a response that is not an event stream is forwarded as it is, which is right only for the first one; errors were already kept out.

Such a response now counts as failed, and the stream is resumed elsewhere or cut.

--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -75,10 +75,10 @@
 
 // relayStream forwards the events of one endpoint.
 func (r *request) relayStream(a *attempt, s *streamState) relayResult {
-	if a.response.Status >= 300 {
+	eventStream := isEventStream(a.response.Header)
+	if a.response.Status >= 300 || s.headersSent && !eventStream {
 		return r.relayErrorResponse(a, s)
 	}
-	eventStream := isEventStream(a.response.Header)
 	buffer := streamBuffers.get(streamBuffer)
 	defer streamBuffers.put(buffer)
 	for {
@@ -180,7 +180,8 @@
 }
 
 // relayErrorResponse forwards a response with a status of 300 or above if nothing
-// was sent to the caller yet. Otherwise it retries or aborts the stream.
+// was sent to the caller yet. Otherwise the response, whatever its status, does not continue
+// the stream, which is retried or aborted.
 func (r *request) relayErrorResponse(a *attempt, s *streamState) relayResult {
 	if !s.headersSent {
 		return r.relayBuffered(a)
--- a/transport/endpointhttp/exchange_test.go
+++ b/transport/endpointhttp/exchange_test.go
@@ -162,6 +162,23 @@
 	}
 }
 
+// Guards against a response whose head is cut off being taken for a complete one without a
+// body, at whatever byte the endpoint stops.
+func TestTruncatedHeadIsError(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: a\r\nX: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\n\r\n",
+	} {
+		for n := range len(head) {
+			target := startEndpoint(t, func(c net.Conn, r *bufio.Reader) { readRequest(r); _, _ = io.WriteString(c, head[:n]) })
+			_, err := do(t, NewPool(time.Second), target, "a")
+			must.Error(t, err, must.Sprintf("%q", head[:n]))
+			must.False(t, NotSent(err))
+		}
+	}
+}
+
 // Guards against reuse of a connection whose close marked the end of the
 // response, and against mistaking a reset for that end.
 func TestUnframedResponseIsNotReusedAndReportsReset(t *testing.T) {
