Only refusals that name their request are promises

What callers saw: nothing yet. A faulty endpoint that writes a refusal without the identifier of the request on a new connection, and runs the request, made the router promise that it had not run, or send it to a second endpoint.

Cause: a response without an identifier is accepted on a new connection, as an answer and as a promise alike. Endpoints return the identifier, so a refusal without it proves nothing.

--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -171,9 +171,13 @@
 // response.
 func (r *request) classify(response *endpointhttp.Response) attemptOutcome {
 	d := &r.h.Dialect
+	refusal := response.Header.Get(d.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest
 	switch {
-	case response.Header.Get(d.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest:
+	case refusal && response.Header.Get(d.RequestID) == r.id:
 		return refused
+	case refusal:
+		// Only a refusal that names the request is a promise that it was not executed.
+		return indeterminate
 	case response.Header.Get("Content-Encoding") != "":
 		return indeterminate
 	case response.Status >= 200 && response.Status < 300 && response.Header.Get(d.Signature) == "":
--- a/direct/entry/faulty_answers_test.go
+++ b/direct/entry/faulty_answers_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// Guards against trusting a refusal that doesn't name its request, on a new connection:
+// its caller would be told that the request has not run, or it would run twice.
+func TestRefusalWithoutIdentifierIsNoPromise(t *testing.T) {
+	r := newRouter(t)
+	script := func(c net.Conn, _ *directtest.Call) bool {
+		_, _ = io.WriteString(c, refusalTo(""))
+		return false
+	}
+	e1, e2 := r.add("e1", "plain", script), r.add("e2", "plain", script)
+	must.Eq(t, http.StatusBadGateway, r.post("/order/x").status)
+	must.Eq(t, 1, len(e1.Calls())+len(e2.Calls()))
+}
+
 // Guards against the answer of a second endpoint that is no continuation, an error or a
 // success of another type, appearing in the middle of a stream, and against a stream that
 // then ends as if it were complete.
