Endpoints that say in an answer that they leave get no more requests

Cause: no code read the header.

Change: any answer with it, success, error, refusal or the head of a stream, makes the instance drain at this router at once. An older entry of the same instance doesn't bring it back, in a restored store neither; another instance under its identifier does. One log line says so. Peers are not told yet.

--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -140,6 +140,7 @@
 	default:
 		r.sentAttempts++
 		r.recordLimit(a)
+		r.recordLeaving(a)
 		a.outcome = r.classify(a.response)
 		if a.outcome != refused {
 			r.possibleExecutions++
@@ -148,6 +149,15 @@
 	return a
 }
 
+// recordLeaving records that the endpoint says in its response that it is leaving.
+func (r *request) recordLeaving(a *attempt) {
+	if a.response.Header.Get(r.h.Dialect.Leaving) == "" || !a.assignment.RecordLeaving() {
+		return
+	}
+	e := a.assignment.Endpoint
+	r.h.Log.Info("endpoint says that it is leaving", "endpoint", e.ID, "service", e.Service, "request", r.id)
+}
+
 // recordLimit records the limit on requests that the endpoint names in its response.
 // Only a success without one shows that there is none.
 func (r *request) recordLimit(a *attempt) {
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -30,6 +30,9 @@
 	// RequestLimit in an endpoint's response is the number of requests per second that
 	// the endpoint accepts from all routers together, for as long as it sends it.
 	RequestLimit string
+	// Leaving in an endpoint's response states that the endpoint is leaving: it finishes the
+	// requests in progress and then stops.
+	Leaving string
 	// LastEventID is the identifier of the event after which a stream is resumed.
 	LastEventID string
 	// Reserved lists headers that only the fleet may set in requests to endpoints.
@@ -53,6 +56,7 @@
 		TokenCounts:       "Acaciaspar-Tokens",
 		LengthHint:        "Acaciaspar-Length-Hint",
 		RequestLimit:      "Acaciaspar-Request-Limit",
+		Leaving:           "Acaciaspar-Leaving",
 		LastEventID:       "Last-Event-Id",
 	}
 }
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -49,6 +49,8 @@
 	// departureRetention is how long the departure of an endpoint is remembered. The
 	// store is restored from copies that are some seconds old.
 	departureRetention = time.Minute
+	// maxLeaving bounds the instances that said that they leave and are remembered.
+	maxLeaving = 4096
 )
 
 // Table holds the registered endpoints. It is safe for concurrent use. Its mutex
@@ -66,6 +68,8 @@
 	// suspended holds ready entries of departed endpoints that a restored store
 	// returned.
 	suspended map[string]suspension
+	// leaving holds the start times of the instances that said that they leave, by ID.
+	leaving map[string]time.Time
 }
 
 type departure struct {
@@ -88,7 +92,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{endpoints: map[string]*entry{}, departed: map[string]departure{}, suspended: map[string]suspension{}}
+	return &Table{
+		endpoints: map[string]*entry{}, departed: map[string]departure{}, suspended: map[string]suspension{},
+		leaving: map[string]time.Time{},
+	}
 }
 
 // Put adds or replaces an endpoint.
@@ -99,6 +106,13 @@
 }
 
 func (t *Table) put(e Endpoint) {
+	if started, ok := t.leaving[e.ID]; ok {
+		if started.Equal(e.Started) {
+			e.State = Draining
+		} else {
+			delete(t.leaving, e.ID)
+		}
+	}
 	known := t.endpoints[e.ID]
 	if known == nil || known.endpoint != e {
 		t.ready = nil
@@ -150,6 +164,38 @@
 	delete(t.endpoints, id)
 }
 
+// RecordLeaving records that an instance said, in a response, that it leaves. It accepts no
+// more requests, whatever its entry in the store says, until another instance registers
+// under its ID. It reports whether this is new.
+func (t *Table) RecordLeaving(e Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if started, ok := t.leaving[e.ID]; ok && started.Equal(e.Started) {
+		return false
+	}
+	if len(t.leaving) >= maxLeaving {
+		t.evictLeaving()
+	}
+	t.leaving[e.ID] = e.Started
+	if known := t.endpoints[e.ID]; known != nil && known.endpoint.Started.Equal(e.Started) {
+		known.endpoint.State = Draining
+		t.ready = nil
+	}
+	return true
+}
+
+// evictLeaving forgets the instances that aren't registered, or all if each of them is.
+func (t *Table) evictLeaving() {
+	for id := range t.leaving {
+		if t.endpoints[id] == nil {
+			delete(t.leaving, id)
+		}
+	}
+	if len(t.leaving) >= maxLeaving {
+		clear(t.leaving)
+	}
+}
+
 // StoreUnavailable records that the store does not respond.
 func (t *Table) StoreUnavailable() {
 	t.mu.Lock()
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -109,3 +110,34 @@
 	must.True(t, table.Expire(restored.Add(RecoveryTime+time.Millisecond)))
 	must.Eq(t, []string{"left", "restarted"}, ids(table.Ready("s")))
 }
+
+// Guards against an endpoint that is used again although it said that it leaves: its entry
+// in the store is older, returns after an outage or comes from an older copy.
+func TestLeavingInstanceStaysUnused(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	must.True(t, table.RecordLeaving(ready("a")))
+	must.False(t, table.RecordLeaving(ready("a")))
+	must.Eq(t, []string{}, ids(table.Ready("s")))
+	table.Put(ready("a"))
+	must.Eq(t, []string{}, ids(table.Ready("s")))
+	table.Remove("a", start)
+	table.Put(ready("a"))
+	table.PutRestored(ready("a"), start)
+	must.Eq(t, []string{}, ids(table.Ready("s")))
+	next := ready("a")
+	next.Started = start
+	table.Put(next)
+	must.Eq(t, []string{"a"}, ids(table.Ready("s")))
+	must.True(t, table.RecordLeaving(ready("a")), must.Sprint("a late answer of the earlier instance"))
+	must.Eq(t, []string{"a"}, ids(table.Ready("s")))
+}
+
+// Guards against a memory of leaving instances that grows without bound.
+func TestLeavingInstancesAreBounded(t *testing.T) {
+	table := NewTable()
+	for i := range 3 * maxLeaving {
+		table.RecordLeaving(Endpoint{ID: strconv.Itoa(i)})
+	}
+	must.LessEq(t, maxLeaving, len(table.leaving))
+}
