Endpoints that refuse with Retry-After get no requests until then

Change: a refusal (503, not executed) with Retry-After takes the endpoint out of this router's candidates until then, also for requests that are placed and not sent yet. Seconds with fractions and dates are read; zero, negative values and others are ignored; five minutes at most.

--- a/coordination/endpointload/state.go
+++ b/coordination/endpointload/state.go
@@ -1,6 +1,7 @@
 package endpointload
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
@@ -24,6 +25,12 @@
 	// initialBackoff and maxBackoff bound the backoff after a failed connection.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 3 * time.Second
+	// maxPause bounds how long an endpoint can ask for no requests, so that none is lost for
+	// good.
+	maxPause = 5 * time.Minute
+	// maxPauseSpread bounds the random time by which a router lengthens a pause, so that the
+	// routers don't all return at the same moment.
+	maxPauseSpread = time.Second
 	// ownResponsePrecedence is how long data received by this router takes
 	// precedence over peers that report the endpoint as unreachable. A network
 	// path may fail for some routers only.
@@ -60,6 +67,8 @@
 	lastReceived     time.Time
 	unreachableUntil time.Time
 	backoff          time.Duration
+	// pausedUntil is the time until which the endpoint wants no requests from this router.
+	pausedUntil time.Time
 }
 
 func newEndpoint(hash uint32, started time.Time) *endpoint {
@@ -129,7 +138,7 @@
 }
 
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.stalled(now) && !now.Before(e.unreachableUntil)
+	return !e.stalled(now) && !now.Before(e.unreachableUntil) && !now.Before(e.pausedUntil)
 }
 
 // markUnreachable records a failed connection and starts the next backoff.
@@ -138,6 +147,16 @@
 	e.unreachableUntil = now.Add(e.backoff)
 }
 
+// pause records that the endpoint wants no requests for a time.
+func (e *endpoint) pause(now time.Time, d time.Duration) {
+	d = min(d, maxPause)
+	spread := min(d/10, maxPauseSpread)
+	until := now.Add(d + time.Duration(rand.Float64()*float64(spread)))
+	if until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+}
+
 // respondedRecently reports whether this router received a byte recently enough
 // to ignore peers that report the endpoint as unreachable.
 func (e *endpoint) respondedRecently(now time.Time) bool {
--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -88,8 +88,8 @@
 }
 
 // SetStartTime records the start time of an endpoint. If it differs from the
-// previous one, the endpoint has restarted, and its cached parts, failures and
-// backoff are cleared. It reports whether a known endpoint has restarted.
+// previous one, the endpoint has restarted, and its cached parts, failures, backoff and
+// pause are cleared. It reports whether a known endpoint has restarted.
 func (t *Table) SetStartTime(id string, started time.Time) bool {
 	e := t.endpoint(id)
 	if e.started.Equal(started) {
@@ -99,7 +99,7 @@
 	e.started = started
 	clear(e.parts)
 	e.failures = 0
-	e.unreachableUntil = time.Time{}
+	e.unreachableUntil, e.pausedUntil = time.Time{}, time.Time{}
 	return restarted
 }
 
@@ -112,6 +112,15 @@
 	return now.Before(e.unreachableUntil) || t.peerLoads[e.hash].unreachable > 0
 }
 
+// PausedUntil returns the time until which an endpoint wants no requests from this router,
+// or the zero time.
+func (t *Table) PausedUntil(now time.Time, id string) time.Time {
+	if until := t.endpoint(id).pausedUntil; now.Before(until) {
+		return until
+	}
+	return time.Time{}
+}
+
 // EvictIdle deletes the endpoints without requests in progress for which keep
 // returns false.
 func (t *Table) EvictIdle(keep func(id string) bool) {
@@ -135,8 +144,8 @@
 	Rate float64
 	// FailureRate is the recent failure rate, between 0 and 1.
 	FailureRate float64
-	// Usable is false while the endpoint is stalled or in backoff after a failed
-	// connection from this router.
+	// Usable is false while the endpoint is stalled, in backoff after a failed
+	// connection from this router, or wants no requests.
 	Usable bool
 	// UnreachableFromPeers is set while several peers report the endpoint as unreachable and
 	// this router has received nothing recently from it.
@@ -217,6 +226,10 @@
 // RecordReceived records that part of the response was received.
 func (a *Attempt) RecordReceived(now time.Time) { a.endpoint.recordReceived(now) }
 
+// Pause records that the endpoint refused the attempt and wants no requests from this router
+// for a time.
+func (a *Attempt) Pause(now time.Time, d time.Duration) { a.endpoint.pause(now, d) }
+
 // Result is the way an attempt ended, as it counts for the endpoint's health.
 type Result int
 
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -137,8 +137,12 @@
 
 // Accepting reports whether an endpoint still accepts requests.
 func (d *Dispatcher) Accepting(id string) bool {
-	e, ok := d.registry.Lookup(id)
-	return ok && e.State == registry.Ready
+	if e, ok := d.registry.Lookup(id); !ok || e.State != registry.Ready {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loads.PausedUntil(time.Now(), id).IsZero()
 }
 
 // HasUsable reports whether a service has a usable endpoint that is not in exclude.
@@ -187,6 +191,8 @@
 const (
 	// NoEndpoint means that the service has no usable endpoint.
 	NoEndpoint Reason = "no usable endpoint"
+	// Paused means that all endpoints of the service have asked for a pause.
+	Paused Reason = "all endpoints want no requests"
 	// Saturated means that no endpoint can start the request within the
 	// latency target.
 	Saturated Reason = "all endpoints are saturated"
@@ -267,7 +273,7 @@
 	case len(candidates) == 0 && limited > 0:
 		return nil, refuse(request, 1, 0, limited)
 	case len(candidates) == 0:
-		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter, Allowance: allowance}
+		return nil, d.refuseUnusable(now, request, allowance)
 	}
 	if allowance == 0 {
 		return nil, refuse(request, allowance, 0, len(candidates))
@@ -422,7 +428,7 @@
 		}
 	}
 	if usable == 0 {
-		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter, Allowance: 1}
+		return nil, d.refuseUnusable(now, request, 1)
 	}
 	if best < 0 {
 		return nil, refuse(request, 1, 0, usable)
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -144,6 +144,8 @@
 		a.outcome = r.classify(a.response)
 		if a.outcome != refused {
 			r.possibleExecutions++
+		} else {
+			r.recordPause(a)
 		}
 	}
 	return a
@@ -158,6 +160,40 @@
 	r.h.Log.Info("endpoint says that it is leaving", "endpoint", e.ID, "service", e.Service, "request", r.id)
 }
 
+// recordPause records for how long the endpoint that refused the request wants no further
+// ones.
+func (r *request) recordPause(a *attempt) {
+	value := a.response.Header.Get("Retry-After")
+	if a.response.Status != http.StatusServiceUnavailable || value == "" {
+		return
+	}
+	now := time.Now()
+	pause, ok := parseRetryAfter(value, now)
+	if !ok || pause <= 0 {
+		return
+	}
+	a.assignment.Pause(now, pause)
+	r.h.Log.Info("endpoint wants no requests", "endpoint", a.assignment.Endpoint.ID, "request", r.id, "retry_after", value)
+}
+
+// maxRetryAfterSeconds is the longest delay that parseRetryAfter returns.
+const maxRetryAfterSeconds = 3600
+
+// parseRetryAfter parses a delay in seconds, which may have a fraction, or a date.
+func parseRetryAfter(value string, now time.Time) (time.Duration, bool) {
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if !(seconds >= 0) {
+			return 0, false
+		}
+		return time.Duration(min(seconds, maxRetryAfterSeconds) * float64(time.Second)), true
+	}
+	date, err := http.ParseTime(value)
+	if err != nil {
+		return 0, false
+	}
+	return min(max(date.Sub(now), 0), maxRetryAfterSeconds*time.Second), true
+}
+
 // recordLimit records the limit on requests that the endpoint names in its response.
 // Only a success without one shows that there is none.
 func (r *request) recordLimit(a *attempt) {
