--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -45,6 +45,8 @@
 
 	mu            sync.Mutex
 	configVersion int
+	// configText is the latest configuration.
+	configText []byte
 }
 
 type router struct {
@@ -177,7 +179,10 @@
 }
 
 // publish writes the configuration to the store with the next version number.
-func (f *fleet) publish() {
+func (f *fleet) publish() { f.publishWith() }
+
+// publishWith also adds routes with these names for idempotent requests to the plain service.
+func (f *fleet) publishWith(added ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configVersion++
@@ -187,12 +192,16 @@
 			"timeoutMs": 5000, "latencyTargetMs": 1000, "gapTargetMs": 500, "resumable": resumable, "sticky": kind == "streaming",
 		}
 	}
+	routes := []any{
+		route("order", "unsafe", "plain", 1, false), route("lookup", "safe", "plain", 2, false),
+		route("stream/once", "streaming", "engines", 1, false), route("stream/again", "streaming", "engines", 2, true),
+	}
+	for _, name := range added {
+		routes = append(routes, route(name, "safe", "plain", 2, false))
+	}
 	text, err := json.Marshal(map[string]any{
 		"version": f.configVersion,
-		"routes": []any{
-			route("order", "unsafe", "plain", 1, false), route("lookup", "safe", "plain", 2, false),
-			route("stream/once", "streaming", "engines", 1, false), route("stream/again", "streaming", "engines", 2, true),
-		},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": "plain", "connectionLimit": 100},
 			map[string]any{"name": "engines", "connectionLimit": 100, "engine": map[string]any{"slots": 16, "cacheCapacityTokens": 100000, "stride": 6}},
@@ -201,9 +210,25 @@
 		"tenants": []any{map[string]any{"name": "t1", "apiKeys": []string{"k1"}}},
 	})
 	must.NoError(f.t, err)
+	f.configText = text
 	f.store.Put("keyed.op", "config", text)
 }
 
+// restoreStore makes the store unavailable for a time and restores a copy. The operator and
+// the endpoints then write again what they wrote last.
+func (f *fleet) restoreStore(c platformtest.Copy, unavailable time.Duration) {
+	f.store.SetFault(platformtest.Unavailable)
+	time.Sleep(unavailable)
+	f.store.Restore(c)
+	f.store.SetFault(platformtest.Healthy)
+	f.mu.Lock()
+	f.store.Put("keyed.op", "config", f.configText)
+	f.mu.Unlock()
+	for _, e := range f.endpoints {
+		f.register(e, "ready")
+	}
+}
+
 func (r *router) settingsPath() string {
 	return filepath.Join(r.f.dir, fmt.Sprintf("boot-%d.yaml", r.index))
 }
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -109,6 +109,7 @@
 		func() { f.store.Put("keyed.servers", "forged", []byte("\xff{")) },
 		during(func() { f.register(e, "draining") }, func() { f.register(e, "ready") }),
 		during(func() { f.store.Put("keyed.servers", e.id, nil) }, func() { f.register(e, "ready") }),
+		func() { c := f.store.Copy(); time.Sleep(duration); f.restoreStore(c, duration/2) },
 	}
 	return faults[random.IntN(len(faults))]
 }
