--- a/testbed/soak/limit_test.go
+++ b/testbed/soak/limit_test.go
@@ -27,7 +27,7 @@
 				worker.Limit = fmt.Sprint(limit)
 				worker.Receive = func(*http.Request) bool { received.add(); return true }
 			}
-			f.registerAddress(worker.ID, f.serve(worker))
+			f.registerAddress(worker.ID, "engines", f.serve(worker))
 		}
 	})
 	ctx, stop := context.WithTimeout(t.Context(), 14*time.Second)
