--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -300,8 +300,8 @@
 	message := &loadreport.Report{
 		Instance: m.instance, Address: m.address, Sequence: sequence, Leaving: leaving,
 		ConfigVersion: m.local.ConfigVersion(), ReadsStore: m.local.ReadsStore(), OutOfRotation: m.local.OutOfRotation(),
-		ConfigEnd:    m.local.Mirror(follow.Configuration).Position(),
-		EndpointsEnd: m.local.Mirror(follow.Endpoints).Position(),
+		ConfigEnd:    loadreport.Position(m.local.Mirror(follow.Configuration).Position()),
+		EndpointsEnd: loadreport.Position(m.local.Mirror(follow.Endpoints).Position()),
 		HasTeams:     now.Sub(m.teamsSentAt) >= teamsInterval,
 	}
 	for id, load := range report.Loads {
@@ -381,7 +381,7 @@
 	m.mu.Lock()
 	if p := m.peers[address]; p != nil {
 		p.lastReport = now
-		p.ends = [2]mirror.Position{report.ConfigEnd, report.EndpointsEnd}
+		p.ends = [2]mirror.Position{mirror.Position(report.ConfigEnd), mirror.Position(report.EndpointsEnd)}
 		p.configVersion = report.ConfigVersion
 		p.readsStore = report.ReadsStore && !report.Leaving
 		p.outOfRotation = report.OutOfRotation || report.Leaving
@@ -512,8 +512,9 @@
 
 // peerWithRecords returns the address of a random live peer that has records of
 // the topic after the known position, or "" if there is none, and the position from
-// which to fetch. A router that was restored with the store's older copy has none of them,
-// so a newer configuration is looked for by its version and fetched with all records.
+// which to fetch. A newer configuration is looked for by its version and fetched with all
+// records: after a restoration of the store, a peer may have kept it from an earlier era,
+// without a position of its own.
 func (m *Mesh) peerWithRecords(topic follow.Topic, known mirror.Position) (address string, from mirror.Position) {
 	now := time.Now()
 	version := m.local.ConfigVersion()
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -5,8 +5,6 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
@@ -32,7 +30,7 @@
 	ConfigVersion uint64
 	// ConfigEnd and EndpointsEnd are the positions after the newest records that the
 	// sender has of both topics of the store.
-	ConfigEnd, EndpointsEnd mirror.Position
+	ConfigEnd, EndpointsEnd Position
 	// Leaving is set while the sender stops and accepts no more requests.
 	Leaving bool
 	// ReadsStore is set while the sender reads the store and the store responds.
@@ -49,6 +47,9 @@
 	Placed    []PlacedPart
 }
 
+// Position is the offset after the newest record of a topic, in an era of the store.
+type Position struct{ Era, Next int64 }
+
 // EndpointLoad is the sender's load on one endpoint.
 type EndpointLoad struct {
 	Endpoint ID
@@ -103,7 +104,7 @@
 	b = appendAddress(b, r.Address)
 	b = binary.AppendUvarint(b, r.Sequence)
 	b = binary.AppendUvarint(b, r.ConfigVersion)
-	for _, p := range []mirror.Position{r.ConfigEnd, r.EndpointsEnd} {
+	for _, p := range []Position{r.ConfigEnd, r.EndpointsEnd} {
 		b = binary.AppendVarint(b, p.Era)
 		b = binary.AppendVarint(b, p.Next)
 	}
@@ -217,8 +218,8 @@
 	return v
 }
 
-func (d *decoder) position() mirror.Position {
-	return mirror.Position{Era: d.varint(), Next: d.varint()}
+func (d *decoder) position() Position {
+	return Position{Era: d.varint(), Next: d.varint()}
 }
 
 func (d *decoder) varint() int64 {
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -7,8 +7,6 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
-
-	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 func drawAddress(t *rapid.T) netip.AddrPort {
@@ -16,8 +14,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(ip)), rapid.Uint16().Draw(t, "port"))
 }
 
-func drawPosition(t *rapid.T) mirror.Position {
-	return mirror.Position{Era: rapid.Int64().Draw(t, "era"), Next: rapid.Int64().Draw(t, "next")}
+func drawPosition(t *rapid.T) Position {
+	return Position{Era: rapid.Int64().Draw(t, "era"), Next: rapid.Int64().Draw(t, "next")}
 }
 
 func drawReport(t *rapid.T) *Report {
