Mesh tests listen on a port that is free for UDP and TCP

TestRotationStateReachesPeers and TestRecordsOfLaterEraAreFetchedCompletely failed once in a run beside the soak: "listen tcp4 127.0.0.1:43246: bind: address already in use". The kernel had chosen the port for UDP, where it was free; newTestPeer has listened on TCP, too, since the positions by era. It tries another port now.

--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -36,11 +36,28 @@
 	version    atomic.Uint64
 }
 
+// listenBoth listens on a port that is free for UDP and for TCP. A port that the kernel
+// chooses for one of them may be in use for the other.
+func listenBoth(t *testing.T) (*net.UDPConn, net.Listener) {
+	t.Helper()
+	const maxAttempts = 50
+	for range maxAttempts {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		must.NoError(t, err)
+		listener, err := net.Listen("tcp4", conn.LocalAddr().String())
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+			return conn, listener
+		}
+		_ = conn.Close()
+	}
+	t.Fatal("no port is free for both UDP and TCP")
+	return nil, nil
+}
+
 func newTestPeer(t *testing.T, instance string) *testPeer {
 	t.Helper()
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
+	conn, listener := listenBoth(t)
 	p := &testPeer{
 		address:    conn.LocalAddr().String(),
 		dispatcher: dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits()),
@@ -61,8 +78,7 @@
 	go func() { _ = p.Receive(t.Context()) }()
 	fleet := httptest.NewUnstartedServer(p.Handler())
 	must.NoError(t, fleet.Listener.Close())
-	fleet.Listener, err = net.Listen("tcp4", p.address)
-	must.NoError(t, err)
+	fleet.Listener = listener
 	fleet.Start()
 	t.Cleanup(fleet.Close)
 	return p
