The first refused read of a store leads to a listing at once

After an outage, a router waited for up to 1.5 s more between the first answer of the restored store (410) and the listing, so that a configuration that was written meanwhile could come late.

Cause: refused reads shared the backoff of failed calls, which is at its longest after an outage.

Change: refused reads have a delay of their own, which begins at zero and grows only while listings don't lead to a successful read.

--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -129,6 +129,9 @@
 // router should read the store.
 func (f *Follower) followTopic(ctx context.Context, topic Topic) error {
 	backoff := minBackoff
+	// relistDelay is the delay before the topic is listed because a read was refused. The
+	// first such listing is immediate.
+	var relistDelay time.Duration
 	for ctx.Err() == nil {
 		if f.listed[topic].Load() && !f.peers.ShouldReadStore() {
 			f.reading[topic].Store(false)
@@ -146,27 +149,31 @@
 		switch {
 		case err == nil:
 			f.markStoreReachable(topic)
+			backoff = minBackoff
 			if reading {
 				// A listing succeeds also while all reads are refused.
-				backoff = minBackoff
+				relistDelay = 0
 			}
 			sleep(ctx, minReadInterval-time.Since(began))
-			continue
 		case errors.Is(err, mirror.ErrLaterEra):
 			f.listed[topic].Store(false)
-			continue
 		case errors.Is(err, ErrCompacted):
 			f.log.Info("the store doesn't hold the next records; listing the topic again", "topic", topic.String())
 			f.listed[topic].Store(false)
+			sleep(ctx, jitter(relistDelay))
+			relistDelay = min(max(2*relistDelay, minBackoff), maxBackoff)
 		default:
 			f.markStoreUnreachable(topic, err)
+			sleep(ctx, jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
 		}
-		sleep(ctx, time.Duration((0.5+rand.Float64())*float64(backoff)))
-		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
 }
 
+// jitter returns a random duration from half of d to one and a half of it.
+func jitter(d time.Duration) time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(d)) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/direct/follow/restored_store_test.go
+++ b/direct/follow/restored_store_test.go
@@ -131,6 +131,26 @@
 	})
 }
 
+// Guards against a router that waits again, after the first answer of a restored store,
+// before it lists the topic: configurations would come late.
+func TestRestoredStoreIsListedAtItsFirstAnswer(t *testing.T) {
+	// The longest delay between two calls to a store that doesn't answer.
+	const longestBackoff = 1500 * time.Millisecond
+	runFollower(t, nil, func(f *fixture) {
+		f.store.Append(follow.Configuration, "config", config(1))
+		older := f.store.Copy()
+		for version := uint64(2); version < 60; version += 2 {
+			f.store.Append(follow.Configuration, "config", config(version))
+			time.Sleep(2 * time.Second)
+			must.Eq(t, version, f.configVersion())
+			f.restore(older)
+			f.store.Append(follow.Configuration, "config", config(version+1))
+			time.Sleep(longestBackoff + 100*time.Millisecond)
+			must.Eq(t, version+1, f.configVersion())
+		}
+	})
+}
+
 // Guards against listing the topic again without a pause while each read is refused,
 // which uses up the store's rate for the whole fleet.
 func TestRefusedReadsAreRepeatedWithBackoff(t *testing.T) {
