Routers log the shares of the least and the best served team

No log line had what each router knows of a starved team beside what the limits were derived from, so the hypotheses of docs/incidents/2026-12-05-flooding-team-starved.md could not be told apart. Once a second while a team requests more than its share.

Ruled out: per-request figures, which are suppressed beyond 200 lines a second just on the flooded hosts.

--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -100,11 +100,7 @@
 	}
 	d.levelsUpdatedAt = now
 	d.expirePeerUsage(now)
-	totals := maps.Clone(d.peerTeams)
-	for name, t := range d.teams {
-		hash := TeamHash(name)
-		totals[hash] = totals[hash].Add(t.window.Sum(now))
-	}
+	totals := d.teamTotals(now)
 	demands := make([]int64, 0, len(totals))
 	var started int64
 	for _, u := range totals {
@@ -124,6 +120,16 @@
 	}
 }
 
+// teamTotals returns the usage at all routers by the hash of the team.
+func (d *Dispatcher) teamTotals(now time.Time) map[uint32]fairshare.Usage {
+	totals := maps.Clone(d.peerTeams)
+	for name, t := range d.teams {
+		hash := TeamHash(name)
+		totals[hash] = totals[hash].Add(t.window.Sum(now))
+	}
+	return totals
+}
+
 // addPeerTeams adds a peer's usage to the sums over all peers, or subtracts it if sign is
 // -1.
 func (d *Dispatcher) addPeerTeams(teams []TeamUsage, sign int64) {
--- a/direct/process.go
+++ b/direct/process.go
@@ -377,6 +377,7 @@
 				return ok
 			})
 			p.dispatcher.EvictExpired(now)
+			p.logShares(now)
 			idle, dialed := p.pool.Stats()
 			metrics.GetOrRegisterGauge("direct.idle_connections", p.metrics).Update(int64(idle))
 			metrics.GetOrRegisterGauge("direct.connections_opened", p.metrics).Update(int64(dialed))
@@ -388,6 +389,21 @@
 	}
 }
 
+// logShares logs how the capacity is divided while a team requests more than its share.
+func (p *process) logShares(now time.Time) {
+	s, contended := p.dispatcher.Shares(now)
+	if !contended {
+		return
+	}
+	p.log.Info("team shares", "configured_level", s.ConfiguredLevel, "achieved_level", s.AchievedLevel, "served_limit", s.ServedLimit,
+		teamShareAttr("least_served", s.Least), teamShareAttr("best_served", s.Best))
+}
+
+func teamShareAttr(key string, s dispatch.TeamShare) slog.Attr {
+	return slog.Group(key, "team", s.Name, "hash", s.Hash, "requested", s.Fleet.Requested, "started", s.Fleet.Started,
+		"own_requested", s.Own.Requested, "own_started", s.Own.Started)
+}
+
 // awaitStop waits for a stop signal, drains the process and returns errStopped.
 // SIGHUP reloads the settings.
 func (p *process) awaitStop(ctx context.Context, traffic *http.Server) error {
