Requests that were not sent don't use up their team's share

Cause: the charge of an attempt that ended as 'abandoned' was kept, also if nothing had been sent: on such a host, dials time out late, and callers leave before the request is sent. Class: resources counted when they are requested and not when they are used.

Change: such attempts end as 'unsent', which refunds the charge.

--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -245,6 +245,9 @@
 	// Abandoned means that this router or the caller ended the attempt. It doesn't
 	// count for the endpoint's health.
 	Abandoned
+	// NotSent means that nothing was sent, for a reason that is no evidence against the
+	// endpoint.
+	NotSent
 )
 
 // End records the end of the attempt. Only the first call has an effect.
@@ -265,7 +268,7 @@
 		e.recordResult(now, true)
 	case ConnectFailed:
 		e.markUnreachable(now)
-	case Abandoned:
+	case Abandoned, NotSent:
 	}
 }
 
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -464,8 +464,9 @@
 // Receive records that any bytes of the response arrived.
 func (a *Assignment) Receive(now time.Time) { a.withLock(func() { a.attempt.RecordReceived(now) }) }
 
-// End records the result of the attempt. The team's charge is refunded if the
-// attempt failed before an engine started the request.
+// End records the result of the attempt. The team's charge is refunded if the request was
+// not sent or failed before an engine started it. A request that the caller abandons after it
+// was sent stays charged, since the engine may have processed its prompt.
 func (a *Assignment) End(now time.Time, r endpointload.Result) {
 	a.withLock(func() {
 		if c := a.charge; c != nil && !a.attempt.FirstEventReceived() && r != endpointload.Succeeded && r != endpointload.Abandoned {
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -300,16 +300,15 @@
 
 // resultOf returns the result of an attempt without a usable response.
 func (r *request) resultOf(a *attempt) endpointload.Result {
-	if r.callerDisconnected() || a.assignment.Quarantined() {
-		return endpointload.Abandoned
-	}
-	switch a.outcome {
-	case notSent:
-		if a.provesUnreachable() {
-			return endpointload.ConnectFailed
-		}
+	interrupted := r.callerDisconnected() || a.assignment.Quarantined()
+	switch {
+	case a.outcome == notSent && !interrupted && a.provesUnreachable():
+		return endpointload.ConnectFailed
+	case a.outcome == notSent:
+		return endpointload.NotSent
+	case interrupted:
 		return endpointload.Abandoned
-	case refused:
+	case a.outcome == refused:
 		return endpointload.Refused
 	}
 	return endpointload.Failed
@@ -335,5 +334,5 @@
 }
 
 func resultName(result endpointload.Result) string {
-	return [...]string{"succeeded", "failed", "refused", "unreached", "abandoned"}[result]
+	return [...]string{"succeeded", "failed", "refused", "unreached", "abandoned", "unsent"}[result]
 }
--- a/direct/entry/metrics.go
+++ b/direct/entry/metrics.go
@@ -38,7 +38,7 @@
 		Latency:            metrics.GetOrRegisterTimer("direct.latency", registry),
 		FirstEvent:         metrics.GetOrRegisterTimer("direct.first_event", registry),
 	}
-	for result := endpointload.Succeeded; result <= endpointload.Abandoned; result++ {
+	for result := endpointload.Succeeded; result <= endpointload.NotSent; result++ {
 		m.results = append(m.results, counter("sends_"+resultName(result)))
 	}
 	return m
