Limit between flooding teams follows what engines began

Change: routers count and report the tokens of requests that engines began, and the limit is 1.8 times the least of these. Callers that leave before the latency target still count, so that a team can't slow down others by leaving early. Load reports have a new format version.

TestFloodWhoseCallersLeaveGetsHalfOfTheBest: 810,000 to 394,000 tokens with the old comparison, passes now.

--- a/coordination/fairshare/fairshare.go
+++ b/coordination/fairshare/fairshare.go
@@ -1,7 +1,7 @@
 // Package fairshare divides the capacity of the engines between teams by max-min
-// fairness over the whole fleet. Each router counts the tokens that teams requested
-// and the tokens of the requests it started, and receives the same counts from its
-// peers.
+// fairness over the whole fleet. Each router counts the tokens that teams requested,
+// those of the requests that it started and those of the requests that engines began, and
+// receives the same counts from its peers.
 //
 // Window holds the counts of one team at one router; MaxMinLevel computes the
 // max-min share. Neither reads a clock.
@@ -24,13 +24,16 @@
 type Usage struct {
 	// Requested is the number of tokens of all requests.
 	Requested int64
-	// Started is the number of tokens of the requests that were sent to an engine.
+	// Started is the number of tokens of the requests that were assigned to an engine.
 	Started int64
+	// Begun is the number of tokens of the requests that an engine began. It is what a
+	// team got: a started request may still fail, or its caller leave.
+	Begun int64
 }
 
 // Add returns the sum of two usages.
 func (u Usage) Add(o Usage) Usage {
-	return Usage{Requested: u.Requested + o.Requested, Started: u.Started + o.Started}
+	return Usage{Requested: u.Requested + o.Requested, Started: u.Started + o.Started, Begun: u.Begun + o.Begun}
 }
 
 // Window counts one team's tokens in a sliding window. It is not safe for
@@ -47,9 +50,12 @@
 // AddRequested counts tokens that a team requested.
 func (w *Window) AddRequested(now time.Time, tokens int64) { w.usageAt(now).Requested += tokens }
 
-// AddStarted counts tokens of a request that was sent to an engine.
+// AddStarted counts tokens of a request that was assigned to an engine.
 func (w *Window) AddStarted(now time.Time, tokens int64) { w.usageAt(now).Started += tokens }
 
+// AddBegun counts tokens of a request that an engine began.
+func (w *Window) AddBegun(now time.Time, tokens int64) { w.usageAt(now).Begun += tokens }
+
 // Refund subtracts the tokens of a request that was counted as started but that no
 // engine processed. It has no effect if the tokens have left the window.
 func (w *Window) Refund(started time.Time, tokens int64) {
--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -60,13 +60,13 @@
 	return a
 }
 
-// leastServed returns the team with the smallest number of started tokens, and that
+// leastServed returns the team with the smallest number of begun tokens, and that
 // number, among those that request more than level and get less than half of it. ok is
 // false if there is no such team.
 func leastServed(totals map[uint32]fairshare.Usage, level int64) (team uint32, least int64, ok bool) {
 	for hash, u := range totals {
-		if u.Requested > level && 2*u.Started < u.Requested && (!ok || u.Started < least) {
-			team, least, ok = hash, u.Started, true
+		if u.Requested > level && 2*u.Begun < u.Requested && (!ok || u.Begun < least) {
+			team, least, ok = hash, u.Begun, true
 		}
 	}
 	return team, least, ok
@@ -134,7 +134,7 @@
 // -1.
 func (d *Dispatcher) addPeerTeams(teams []TeamUsage, sign int64) {
 	for _, t := range teams {
-		sum := d.peerTeams[t.Team].Add(fairshare.Usage{Requested: sign * t.Requested, Started: sign * t.Started})
+		sum := d.peerTeams[t.Team].Add(fairshare.Usage{Requested: sign * t.Requested, Started: sign * t.Started, Begun: sign * t.Begun})
 		if sum == (fairshare.Usage{}) {
 			delete(d.peerTeams, t.Team)
 		} else {
--- a/direct/dispatch/allowance_test.go
+++ b/direct/dispatch/allowance_test.go
@@ -52,12 +52,18 @@
 	// refused is the fraction of a team's requests that its routers refuse for lack of
 	// CPU time, before they are placed.
 	refused map[string]float64
+	// abandoned is the fraction of a team's placed requests whose callers leave, after the
+	// latency target, before the engine has begun.
+	abandoned map[string]float64
 	// perStep is the number of requests per step by team.
 	perStep map[string]int
 	tokens  int64
 }
 
-const floodStep = 5 * time.Millisecond
+const (
+	floodStep   = 5 * time.Millisecond
+	floodTarget = time.Second
+)
 
 // simulate sends the load through placement to engines that process rate tokens
 // per ms, and returns the tokens started by team in the second half of the steps.
@@ -68,6 +74,11 @@
 		team   string
 		tokens int64
 	}
+	type leavingRequest struct {
+		a  *Assignment
+		at time.Time
+	}
+	var leaving []leavingRequest
 	queues := map[string][]placedRequest{}
 	credit := map[string]float64{}
 	started := map[string]int64{}
@@ -83,12 +94,22 @@
 					credit["refused "+team]--
 					continue
 				}
-				a, _ := d.PlaceEngine(now, &Request{Service: "s", Team: team, Cost: cost, Target: time.Second})
-				if a != nil {
+				a, _ := d.PlaceEngine(now, &Request{Service: "s", Team: team, Cost: cost, Target: floodTarget})
+				if a == nil {
+					continue
+				}
+				if credit["abandoned "+team] += f.abandoned[team]; credit["abandoned "+team] >= 1 {
+					credit["abandoned "+team]--
+					leaving = append(leaving, leavingRequest{a, now.Add(floodTarget)})
+				} else {
 					queues[a.Endpoint.ID] = append(queues[a.Endpoint.ID], placedRequest{a, team, f.tokens})
 				}
 			}
 		}
+		for len(leaving) > 0 && !now.Before(leaving[0].at) {
+			leaving[0].a.End(now, endpointload.Abandoned)
+			leaving = leaving[1:]
+		}
 		for i := range engines {
 			engine := fmt.Sprintf("e%d", i)
 			credit[engine] += rate * float64(floodStep/time.Millisecond)
@@ -142,6 +163,21 @@
 	}
 }
 
+// Guards against a flooding team that gets more than twice the throughput of another
+// one because requests of the other team count that no engine began. Its routers are so
+// late that half of its callers leave after their request was sent.
+func TestFloodWhoseCallersLeaveGetsHalfOfTheBest(t *testing.T) {
+	for _, rate := range []float64{130_000, 300_000} {
+		f := floodLoad{
+			perStep: map[string]int{"a-flood": 10, "b-late": 10}, tokens: 1000,
+			refused: map[string]float64{"b-late": 0.92}, abandoned: map[string]float64{"b-late": 0.5},
+		}
+		started := f.simulate(newEngines(8, rate), 8, 50, 2000)
+		must.Positive(t, started["b-late"])
+		must.LessEq(t, 2*started["b-late"], started["a-flood"], must.Sprint(rate))
+	}
+}
+
 // Guards against refusals of a team below its share while other teams flood the
 // engines.
 func TestTeamBelowShareIsNotDelayedByFloods(t *testing.T) {
@@ -207,7 +243,7 @@
 	// The other team gets more than half of what it requests, so that only the share
 	// limits this one.
 	d.ApplyPeerReport(now, PeerReport{Instance: "peer", Sequence: 1, HasTeams: true, Teams: []TeamUsage{
-		{TeamHash("other"), fairshare.Usage{Requested: 1_000_000, Started: 600_000}},
+		{TeamHash("other"), fairshare.Usage{Requested: 1_000_000, Started: 600_000, Begun: 600_000}},
 	}})
 	request := &Request{Service: "s", Team: "t", Cost: prompt.Cost{UnsharedTokens: 2000}, Target: time.Second}
 	// The engines finish the requests of the team's share, and then fall behind.
@@ -250,7 +286,7 @@
 			if r.HasTeams {
 				for range rapid.IntRange(0, 3).Draw(t, "teams") {
 					r.Teams = append(r.Teams, TeamUsage{Team: rapid.Uint32Range(1, 3).Draw(t, "team"), Usage: fairshare.Usage{
-						Requested: rapid.Int64Range(0, 9).Draw(t, "requested"), Started: rapid.Int64Range(0, 9).Draw(t, "started"),
+						Requested: rapid.Int64Range(0, 9).Draw(t, "requested"), Started: rapid.Int64Range(0, 9).Draw(t, "started"), Begun: rapid.Int64Range(0, 9).Draw(t, "begun"),
 					}})
 				}
 				want[r.Instance] = latest{now, r.Teams}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -63,8 +63,8 @@
 	achievedLevel   int64
 	// servedLimit is the throughput above which a team that requests more than its share
 	// waits until the least served of these teams has caught up, in tokens over the
-	// fairness window; 0 if none gets less than half of what it requests. leastServed is
-	// the hash of the least served team, which the limit does not apply to.
+	// fairness window; 0 if engines begin at least half of what each of them requests.
+	// leastServed is the hash of the least served team, which the limit does not apply to.
 	servedLimit     int64
 	leastServed     uint32
 	levelsUpdatedAt time.Time
@@ -232,6 +232,8 @@
 	team  *team
 	at    time.Time
 	units int64
+	// target is the latency target of the request.
+	target time.Duration
 }
 
 // RecordRequest counts a request towards the service's retry budget and, if
@@ -300,7 +302,7 @@
 	if request.Team == "" {
 		return nil
 	}
-	c := &charge{team: d.team(now, request.Team), at: now, units: request.Cost.Units()}
+	c := &charge{team: d.team(now, request.Team), at: now, units: request.Cost.Units(), target: request.Target}
 	c.team.window.AddStarted(now, c.units)
 	return c
 }
@@ -452,7 +454,14 @@
 )
 
 // Begin records the first byte of the response body.
-func (a *Assignment) Begin(now time.Time) { a.withLock(func() { a.attempt.RecordFirstEvent(now) }) }
+func (a *Assignment) Begin(now time.Time) {
+	a.withLock(func() {
+		if c := a.charge; c != nil && !a.attempt.FirstEventReceived() {
+			c.team.window.AddBegun(now, c.units)
+		}
+		a.attempt.RecordFirstEvent(now)
+	})
+}
 
 // Begun reports whether Begin was called.
 func (a *Assignment) Begun() bool {
@@ -469,9 +478,9 @@
 // was sent stays charged, since the engine may have processed its prompt.
 func (a *Assignment) End(now time.Time, r endpointload.Result) {
 	a.withLock(func() {
-		if c := a.charge; c != nil && !a.attempt.FirstEventReceived() && r != endpointload.Succeeded && r != endpointload.Abandoned {
-			c.team.window.Refund(c.at, c.units)
+		if c := a.charge; c != nil && !a.attempt.FirstEventReceived() {
 			a.charge = nil
+			c.end(now, r)
 		}
 		a.attempt.End(now, r)
 		delete(a.dispatcher.waiting, a)
@@ -481,6 +490,18 @@
 	})
 }
 
+// end ends the charge of a request that no engine has begun.
+func (c *charge) end(now time.Time, r endpointload.Result) {
+	switch {
+	case r != endpointload.Succeeded && r != endpointload.Abandoned:
+		c.team.window.Refund(c.at, c.units)
+	case r == endpointload.Succeeded || now.Sub(c.at) < c.target:
+		// A caller that leaves before the latency target is no sign that its team gets too
+		// little.
+		c.team.window.AddBegun(now, c.units)
+	}
+}
+
 // Stalled reports whether the endpoint has stopped sending data to this router.
 func (a *Assignment) Stalled(now time.Time) bool {
 	stalled := false
--- a/direct/dispatch/shares.go
+++ b/direct/dispatch/shares.go
@@ -39,10 +39,10 @@
 		if usage.Requested <= d.configuredLevel {
 			continue
 		}
-		if !found || usage.Started < s.Least.Fleet.Started {
+		if !found || usage.Begun < s.Least.Fleet.Begun {
 			s.Least = TeamShare{Hash: hash, Fleet: usage}
 		}
-		if !found || usage.Started > s.Best.Fleet.Started {
+		if !found || usage.Begun > s.Best.Fleet.Begun {
 			s.Best = TeamShare{Hash: hash, Fleet: usage}
 		}
 		found = true
--- a/direct/dispatch/shares_test.go
+++ b/direct/dispatch/shares_test.go
@@ -19,20 +19,23 @@
 	must.False(t, contended)
 	d.RecordRequest(now, "s", "starved", 900_000)
 	d.ApplyPeerReport(now, PeerReport{Instance: "peer", Sequence: 1, HasTeams: true, Teams: []TeamUsage{
-		{TeamHash("starved"), fairshare.Usage{Requested: 100_000, Started: 20_000}},
-		{TeamHash("best"), fairshare.Usage{Requested: 1_000_000, Started: 300_000}},
-		{TeamHash("small"), fairshare.Usage{Requested: 1000, Started: 1000}},
+		{TeamHash("starved"), fairshare.Usage{Requested: 100_000, Started: 20_000, Begun: 15_000}},
+		{TeamHash("best"), fairshare.Usage{Requested: 1_000_000, Started: 300_000, Begun: 250_000}},
+		{TeamHash("small"), fairshare.Usage{Requested: 1000, Started: 1000, Begun: 1000}},
 	}})
 	request := &Request{Service: "s", Team: "starved", Cost: prompt.Cost{UnsharedTokens: 2000}, Target: time.Second}
-	_, refusal := d.PlaceEngine(now, request)
+	a, refusal := d.PlaceEngine(now, request)
+	must.Nil(t, refusal)
+	a.Begin(now)
+	_, refusal = d.PlaceEngine(now, request)
 	must.Nil(t, refusal)
 	now = now.Add(levelRefreshInterval)
 	s, contended := d.Shares(now)
 	must.True(t, contended)
 	must.Eq(t, TeamShare{
-		Name: "starved", Hash: TeamHash("starved"), Fleet: fairshare.Usage{Requested: 1_000_000, Started: 22_000},
-		Own: fairshare.Usage{Requested: 900_000, Started: 2000},
+		Name: "starved", Hash: TeamHash("starved"), Fleet: fairshare.Usage{Requested: 1_000_000, Started: 24_000, Begun: 17_000},
+		Own: fairshare.Usage{Requested: 900_000, Started: 4000, Begun: 2000},
 	}, s.Least)
-	must.Eq(t, TeamShare{Hash: TeamHash("best"), Fleet: fairshare.Usage{Requested: 1_000_000, Started: 300_000}}, s.Best)
-	must.Eq(t, int64(1.8*22_000), s.ServedLimit)
+	must.Eq(t, TeamShare{Hash: TeamHash("best"), Fleet: fairshare.Usage{Requested: 1_000_000, Started: 300_000, Begun: 250_000}}, s.Best)
+	must.Eq(t, int64(1.8*17_000), s.ServedLimit)
 }
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -315,6 +315,7 @@
 		for name, usage := range report.Teams {
 			message.Teams = append(message.Teams, loadreport.TeamUsage{
 				Team: dispatch.TeamHash(name), RequestedTokens: wireCount(usage.Requested), StartedTokens: wireCount(usage.Started),
+				BegunTokens: wireCount(usage.Begun),
 			})
 		}
 	}
@@ -401,7 +402,7 @@
 		r.Loads[i] = endpointload.PeerLoad{Endpoint: e.Endpoint, Load: load}
 	}
 	for i, t := range report.Teams {
-		usage := fairshare.Usage{Requested: int64(t.RequestedTokens), Started: int64(t.StartedTokens)}
+		usage := fairshare.Usage{Requested: int64(t.RequestedTokens), Started: int64(t.StartedTokens), Begun: int64(t.BegunTokens)}
 		r.Teams[i] = dispatch.TeamUsage{Team: t.Team, Usage: usage}
 	}
 	for _, p := range report.Placed {
--- a/direct/process.go
+++ b/direct/process.go
@@ -400,8 +400,8 @@
 }
 
 func teamShareAttr(key string, s dispatch.TeamShare) slog.Attr {
-	return slog.Group(key, "team", s.Name, "hash", s.Hash, "requested", s.Fleet.Requested, "started", s.Fleet.Started,
-		"own_requested", s.Own.Requested, "own_started", s.Own.Started)
+	return slog.Group(key, "team", s.Name, "hash", s.Hash, "requested", s.Fleet.Requested, "started", s.Fleet.Started, "begun", s.Fleet.Begun,
+		"own_requested", s.Own.Requested, "own_started", s.Own.Started, "own_begun", s.Own.Begun)
 }
 
 // awaitStop waits for a stop signal, drains the process and returns errStopped.
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -9,7 +9,7 @@
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
 // refused.
-const formatVersion = 0xA4
+const formatVersion = 0xA5
 
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
@@ -65,8 +65,8 @@
 type TeamUsage struct {
 	Team ID
 	// RequestedTokens counts the tokens of all requests, StartedTokens those of the
-	// requests that were sent to an engine.
-	RequestedTokens, StartedTokens uint32
+	// requests that were assigned to an engine, BegunTokens those that an engine began.
+	RequestedTokens, StartedTokens, BegunTokens uint32
 }
 
 // PlacedPart names a part of a prompt that was sent to an endpoint other than its home.
@@ -127,6 +127,7 @@
 		b = binary.LittleEndian.AppendUint32(b, t.Team)
 		b = binary.AppendUvarint(b, uint64(t.RequestedTokens))
 		b = binary.AppendUvarint(b, uint64(t.StartedTokens))
+		b = binary.AppendUvarint(b, uint64(t.BegunTokens))
 	}
 	b = binary.AppendUvarint(b, uint64(len(r.Placed)))
 	for _, p := range r.Placed {
@@ -147,7 +148,7 @@
 // of the datagram before memory is allocated for it.
 const (
 	minEndpointBytes = 6
-	minTeamBytes     = 6
+	minTeamBytes     = 7
 	placedBytes      = 12
 )
 
@@ -176,7 +177,7 @@
 		return e
 	})
 	r.Teams = decodeList(&d, minTeamBytes, func() TeamUsage {
-		return TeamUsage{Team: d.uint32(), RequestedTokens: d.count(), StartedTokens: d.count()}
+		return TeamUsage{Team: d.uint32(), RequestedTokens: d.count(), StartedTokens: d.count(), BegunTokens: d.count()}
 	})
 	r.Placed = decodeList(&d, placedBytes, func() PlacedPart { return PlacedPart{Endpoint: d.uint32(), Part: d.uint64()} })
 	if d.failed || len(d.rest) > 0 || flags&^knownFlags != 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -35,7 +35,7 @@
 		r.Endpoints = append(r.Endpoints, EndpointLoad{id.Draw(t, "e"), count.Draw(t, "pending"), count.Draw(t, "running"), rapid.Bool().Draw(t, "unreachable")})
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "teams") {
-		r.Teams = append(r.Teams, TeamUsage{id.Draw(t, "t"), count.Draw(t, "requested"), count.Draw(t, "started")})
+		r.Teams = append(r.Teams, TeamUsage{id.Draw(t, "t"), count.Draw(t, "requested"), count.Draw(t, "started"), count.Draw(t, "begun")})
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "placed") {
 		r.Placed = append(r.Placed, PlacedPart{id.Draw(t, "p"), rapid.Uint64().Draw(t, "part")})
@@ -67,7 +67,7 @@
 		r.Endpoints = append(r.Endpoints, EndpointLoad{Endpoint: ID(i * 7919), PendingTokens: 6000, Running: 2})
 	}
 	for i := range 60 {
-		r.Teams = append(r.Teams, TeamUsage{Team: ID(i * 104729), RequestedTokens: 100_000, StartedTokens: 80_000})
+		r.Teams = append(r.Teams, TeamUsage{Team: ID(i * 104729), RequestedTokens: 100_000, StartedTokens: 80_000, BegunTokens: 80_000})
 	}
 	return r
 }
