Max-min level when the demands add up to the capacity

Cause: a demand equal to its share, rounded down, ended the search, although the remainder of the division was left for the larger demands. Teams got up to the number of teams in tokens less; no caller saw it.

TestLevelFitsDemandsThatAddUpToTheCapacity failed before; 100,000 checks of the property pass.

--- a/coordination/fairshare/fairshare.go
+++ b/coordination/fairshare/fairshare.go
@@ -95,7 +95,7 @@
 	slices.Sort(sorted)
 	for i, d := range sorted {
 		share := capacity / int64(len(sorted)-i)
-		if d >= share {
+		if d > share {
 			return share
 		}
 		capacity -= d
--- a/coordination/fairshare/fairshare_test.go
+++ b/coordination/fairshare/fairshare_test.go
@@ -29,6 +29,14 @@
 	})
 }
 
+// Guards against a level below the largest demand when the demands add up to the capacity
+// and a smaller one equals its rounded share.
+func TestLevelFitsDemandsThatAddUpToTheCapacity(t *testing.T) {
+	must.Eq(t, 1, MaxMinLevel([]int64{0, 1}, 1))
+	must.Eq(t, 5, MaxMinLevel([]int64{2, 5, 1}, 8))
+	must.Eq(t, 3, MaxMinLevel([]int64{3, 3}, 6))
+}
+
 // Guards against counts that are kept after the end of the window, and against
 // counts that are dropped before it.
 func TestWindowDropsOnlyExpiredCounts(t *testing.T) {
