Hosts without CPU time for refusals accept fewer connections

Cause: the refusals of 1,700 requests a second need 2.4 times the host's CPU time, so the requests that it admits wait behind them. Class: the cost of saying no isn't bounded.

Change: at a CPU utilization of 0.9 and above, the rate of accepted connections falls to what the host can deal with.

--- a/direct/listener.go
+++ b/direct/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -31,12 +32,13 @@
 	monitor     *overload.Monitor
 	admission   *overload.Admission
 	rotation    *overload.Rotation
+	pacer       *overload.Pacer
 	shed        metrics.Counter
 }
 
-func newBoundedListener(l net.Listener, descriptors int, monitor *overload.Monitor, admission *overload.Admission, rotation *overload.Rotation, registry metrics.Registry) *boundedListener {
+func newBoundedListener(l net.Listener, descriptors int, monitor *overload.Monitor, admission *overload.Admission, rotation *overload.Rotation, pacer *overload.Pacer, registry metrics.Registry) *boundedListener {
 	return &boundedListener{
-		Listener: l, connections: make(chan struct{}, max(descriptors/descriptorsPerRequest, 1)), monitor: monitor, admission: admission, rotation: rotation,
+		Listener: l, connections: make(chan struct{}, max(descriptors/descriptorsPerRequest, 1)), monitor: monitor, admission: admission, rotation: rotation, pacer: pacer,
 		shed: metrics.GetOrRegisterCounter("direct.connections_shed", registry),
 	}
 }
@@ -58,6 +60,9 @@
 // Accept implements net.Listener.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
+		if wait := l.pacer.Delay(time.Now()); wait > 0 {
+			time.Sleep(wait)
+		}
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/direct/overload/pacer.go
@@ -0,0 +1,76 @@
+package overload
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// minAcceptRate is the lowest rate, in connections per second, to which Pacer slows
+	// down: a router that reports itself ready must still serve some callers.
+	minAcceptRate = 50
+	// paceDecrease multiplies the rate in each step of a saturated process, paceIncrease in
+	// each step of one with time to spare.
+	paceDecrease = 0.8
+	paceIncrease = 1.1
+	// unpacedFactor is the ratio of the allowed to the actual rate above which connections
+	// are accepted without a limit again.
+	unpacedFactor = 2.0
+	// maxPaceBurst is the time for which unused accepts add up.
+	maxPaceBurst = 20 * time.Millisecond
+)
+
+// Pacer limits the rate of accepted connections of a process that has no CPU time even to
+// refuse the requests on all of them. Connections beyond the rate wait in the kernel, where
+// they cost nothing, and their callers turn to another router when nobody reads their
+// requests; accepted requests don't wait behind them. Pacer is safe for concurrent use.
+type Pacer struct {
+	mu sync.Mutex
+	// rate is the allowed rate in connections per second; 0 means no limit.
+	rate     float64
+	accepted int
+	stepped  time.Time
+	// next is the earliest time of the next accept.
+	next time.Time
+}
+
+// Step adapts the rate to the CPU utilization and returns it, in connections per second, or 0
+// if there is no limit. It is called at regular intervals.
+func (p *Pacer) Step(now time.Time, utilization float64) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	elapsed := now.Sub(p.stepped).Seconds()
+	actual := float64(p.accepted) / max(elapsed, 0.001)
+	p.accepted, p.stepped = 0, now
+	switch {
+	case utilization >= saturatedUtilization:
+		limit := actual
+		if p.rate > 0 {
+			limit = min(p.rate, max(actual, minAcceptRate))
+		}
+		p.rate = max(limit*paceDecrease, minAcceptRate)
+	case utilization < sparedUtilization && p.rate > 0:
+		p.rate *= paceIncrease
+		if p.rate > unpacedFactor*max(actual, minAcceptRate) {
+			p.rate = 0
+		}
+	}
+	return p.rate
+}
+
+// Delay returns how long to wait before the next accept, and counts it.
+func (p *Pacer) Delay(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted++
+	if p.rate == 0 {
+		return 0
+	}
+	earliest := now.Add(-maxPaceBurst)
+	if p.next.Before(earliest) {
+		p.next = earliest
+	}
+	wait := p.next.Sub(now)
+	p.next = p.next.Add(time.Duration(float64(time.Second) / p.rate))
+	return max(wait, 0)
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -102,6 +102,7 @@
 	listeners  listeners
 	monitor    overload.Monitor
 	admission  overload.Admission
+	pacer      overload.Pacer
 	rotation   *overload.Rotation
 	stopping   chan struct{}
 }
@@ -228,7 +229,7 @@
 		ConnContext: entry.ConnContext,
 		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
 	}
-	listener := newBoundedListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, &p.admission, p.rotation, p.metrics)
+	listener := newBoundedListener(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, &p.monitor, &p.admission, p.rotation, &p.pacer, p.metrics)
 	p.handler.Overload = listener
 	serve(ctx, group, traffic, listener)
 	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
@@ -309,6 +310,7 @@
 	meter, fastMeter := overload.NewCPUMeter(cores, overload.RotationAveraging), overload.NewCPUMeter(cores, overload.AdmissionAveraging)
 	admitted := metrics.GetOrRegisterGaugeFloat64("direct.admitted", p.metrics)
 	utilization := metrics.GetOrRegisterGaugeFloat64("direct.processor_busy", p.metrics)
+	acceptRate := metrics.GetOrRegisterGaugeFloat64("direct.accept_rate", p.metrics)
 	measured := true
 	for {
 		select {
@@ -318,7 +320,9 @@
 			used, err := overload.CPUTime()
 			if err == nil {
 				p.monitor.SetUtilization(meter.Sample(now, used))
-				p.admission.Step(fastMeter.Sample(now, used))
+				fast := fastMeter.Sample(now, used)
+				p.admission.Step(fast)
+				acceptRate.Update(p.pacer.Step(now, fast))
 				admitted.Update(p.admission.Admitted())
 			} else if measured {
 				p.log.Warn("read CPU time failed; overload is detected by scheduling delay only", "error", err.Error())
