--- a/direct/entry/log.go
+++ b/direct/entry/log.go
@@ -23,6 +23,21 @@
 	r.h.Log.LogAttrs(context.Background(), slog.LevelInfo, "request ended", append(attrs, more...)...)
 }
 
+// logResumption logs an attempt that goes on after some event of a stream, of this response
+// or of an earlier attempt of the caller.
+func (r *request) logResumption(assignment *dispatch.Assignment, s *streamState) {
+	d := &r.h.Dialect
+	after, resumes := r.in.Header.Get(d.LastEventID), r.in.Header.Get(d.Resumes)
+	if header := r.resumeHeader(s); header != nil {
+		after = header.Get(d.LastEventID)
+	}
+	if after == "" {
+		return
+	}
+	e := &assignment.Endpoint
+	r.h.Log.Info("stream resumed", "request", r.id, "resumes", resumes, "after_event", after, "endpoint", e.ID, "service", e.Service, "version", e.Version)
+}
+
 // refusalAttrs returns the log attributes with the inputs of a decision to refuse
 // a request.
 func (r *request) refusalAttrs(refusal *dispatch.Refusal) []slog.Attr {
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -51,6 +51,7 @@
 }
 
 func (d streamDelivery) send(assignment *dispatch.Assignment) *attempt {
+	d.r.logResumption(assignment, d.s)
 	return d.r.sendWithStallDetection(assignment, d.s)
 }
 func (d streamDelivery) relay(a *attempt) relayResult      { return d.r.relayStream(a, d.s) }
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -327,7 +327,7 @@
 	previous, ok := f.endpoints.Lookup(endpoint.ID)
 	if !ok || previous.State != endpoint.State || !previous.Started.Equal(endpoint.Started) {
 		f.log.Info("endpoint entry changed", "endpoint", endpoint.ID, "service", endpoint.Service,
-			"draining", endpoint.State == registry.Draining, "address", endpoint.Address, "offset", r.Offset)
+			"version", endpoint.Version, "draining", endpoint.State == registry.Draining, "address", endpoint.Address, "offset", r.Offset)
 	}
 	if restored {
 		f.endpoints.PutRestored(endpoint, now)
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -35,6 +35,9 @@
 	Leaving string
 	// LastEventID is the identifier of the event after which a stream is resumed.
 	LastEventID string
+	// Resumes identifies the caller's attempt that brought the first event of a stream
+	// that the caller takes up again.
+	Resumes string
 	// Reserved lists headers that only the fleet may set in requests to endpoints.
 	Reserved []string
 	// Required lists headers that are forwarded to the endpoint even if the caller
@@ -58,5 +61,6 @@
 		RequestLimit:      "Acaciaspar-Request-Limit",
 		Leaving:           "Acaciaspar-Leaving",
 		LastEventID:       "Last-Event-Id",
+		Resumes:           "Acaciaspar-Resumes",
 	}
 }
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -29,6 +29,9 @@
 	// Address is the endpoint's IP address and port.
 	Address string
 	Zone    string
+	// Version is the version of the instance's software. What two versions write to a
+	// stream doesn't fit together.
+	Version string
 	Slots   int
 	State   State
 	// Started is the time at which the instance started. A change means that it
