--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -63,8 +63,8 @@
 }
 
 type endpoint struct {
-	id, service string
-	proxy       *faultproxy.Proxy
+	id, service, version string
+	proxy                *faultproxy.Proxy
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -163,16 +163,22 @@
 
 // addEndpoint starts an endpoint behind its own proxy and registers it.
 func (f *fleet) addEndpoint(id, service string) {
-	e := &endpoint{id: id, service: service}
-	address := f.serve(&platformtest.Worker{ID: id, ExecutionCounter: f.executions, Events: 10, EventDelay: 20 * time.Millisecond, ResponseDelay: 10 * time.Millisecond})
-	e.proxy = f.newProxy(address)
+	f.addWorker(service, defaultVersion, &platformtest.Worker{ID: id, ExecutionCounter: f.executions, Events: 10, EventDelay: 20 * time.Millisecond, ResponseDelay: 10 * time.Millisecond})
+}
+
+// defaultVersion is the software version of endpoints in tests where it doesn't matter.
+const defaultVersion = "v1"
+
+func (f *fleet) addWorker(service, version string, w *platformtest.Worker) {
+	e := &endpoint{id: w.ID, service: service, version: version}
+	e.proxy = f.newProxy(f.serve(w))
 	f.endpoints = append(f.endpoints, e)
 	f.register(e, "ready")
 }
 
 func (f *fleet) register(e *endpoint, state string) {
 	entry, err := json.Marshal(map[string]any{
-		"service": e.service, "address": e.proxy.Address(), "zone": "z", "slots": 16, "state": state, "born": time.Now().UnixMilli(),
+		"service": e.service, "address": e.proxy.Address(), "zone": "z", "version": e.version, "slots": 16, "state": state, "born": time.Now().UnixMilli(),
 	})
 	must.NoError(f.t, err)
 	f.store.Put("keyed.servers", e.id, entry)
