Resumed streams stay at the build that began them

Cause: routers didn't know the versions of endpoints, and what a router knows of a stream ends with its process. Class: what one process decided for a request is needed by another one later.

Change: a stream's origin, the build (service and version) that wrote its first event, is recorded with the identifier of the caller's attempt. Routers report origins to their peers with the load, and two of them save them in the store, so that they outlive all routers. Such streams have twice the limits of new ones at engines, because few engines can continue them. While a service has a single build, only that is saved, once; unknown streams then belong to it.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -93,8 +93,8 @@
 	Cost prompt.Cost
 	// Target is the latency target.
 	Target time.Duration
-	// Allowance scales the limits, 0 to 1. It is small for a team above its fair
-	// share.
+	// Allowance scales the limits. It is below 1 for a team above its fair share, and above 1
+	// for a stream that few engines can continue.
 	Allowance float64
 }
 
--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -109,6 +109,13 @@
 	s.notifyReaders()
 }
 
+// Len returns the number of records that were written to a topic.
+func (s *Store) Len(topic follow.Topic) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.logs[topic])
+}
+
 // Lists returns the number of listings so far.
 func (s *Store) Lists() int {
 	s.mu.Lock()
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
 	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
@@ -145,9 +147,10 @@
 	return d.loads.PausedUntil(time.Now(), id).IsZero()
 }
 
-// HasUsable reports whether a service has a usable endpoint that is not in exclude.
-func (d *Dispatcher) HasUsable(now time.Time, service string, exclude []string) bool {
-	endpoints := d.readyEndpoints(&Request{Service: service, Exclude: exclude})
+// HasUsable reports whether a service has a usable endpoint of a build that is not in
+// exclude.
+func (d *Dispatcher) HasUsable(now time.Time, service string, exclude []string, build streamorigin.Build) bool {
+	endpoints := d.readyEndpoints(&Request{Service: service, Exclude: exclude, Build: build})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.ContainsFunc(endpoints, func(e registry.Endpoint) bool {
@@ -166,6 +169,8 @@
 	Target time.Duration
 	// Exclude lists the IDs of endpoints that were tried before.
 	Exclude []string
+	// Build is the only build that can run the request, or streamorigin.AnyBuild.
+	Build streamorigin.Build
 	// Repeated is set if an endpoint may already have run the request. Its team's share
 	// was checked and charged before the first attempt and does not limit it again: the
 	// interrupted response would be lost.
@@ -281,6 +286,9 @@
 		return nil, refuse(request, allowance, 0, len(candidates))
 	}
 	demand := placement.Request{Cost: request.Cost, Target: request.Target, Allowance: allowance}
+	if request.Build != streamorigin.AnyBuild {
+		demand.Allowance *= continuedStreamFactor
+	}
 	index, wait, ok := placement.Choose(d.policy, demand, candidates)
 	if !ok {
 		return nil, refuse(request, allowance, wait, len(candidates))
@@ -298,6 +306,11 @@
 	}, nil
 }
 
+// continuedStreamFactor scales the limits of placement for a stream whose first events its
+// caller has. Only the engines of one build can continue it, and they are as busy as the others,
+// among which a new stream finds the least busy one.
+const continuedStreamFactor = 2.0
+
 func (d *Dispatcher) charge(now time.Time, request *Request) *charge {
 	if request.Team == "" {
 		return nil
@@ -387,18 +400,48 @@
 
 func (d *Dispatcher) readyEndpoints(request *Request) []registry.Endpoint {
 	ready := d.registry.Ready(request.Service)
-	if len(request.Exclude) == 0 {
+	if len(request.Exclude) == 0 && request.Build == streamorigin.AnyBuild {
 		return ready
 	}
 	remaining := make([]registry.Endpoint, 0, len(ready))
 	for _, e := range ready {
-		if !slices.Contains(request.Exclude, e.ID) {
+		if !slices.Contains(request.Exclude, e.ID) && runs(e, request.Build) {
 			remaining = append(remaining, e)
 		}
 	}
 	return remaining
 }
 
+// runs reports whether an endpoint is of a build.
+func runs(e registry.Endpoint, build streamorigin.Build) bool {
+	return build == streamorigin.AnyBuild || BuildOf(e) == build
+}
+
+// BuildOf returns the build of an endpoint's software.
+func BuildOf(e registry.Endpoint) streamorigin.Build {
+	return streamorigin.BuildOf(e.Service, e.Version)
+}
+
+// HasReady reports whether a service has an endpoint of a build that accepts requests.
+func (d *Dispatcher) HasReady(service string, build streamorigin.Build) bool {
+	return slices.ContainsFunc(d.registry.Ready(service), func(e registry.Endpoint) bool { return runs(e, build) })
+}
+
+// OnlyBuilds returns the build of each service whose registered endpoints, in any state, are of
+// a single one.
+func (d *Dispatcher) OnlyBuilds() map[string]streamorigin.Build {
+	only := map[string]streamorigin.Build{}
+	for _, e := range d.registry.All() {
+		build := BuildOf(e)
+		if known, ok := only[e.Service]; ok && known != build {
+			build = streamorigin.AnyBuild
+		}
+		only[e.Service] = build
+	}
+	maps.DeleteFunc(only, func(_ string, b streamorigin.Build) bool { return b == streamorigin.AnyBuild })
+	return only
+}
+
 // PlacePlain chooses an endpoint of a plain service: the one with the fewest
 // requests in progress, with penalties for failures, for reports of peers that
 // it is unreachable, and for another availability zone. Exactly one of the
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/entry"
@@ -37,6 +39,29 @@
 	endpoints *registry.Table
 	server    *httptest.Server
 	overload  overload
+	origins   origins
+}
+
+// origins implements entry.Origins in memory.
+type origins struct {
+	mu     sync.Mutex
+	builds map[string]streamorigin.Build
+}
+
+func (o *origins) Record(attempt string, build streamorigin.Build) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.builds == nil {
+		o.builds = map[string]streamorigin.Build{}
+	}
+	o.builds[attempt] = build
+}
+
+func (o *origins) Find(_ context.Context, attempt string, _ []string) (streamorigin.Build, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	build, ok := o.builds[attempt]
+	return build, ok
 }
 
 // overload is an entry.Overload controlled by a test.
@@ -86,7 +111,7 @@
 		Routes: routes, Dialect: headers, Log: slog.New(slog.DiscardHandler),
 		Dispatcher: dispatch.New("z", r.endpoints, placement.DefaultPolicy(), retry.Limits{Floor: 100, Fraction: 0.2}),
 		Pool:       endpointhttp.NewPool(time.Second), Metrics: entry.NewMetrics(metrics.NewRegistry()),
-		MaxHeldBytes: 8 << 20, MaxInFlight: 100, Overload: &r.overload,
+		MaxHeldBytes: 8 << 20, MaxInFlight: 100, Overload: &r.overload, Origins: &r.origins,
 	}
 	r.server = httptest.NewUnstartedServer(r.handler)
 	r.server.Config.ConnContext = entry.ConnContext
@@ -96,9 +121,14 @@
 }
 
 func (r *router) add(id, service string, script directtest.Script) *directtest.Endpoint {
+	r.t.Helper()
+	return r.addVersion(id, service, "v1", script)
+}
+
+func (r *router) addVersion(id, service, version string, script directtest.Script) *directtest.Endpoint {
 	r.t.Helper()
 	e := directtest.NewEndpoint(r.t, script)
-	r.endpoints.Put(registry.Endpoint{ID: id, Service: service, Address: e.Address, Zone: "z", Slots: 4})
+	r.endpoints.Put(registry.Endpoint{ID: id, Service: service, Address: e.Address, Zone: "z", Version: version, Slots: 4})
 	return e
 }
 
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
@@ -62,12 +63,26 @@
 	MaxInFlight int64
 	// Overload reports how short of CPU time and file descriptors the process is.
 	Overload Overload
+	// Origins finds the builds that began streams.
+	Origins Origins
 
 	heldBytes atomic.Int64
 	inFlight  atomic.Int64
 	drain     drainState
 }
 
+// Origins finds the builds that began streams, which callers take up again after their
+// connection broke.
+type Origins interface {
+	// Record records the build that began the stream whose first event this attempt of the
+	// caller brings.
+	Record(attempt string, build streamorigin.Build)
+	// Find returns the build that began the stream whose first event this attempt, of one of
+	// these services, brought, and false if it is unknown. attempt is empty if the caller
+	// doesn't name it.
+	Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool)
+}
+
 // Overload reports how short of CPU time and file descriptors the process is.
 type Overload interface {
 	// Shed decides whether to refuse a request without reading its body.
@@ -117,6 +132,9 @@
 	// possibleExecutions counts the attempts that may have executed the request.
 	possibleExecutions int
 	exclude            []string
+	// build is the only build that can continue the stream, or streamorigin.AnyBuild while the
+	// caller has no event.
+	build streamorigin.Build
 	// disconnected is set once the caller's connection was found closed.
 	disconnected bool
 }
@@ -152,7 +170,7 @@
 	if r.connectionClosed() {
 		r.abortDisconnected(errConnectionClosed)
 	}
-	if r.refuseIfQuarantined(prompt.Cost{}, r.fingerprint()) {
+	if r.refuseIfQuarantined(prompt.Cost{}, r.fingerprint()) || !r.resolveOrigin() {
 		return
 	}
 	r.forward()
@@ -392,7 +410,7 @@
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
-		Target: r.latencyTarget(now), Exclude: r.exclude,
+		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.build,
 		Repeated: r.possibleExecutions > 0,
 	}
 }
--- a/direct/entry/stall.go
+++ b/direct/entry/stall.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 )
 
@@ -25,7 +26,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	w := &stallWatch{
-		assignment: assignment, dispatcher: r.h.Dispatcher, service: r.service.Name,
+		assignment: assignment, dispatcher: r.h.Dispatcher, service: r.service.Name, resumedBuild: r.build,
 		exclude: append(slices.Clone(r.exclude), assignment.Endpoint.ID),
 	}
 	go w.run(ctx, cancel)
@@ -42,12 +43,23 @@
 	dispatcher *dispatch.Dispatcher
 	service    string
 	exclude    []string
-	retryTaken atomic.Bool
+	// resumedBuild is the build that began the stream before this attempt, or
+	// streamorigin.AnyBuild.
+	resumedBuild streamorigin.Build
+	retryTaken   atomic.Bool
 }
 
 // tookRetry reports whether the attempt was cancelled and its retry already counted.
 func (w *stallWatch) tookRetry() bool { return w != nil && w.retryTaken.Load() }
 
+// build returns the build that another endpoint must have to continue the stream.
+func (w *stallWatch) build() streamorigin.Build {
+	if w.assignment.Begun() {
+		return dispatch.BuildOf(w.assignment.Endpoint)
+	}
+	return w.resumedBuild
+}
+
 // run checks the endpoint until ctx ends. A check that itself comes late starts the wait
 // again, because a process without CPU time also reads late.
 func (w *stallWatch) run(ctx context.Context, cancel context.CancelCauseFunc) {
@@ -68,7 +80,7 @@
 				since = time.Time{}
 			case since.IsZero():
 				since = now
-			case now.Sub(since) >= stallTimeout && w.dispatcher.HasUsable(now, w.service, w.exclude) && w.dispatcher.TakeRetry(now, w.service):
+			case now.Sub(since) >= stallTimeout && w.dispatcher.HasUsable(now, w.service, w.exclude, w.build()) && w.dispatcher.TakeRetry(now, w.service):
 				w.retryTaken.Store(true)
 				cancel(errStalled)
 				return
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -129,6 +129,7 @@
 	}
 	if !s.headersSent {
 		s.headersSent = true
+		r.recordOrigin(a)
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
 		r.copyResponseHeader(a.response.Header)
 		r.w.WriteHeader(a.response.Status)
--- /dev/null
+++ b/direct/entry/versions_test.go
@@ -0,0 +1,106 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/direct/directtest"
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+// streamFrom returns a script that continues a stream after the caller's last event with a
+// version's events up to last, and then ends it, or breaks it off if last is below total.
+func streamFrom(version string, last, total int) directtest.Script {
+	return func(c net.Conn, call *directtest.Call) bool {
+		first := 0
+		_, _ = fmt.Sscan(call.Header.Get(headers.LastEventID), &first)
+		directtest.BeginStream(c, call)
+		for n := first + 1; n <= last; n++ {
+			directtest.Chunk(c, fmt.Sprintf("id: %d\ndata: %s\n\n", n, version))
+		}
+		if last < total {
+			return false
+		}
+		directtest.Chunk(c, "")
+		return true
+	}
+}
+
+// takeUp takes up the stream that attempt began, after an event.
+func (r *router) takeUp(attempt string, after int) result {
+	r.t.Helper()
+	in := r.request(http.MethodPost, "/resumable/1", "body")
+	in.Header.Set(headers.RequestID, "id-2")
+	in.Header.Set(headers.LastEventID, fmt.Sprint(after))
+	if attempt != "" {
+		in.Header.Set(headers.Resumes, attempt)
+	}
+	return r.do(in)
+}
+
+// Guards against a stream that the router itself continues at an endpoint of another version.
+func TestInterruptedStreamContinuesAtItsVersion(t *testing.T) {
+	for range 20 {
+		r := newRouter(t)
+		r.addVersion("e0", "engines", "v1", streamFrom("v1", 2, 4))
+		began := r.post("/resumable/1")
+		must.ErrorContains(t, began.err, "EOF")
+
+		r = newRouter(t)
+		r.addVersion("e0", "engines", "v1", streamFrom("v1", 2, 4))
+		r.addVersion("e1", "engines", "v2", streamFrom("v2", 2, 4))
+		r.addVersion("e2", "engines", "v1", streamFrom("v1", 4, 4))
+		r.addVersion("e3", "engines", "v2", streamFrom("v2", 4, 4))
+		got := r.post("/resumable/1")
+		must.NoError(t, got.err)
+		must.Eq(t, 4, strings.Count(got.body, "id:"))
+		must.False(t, strings.Contains(got.body, "v1") && strings.Contains(got.body, "v2"), must.Sprint(got.body))
+	}
+}
+
+// Guards against a stream that its caller takes up again and that goes on at an endpoint of
+// another version.
+func TestStreamTakenUpGoesOnAtItsVersion(t *testing.T) {
+	for range 20 {
+		r := newRouter(t)
+		r.addVersion("e0", "engines", "v1", streamFrom("v1", 2, 4))
+		must.Error(t, r.post("/resumable/1").err)
+		r.endpoints.Remove("e0", time.Now())
+		r.addVersion("e1", "engines", "v2", streamFrom("v2", 4, 4))
+		r.addVersion("e2", "engines", "v2", streamFrom("v2", 4, 4))
+		r.addVersion("e3", "engines", "v1", streamFrom("v1", 4, 4))
+		got := r.takeUp("id-1", 2)
+		must.Eq(t, http.StatusOK, got.status)
+		must.Eq(t, "id: 3\ndata: v1\n\nid: 4\ndata: v1\n\n", got.body)
+	}
+}
+
+// Guards against a stream that goes on at another version because no endpoint of its own is
+// left, or because the version that began it is unknown. Both are refused at once.
+func TestStreamOfAnotherOrUnknownVersionIsRefused(t *testing.T) {
+	r := newRouter(t)
+	e := r.addVersion("e1", "engines", "v2", streamFrom("v2", 4, 4))
+	must.Eq(t, http.StatusServiceUnavailable, r.takeUp("unknown", 2).status)
+	r.origins.Record("id-1", dispatch.BuildOf(registry.Endpoint{Service: "engines", Version: "v1"}))
+	refused := r.takeUp("id-1", 2)
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.NotEq(t, "", refused.header.Get("Retry-After"))
+	must.Len(t, 0, e.Calls())
+}
+
+// Guards against a stream that is refused because its route moved to several services.
+func TestStreamTakenUpGoesOnAtItsService(t *testing.T) {
+	r := newRouter(t)
+	r.addVersion("p1", "plain", "v1", streamFrom("plain", 4, 4))
+	r.origins.Record("id-1", dispatch.BuildOf(registry.Endpoint{Service: "plain", Version: "v1"}))
+	must.Eq(t, http.StatusServiceUnavailable, r.takeUp("id-1", 2).status, must.Sprint("the route doesn't lead to the service"))
+	r.addVersion("e1", "engines", "v1", streamFrom("engines", 4, 4))
+	must.Eq(t, http.StatusServiceUnavailable, r.takeUp("id-1", 2).status)
+}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -489,6 +489,28 @@
 	return nil, nil
 }
 
+// SaveStreams implements origins.Store.
+func (f *Follower) SaveStreams(ctx context.Context, key string, value []byte) (era int64, err error) {
+	call, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	f.storeCalls.Inc(1)
+	return f.store.Write(call, Streams, key, value)
+}
+
+// LoadStreams implements origins.Store. It lists the topic if the store doesn't hold the
+// records after the position any more.
+func (f *Follower) LoadStreams(ctx context.Context, after mirror.Position) (mirror.Batch, error) {
+	if after != (mirror.Position{}) {
+		f.storeCalls.Inc(1)
+		batch, err := f.store.Read(ctx, Streams, after.Next, 0)
+		if err == nil && batch.End.Era == after.Era || err != nil && !errors.Is(err, ErrCompacted) {
+			return batch, err
+		}
+	}
+	f.storeCalls.Inc(1)
+	return f.store.List(ctx, Streams)
+}
+
 // ListMembers returns the addresses that routers announced in the store.
 func (f *Follower) ListMembers(ctx context.Context) ([]string, error) {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -22,11 +22,13 @@
 	Members
 	// Crashes holds what routers know about requests that crash engines.
 	Crashes
+	// Streams holds the builds that began recent streams.
+	Streams
 )
 
 // String returns the topic's name for logs.
 func (t Topic) String() string {
-	return [...]string{"configuration", "endpoints", "members", "crashes"}[t]
+	return [...]string{"configuration", "endpoints", "members", "crashes", "streams"}[t]
 }
 
 // ErrCompacted is returned by Store.Read if the store doesn't hold the records at the
@@ -44,7 +46,7 @@
 	// store doesn't hold the records at from: they were compacted, or the store was
 	// restored from a copy that ends before.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
-	// Write appends a record to Members or Crashes and returns the era that it belongs
+	// Write appends a record to Members, Crashes or Streams and returns the era that it belongs
 	// to. If the store is restored from a copy later, the record may be lost.
 	Write(ctx context.Context, topic Topic, key string, value []byte) (era int64, err error)
 }
--- a/direct/mesh/endless_test.go
+++ b/direct/mesh/endless_test.go
@@ -27,7 +27,7 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	d := dispatch.New("z", registry.NewTable(), placement.DefaultPolicy(), retry.DefaultLimits())
-	local := LocalState{ConfigVersion: func() uint64 { return 0 }, Mirror: func(follow.Topic) *mirror.Topic { return mirror.NewTopic() }}
+	local := LocalState{ConfigVersion: func() uint64 { return 0 }, Mirror: func(follow.Topic) *mirror.Topic { return mirror.NewTopic() }, Streams: func() Streams { return nil }}
 	return New("self", netip.MustParseAddrPort("127.0.0.1:1"), conn, d, local, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 }
 
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
@@ -61,6 +62,8 @@
 	// receiveBatches is the number of times per report interval at which collected
 	// reports are read. Their age grows by at most the inverse of it.
 	receiveBatches = 8
+	// maxReportedStreams bounds the streams in one report; further ones follow in the next.
+	maxReportedStreams = 1024
 	// maxDatagram bounds the size of a report, in bytes.
 	maxDatagram = 60000
 	// maxRecordsReply and maxRecordsRequest bound the messages of a fetch of records, in
@@ -105,6 +108,16 @@
 	// OutOfRotation reports whether this router is out of the load balancer's
 	// rotation and gets no new connections.
 	OutOfRotation func() bool
+	// Streams returns the builds that began streams.
+	Streams func() Streams
+}
+
+// Streams exchanges the builds that began streams with peers.
+type Streams interface {
+	// TakeNews returns up to limit origins that peers haven't been told.
+	TakeNews(limit int) []streamorigin.Origin
+	// MergePeer adds the origins that a peer reports.
+	MergePeer(now time.Time, origins []streamorigin.Origin)
 }
 
 type peer struct {
@@ -322,6 +335,9 @@
 	for _, p := range report.Placed {
 		message.Placed = append(message.Placed, loadreport.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
 	}
+	for _, o := range m.local.Streams().TakeNews(maxReportedStreams) {
+		message.Streams = append(message.Streams, loadreport.StreamOrigin{Stream: uint64(o.Stream), Build: uint32(o.Build)})
+	}
 	return message
 }
 
@@ -389,6 +405,17 @@
 	}
 	m.mu.Unlock()
 	m.dispatcher.ApplyPeerReport(now, decodeReport(report))
+	if len(report.Streams) > 0 {
+		m.local.Streams().MergePeer(now, decodeStreams(report.Streams))
+	}
+}
+
+func decodeStreams(streams []loadreport.StreamOrigin) []streamorigin.Origin {
+	origins := make([]streamorigin.Origin, len(streams))
+	for i, s := range streams {
+		origins[i] = streamorigin.Origin{Stream: streamorigin.Stream(s.Stream), Build: streamorigin.Build(s.Build)}
+	}
+	return origins
 }
 
 func decodeReport(report *loadreport.Report) dispatch.PeerReport {
@@ -497,6 +524,30 @@
 	return reading < minActiveReaders && (readsStore || isProbeTurn(now, rank, len(fleet)))
 }
 
+// streamSavers is the number of routers that save the origins of streams for the fleet. With
+// two, one may fail.
+const streamSavers = 2
+
+// SavesStreams reports whether this router saves the origins of streams in the store: all
+// routers know them by the reports, and rendezvous hashing selects the same savers among the
+// routers that read the store.
+func (m *Mesh) SavesStreams() bool {
+	if !m.local.ReadsStore() {
+		return false
+	}
+	now := time.Now()
+	self := m.address.String()
+	readers := []string{self}
+	m.mu.Lock()
+	for address, p := range m.peers {
+		if p.readsStore && now.Sub(p.lastReport) <= readerTimeout {
+			readers = append(readers, address)
+		}
+	}
+	m.mu.Unlock()
+	return slices.Index(rendezvous.Rank(readersKey, readers), self) < streamSavers
+}
+
 // probeInterval is the interval between the turns of two routers that try to read the
 // store.
 const probeInterval = 200 * time.Millisecond
--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -33,6 +33,8 @@
 	address    string
 	out        atomic.Bool
 	topics     map[follow.Topic]*mirror.Topic
+	streams    streams
+	reads      atomic.Bool
 	version    atomic.Uint64
 }
 
@@ -64,13 +66,15 @@
 	}
 	p.topics = map[follow.Topic]*mirror.Topic{follow.Configuration: mirror.NewTopic(), follow.Endpoints: mirror.NewTopic()}
 	p.version.Store(1)
+	p.reads.Store(true)
 	p.Mesh = mesh.New(instance, conn.LocalAddr().(*net.UDPAddr).AddrPort(), conn,
 		p.dispatcher,
 		mesh.LocalState{
 			ConfigVersion: p.version.Load,
 			Mirror:        func(topic follow.Topic) *mirror.Topic { return p.topics[topic] },
-			ReadsStore:    func() bool { return true },
+			ReadsStore:    p.reads.Load,
 			OutOfRotation: p.out.Load,
+			Streams:       func() mesh.Streams { return &p.streams },
 		}, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	go func() { _ = p.Send(t.Context()) }()
 	go func() { _ = p.SendCrashes(t.Context()) }()
--- /dev/null
+++ b/direct/mesh/streams_test.go
@@ -0,0 +1,87 @@
+package mesh_test
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
+	"github.com/acaciaspar/acaciaspar/direct/overload"
+)
+
+// streams implements mesh.Streams in memory.
+type streams struct {
+	mu           sync.Mutex
+	news, merged []streamorigin.Origin
+}
+
+func (s *streams) TakeNews(limit int) []streamorigin.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(limit, len(s.news))
+	taken := s.news[:n]
+	s.news = s.news[n:]
+	return taken
+}
+
+func (s *streams) MergePeer(_ time.Time, origins []streamorigin.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.merged = append(s.merged, origins...)
+}
+
+func (s *streams) has(o streamorigin.Origin) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.merged, o)
+}
+
+// Guards against a stream whose origin only its own router knows: if that router is killed, no
+// other can continue the stream.
+func TestOriginsOfStreamsReachPeers(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	a.Add(b.address)
+	waitForRotation(t, a, overload.PeerCounts{Live: 1})
+	origin := streamorigin.Origin{Stream: streamorigin.StreamOf("id-1"), Build: streamorigin.BuildOf("engines", "v1")}
+	a.streams.mu.Lock()
+	a.streams.news = append(a.streams.news, origin)
+	a.streams.mu.Unlock()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return b.streams.has(origin) }), wait.Timeout(20*time.Second)))
+}
+
+// Guards against origins that nobody saves, or that all routers of a fleet save: two of those
+// that read the store do, and another one takes over.
+func TestTwoRoutersSaveOriginsOfStreams(t *testing.T) {
+	peers := []*testPeer{newTestPeer(t, "a"), newTestPeer(t, "b"), newTestPeer(t, "c"), newTestPeer(t, "d")}
+	savers := func() (list []*testPeer) {
+		for _, p := range peers {
+			if p.SavesStreams() {
+				list = append(list, p)
+			}
+		}
+		return list
+	}
+	for _, p := range peers {
+		must.True(t, p.SavesStreams(), must.Sprint("a router that knows no other saves them"))
+		for _, other := range peers {
+			p.Add(other.address)
+		}
+	}
+	saversAre := func(n int) {
+		t.Helper()
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return len(savers()) == n }), wait.Timeout(20*time.Second)))
+	}
+	saversAre(2)
+	first := savers()[0]
+	first.reads.Store(false)
+	must.False(t, first.SavesStreams())
+	saversAre(2)
+	for _, p := range peers {
+		p.reads.Store(false)
+	}
+	saversAre(0)
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -22,6 +22,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/entry"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/mesh"
+	"github.com/acaciaspar/acaciaspar/direct/origins"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
@@ -98,6 +99,7 @@
 	pool       *endpointhttp.Pool
 	handler    *entry.Handler
 	follower   *follow.Follower
+	origins    *origins.Origins
 	mesh       *mesh.Mesh
 	listeners  listeners
 	monitor    overload.Monitor
@@ -183,7 +185,7 @@
 		MaxInFlight:  int64(s.Descriptors-reservedDescriptors) / 3,
 	}
 	localState := mesh.LocalState{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) },
-		ReadsStore: func() bool { return p.follower.ReadsStore() }, OutOfRotation: p.rotation.Out}
+		ReadsStore: func() bool { return p.follower.ReadsStore() }, OutOfRotation: p.rotation.Out, Streams: func() mesh.Streams { return p.origins }}
 	p.mesh = mesh.New(fleetrpc.NewInstanceID(), p.listeners.datagrams.LocalAddr().(*net.UDPAddr).AddrPort(), p.listeners.datagrams,
 		p.dispatcher, localState, p.log, p.metrics)
 	p.mesh.Add(s.peerList()...)
@@ -192,6 +194,19 @@
 		Routes: p.routes, Endpoints: p.endpoints, Log: p.log, Metrics: p.metrics,
 	})
 	p.follower.OnChange = p.updateDispatcher
+	p.origins = origins.New(origins.Options{
+		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, OnlyBuilds: p.dispatcher.OnlyBuilds,
+		LongestStream: p.longestStream, Log: p.log, Metrics: p.metrics,
+	})
+	p.handler.Origins = p.origins
+}
+
+// longestStream returns the longest timeout of a route whose streams may be resumed.
+func (p *process) longestStream() time.Duration {
+	if t := p.routes.Current(); t != nil {
+		return t.LongestResumableStream()
+	}
+	return 0
 }
 
 func (p *process) configVersion() uint64 {
@@ -245,6 +260,7 @@
 	group.Go(func() error { return p.mesh.SendCrashes(ctx) })
 	group.Go(func() error { return p.mesh.SendLimits(ctx) })
 	group.Go(func() error { return p.keepCrashes(ctx) })
+	group.Go(func() error { return p.origins.Run(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
 	group.Go(func() error {
 		return p.follower.Announce(ctx, p.options.Settings.Name, p.listeners.fleet.Addr().String())
@@ -388,6 +404,7 @@
 			metrics.GetOrRegisterGauge("direct.lateness_ms", p.metrics).Update(p.monitor.SchedulingDelay().Milliseconds())
 			metrics.GetOrRegisterGauge("direct.quarantined_prompts", p.metrics).Update(int64(p.dispatcher.QuarantinedSets()))
 			metrics.GetOrRegisterGauge("direct.limited_endpoints", p.metrics).Update(int64(p.dispatcher.LimitedEndpoints()))
+			metrics.GetOrRegisterGauge("direct.stream_origins", p.metrics).Update(int64(p.origins.Len()))
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
 	}
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -9,12 +9,12 @@
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
 // refused.
-const formatVersion = 0xA5
+const formatVersion = 0xA6
 
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
 
-// ID identifies an endpoint or a team by a hash of its name. If two names have the same
+// ID identifies an endpoint, a team or a build by a hash of its name. If two names have the same
 // hash, their loads are added up, which only makes routers more careful.
 type ID = uint32
 
@@ -45,6 +45,8 @@
 	Endpoints []EndpointLoad
 	Teams     []TeamUsage
 	Placed    []PlacedPart
+	// Streams lists the streams that began at the sender since the previous report.
+	Streams []StreamOrigin
 }
 
 // Position is the offset after the newest record of a topic, in an era of the store.
@@ -75,6 +77,12 @@
 	Part     uint64
 }
 
+// StreamOrigin names the build of a service's software that began a stream.
+type StreamOrigin struct {
+	Stream uint64
+	Build  ID
+}
+
 // flags of a report.
 const (
 	flagLeaving = 1 << iota
@@ -134,6 +142,11 @@
 		b = binary.LittleEndian.AppendUint32(b, p.Endpoint)
 		b = binary.LittleEndian.AppendUint64(b, p.Part)
 	}
+	b = binary.AppendUvarint(b, uint64(len(r.Streams)))
+	for _, s := range r.Streams {
+		b = binary.LittleEndian.AppendUint64(b, s.Stream)
+		b = binary.LittleEndian.AppendUint32(b, s.Build)
+	}
 	return b
 }
 
@@ -150,6 +163,7 @@
 	minEndpointBytes = 6
 	minTeamBytes     = 7
 	placedBytes      = 12
+	streamBytes      = 12
 )
 
 var errInvalid = eris.New("invalid load report")
@@ -180,6 +194,7 @@
 		return TeamUsage{Team: d.uint32(), RequestedTokens: d.count(), StartedTokens: d.count(), BegunTokens: d.count()}
 	})
 	r.Placed = decodeList(&d, placedBytes, func() PlacedPart { return PlacedPart{Endpoint: d.uint32(), Part: d.uint64()} })
+	r.Streams = decodeList(&d, streamBytes, func() StreamOrigin { return StreamOrigin{Stream: d.uint64(), Build: d.uint32()} })
 	if d.failed || len(d.rest) > 0 || flags&^knownFlags != 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
 		return nil, errInvalid
 	}
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -40,6 +40,9 @@
 	for range rapid.IntRange(0, 5).Draw(t, "placed") {
 		r.Placed = append(r.Placed, PlacedPart{id.Draw(t, "p"), rapid.Uint64().Draw(t, "part")})
 	}
+	for range rapid.IntRange(0, 5).Draw(t, "streams") {
+		r.Streams = append(r.Streams, StreamOrigin{rapid.Uint64().Draw(t, "s"), id.Draw(t, "build")})
+	}
 	return r
 }
 
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -17,6 +18,8 @@
 	services map[string]*Service
 	keys     map[string]*Team
 	teams    int
+	// longestResumable is the longest timeout of a route whose streams may be resumed.
+	longestResumable time.Duration
 }
 
 // Compile validates a configuration and builds its table. It returns an error if
@@ -67,6 +70,9 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		return eris.Errorf("route %q: path prefix %q doesn't begin with a slash", r.Name, r.PathPrefix)
 	}
+	if r.Resumable {
+		t.longestResumable = max(t.longestResumable, r.Timeout)
+	}
 	host := NormalizeHost(r.Host)
 	t.routes[host] = append(t.routes[host], r)
 	return nil
@@ -107,6 +113,10 @@
 	return n
 }
 
+// LongestResumableStream returns the longest timeout of the routes whose streams may be
+// resumed.
+func (t *Table) LongestResumableStream() time.Duration { return t.longestResumable }
+
 // RequiresKeys reports whether the configuration has any teams, in which case
 // callers need an API key for routes that are not public.
 func (t *Table) RequiresKeys() bool { return t.teams > 0 }
