Streams that are taken up again aren't limited by their team's share

Its share was checked when it began.

Change: like a request that the router itself repeats, such a stream is exempt from the share, and not refused first by a host without CPU time; three times at one router, so that a team can't get any number of requests by naming one stream.

TestStreamTakenUpIsNotLimitedByTheShare failed before (429).

--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -46,7 +46,9 @@
 	// recent holds the origins recorded since periodStart, older those of the period before.
 	recent, older map[Stream]Build
 	periodStart   time.Time
-	news          []Origin
+	// takeUps counts how often each stream was taken up at this router in this period.
+	takeUps map[Stream]int
+	news    []Origin
 	// unsaved is ordered by time.
 	unsaved []unsavedOrigin
 }
@@ -57,7 +59,7 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{recent: map[Stream]Build{}} }
+func NewTable() *Table { return &Table{recent: map[Stream]Build{}, takeUps: map[Stream]int{}} }
 
 // Lookup returns the build that began a stream, if it is known.
 func (t *Table) Lookup(s Stream) (Build, bool) {
@@ -107,6 +109,16 @@
 	return true
 }
 
+// CountTakeUp counts that a caller takes up a stream at this router, and returns how often callers
+// have.
+func (t *Table) CountTakeUp(now time.Time, s Stream) int {
+	if len(t.takeUps) >= maxRecent {
+		t.beginPeriod(now)
+	}
+	t.takeUps[s]++
+	return t.takeUps[s]
+}
+
 // TakeNews returns up to limit origins that peers haven't been told.
 func (t *Table) TakeNews(limit int) []Origin {
 	n := min(limit, len(t.news))
@@ -169,6 +181,7 @@
 
 func (t *Table) beginPeriod(now time.Time) {
 	t.older, t.recent = t.recent, make(map[Stream]Build, len(t.recent))
+	clear(t.takeUps)
 	t.periodStart = now
 }
 
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -171,9 +171,9 @@
 	Exclude []string
 	// Build is the only build that can run the request, or streamorigin.AnyBuild.
 	Build streamorigin.Build
-	// Repeated is set if an endpoint may already have run the request. Its team's share
-	// was checked and charged before the first attempt and does not limit it again: the
-	// interrupted response would be lost.
+	// Repeated is set if an endpoint may already have run the request, or the beginning of
+	// the stream that it continues. Its team's share was checked and charged before the first
+	// attempt and does not limit it again: the interrupted response would be lost.
 	Repeated bool
 }
 
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -44,8 +44,16 @@
 
 // origins implements entry.Origins in memory.
 type origins struct {
-	mu     sync.Mutex
-	builds map[string]streamorigin.Build
+	mu      sync.Mutex
+	builds  map[string]streamorigin.Build
+	takeUps int
+}
+
+func (o *origins) CountTakeUp(string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.takeUps++
+	return o.takeUps
 }
 
 func (o *origins) Record(attempt string, build streamorigin.Build) {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -81,6 +81,9 @@
 	// these services, brought, and false if it is unknown. attempt is empty if the caller
 	// doesn't name it.
 	Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool)
+	// CountTakeUp counts that a caller takes up the stream whose first event this attempt
+	// brought, and returns how often callers have at this router lately.
+	CountTakeUp(attempt string) int
 }
 
 // Overload reports how short of CPU time and file descriptors the process is.
@@ -135,6 +138,8 @@
 	// build is the only build that can continue the stream, or streamorigin.AnyBuild while the
 	// caller has no event.
 	build streamorigin.Build
+	// continues is set if the request continues a stream within its team's share.
+	continues bool
 	// disconnected is set once the caller's connection was found closed.
 	disconnected bool
 }
@@ -181,7 +186,7 @@
 // team.
 func (r *request) refuseIfOverloaded() bool {
 	now := time.Now()
-	if !r.h.Overload.Refuse(func() bool { return r.h.Dispatcher.AboveShare(now, r.team) }) {
+	if !r.h.Overload.Refuse(func() bool { return !r.takesUpStream() && r.h.Dispatcher.AboveShare(now, r.team) }) {
 		return false
 	}
 	r.h.Dispatcher.RecordRequest(now, r.service.Name, r.team, r.cost.Units())
@@ -411,7 +416,7 @@
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
 		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.build,
-		Repeated: r.possibleExecutions > 0,
+		Repeated: r.possibleExecutions > 0 || r.continues,
 	}
 }
 
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -9,6 +9,11 @@
 	"github.com/acaciaspar/acaciaspar/state/routing"
 )
 
+// maxExemptTakeUps is how often a stream can be taken up at one router without regard to its
+// team's share, which was checked when it began. Beyond that, a team could get any number of
+// requests that way.
+const maxExemptTakeUps = 3
+
 // unknownOriginRetryAfter is the delay after which a caller should retry if its stream can't
 // continue now: another router may know its origin, or an endpoint of its build return.
 const unknownOriginRetryAfter = 300 * time.Millisecond
@@ -17,11 +22,11 @@
 // service that has it. If it returns false, it has refused the request: joined from two
 // builds, the stream would be corrupt.
 func (r *request) resolveOrigin() bool {
-	d := &r.h.Dialect
-	if r.route.Semantics != routing.Stream || !r.route.Resumable || r.in.Header.Get(d.LastEventID) == "" {
+	if !r.takesUpStream() {
 		return true
 	}
-	build, known := r.originBuild(r.in.Header.Get(d.Resumes))
+	attempt := r.in.Header.Get(r.h.Dialect.Resumes)
+	build, known := r.originBuild(attempt)
 	if !known {
 		r.refuse(http.StatusServiceUnavailable, "the origin of the stream is unknown", unknownOriginRetryAfter)
 		return false
@@ -29,6 +34,7 @@
 	for _, destination := range r.route.Destinations {
 		if destination.Weight > 0 && r.h.Dispatcher.HasReady(destination.Service, build) {
 			r.build, r.service = build, r.table.Service(destination.Service)
+			r.continues = attempt != "" && r.h.Origins.CountTakeUp(attempt) <= maxExemptTakeUps
 			r.parseCost()
 			return true
 		}
@@ -37,6 +43,11 @@
 	return false
 }
 
+// takesUpStream reports whether the caller has the first events of the stream.
+func (r *request) takesUpStream() bool {
+	return r.route.Semantics == routing.Stream && r.route.Resumable && r.in.Header.Get(r.h.Dialect.LastEventID) != ""
+}
+
 // originBuild returns the build that began the stream whose first event an attempt brought.
 func (r *request) originBuild(attempt string) (streamorigin.Build, bool) {
 	var services []string
--- a/direct/entry/versions_test.go
+++ b/direct/entry/versions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/state/registry"
@@ -104,3 +105,24 @@
 	r.addVersion("e1", "engines", "v1", streamFrom("engines", 4, 4))
 	must.Eq(t, http.StatusServiceUnavailable, r.takeUp("id-1", 2).status)
 }
+
+// Guards against interrupted streams of a team above its share that can't be taken up, and
+// against a team that gets any number of requests by taking up one stream.
+func TestStreamTakenUpIsNotLimitedByTheShare(t *testing.T) {
+	r := newRouter(t)
+	r.addVersion("e1", "engines", "v1", streamFrom("v1", 4, 4))
+	r.origins.Record("id-1", dispatch.BuildOf(registry.Endpoint{Service: "engines", Version: "v1"}))
+	now := time.Now()
+	r.handler.Dispatcher.SetCapacity(1000, 1)
+	r.handler.Dispatcher.RecordRequest(now, "engines", "t1", 1_000_000)
+	// Another team with the same demand has got so little that this one must wait.
+	r.handler.Dispatcher.ApplyPeerReport(now, dispatch.PeerReport{Instance: "peer", Sequence: 1, HasTeams: true, Teams: []dispatch.TeamUsage{
+		{Team: dispatch.TeamHash("other"), Usage: fairshare.Usage{Requested: 1_000_000, Started: 10, Begun: 10}},
+		{Team: dispatch.TeamHash("t1"), Usage: fairshare.Usage{Requested: 1_000_000, Started: 100_000, Begun: 100_000}},
+	}})
+	must.Eq(t, http.StatusTooManyRequests, r.post("/resumable/1").status)
+	for range 3 {
+		must.Eq(t, http.StatusOK, r.takeUp("id-1", 2).status)
+	}
+	must.Eq(t, http.StatusTooManyRequests, r.takeUp("id-1", 2).status)
+}
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -151,6 +151,14 @@
 	return b, ok && b == o.savedBuilds[services[0]]
 }
 
+// CountTakeUp counts that a caller takes up the stream whose first event this attempt brought,
+// and returns how often callers have at this router lately.
+func (o *Origins) CountTakeUp(attempt string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.CountTakeUp(time.Now(), streamorigin.StreamOf(attempt))
+}
+
 // Len returns the number of known origins.
 func (o *Origins) Len() int {
 	o.mu.Lock()
