Origins are saved also while a service has a single build

Causes: origins of a service's only build weren't saved at all. And a router that had read the store before the only build was saved there replaced it by the one that it saw, also during a release; then it didn't save the origins of the new build.

Change: they are saved every 0.5 s while there is a single build, every 60 ms otherwise; a router reads the store again before it saves a build.

--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -1,6 +1,7 @@
 package streamorigin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -130,19 +131,22 @@
 	return taken
 }
 
-// TakeUnsaved returns up to limit origins that this router has not seen saved. It drops
-// those of builds for which skip returns true.
-func (t *Table) TakeUnsaved(limit int, skip func(Build) bool) []Origin {
-	var taken []Origin
-	for len(t.unsaved) > 0 && len(taken) < limit {
-		if o := t.unsaved[0].Origin; !skip(o.Build) {
-			taken = append(taken, o)
-		}
-		t.unsaved = t.unsaved[1:]
+// TakeUnsaved returns up to limit origins that this router has not seen saved.
+func (t *Table) TakeUnsaved(limit int) []Origin {
+	n := min(limit, len(t.unsaved))
+	taken := make([]Origin, n)
+	for i, u := range t.unsaved[:n] {
+		taken[i] = u.Origin
 	}
+	t.unsaved = t.unsaved[n:]
 	return taken
 }
 
+// HasUnsaved reports whether an unsaved origin is of a build for which match returns true.
+func (t *Table) HasUnsaved(match func(Build) bool) bool {
+	return slices.ContainsFunc(t.unsaved, func(u unsavedOrigin) bool { return match(u.Build) })
+}
+
 // KeepUnsaved puts back origins that could not be saved.
 func (t *Table) KeepUnsaved(now time.Time, origins []Origin) {
 	kept := make([]unsavedOrigin, 0, len(origins)+len(t.unsaved))
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -19,6 +19,9 @@
 	// saveInterval is the interval at which new origins are saved. The origins of the
 	// streams that began in the last interval are lost if all routers are killed.
 	saveInterval = 60 * time.Millisecond
+	// onlyBuildSaveInterval is the interval while services have a single build. Origins are
+	// needed then only if a release begins just when all routers are killed.
+	onlyBuildSaveInterval = 500 * time.Millisecond
 	// onlyBuildInterval is the interval at which the builds of services are checked.
 	onlyBuildInterval = 500 * time.Millisecond
 	// saveRetryDelay is the delay after a failed save.
@@ -83,7 +86,7 @@
 	// savedBuilds holds the builds of services in the store.
 	savedBuilds map[string]streamorigin.Build
 	// confirmed holds the builds whose service has no other one, in the store and among its
-	// endpoints. Their origins need not be saved.
+	// endpoints.
 	confirmed map[streamorigin.Build]bool
 	// onlySince holds the services whose endpoints are of a single build, and since when. Only
 	// Run's goroutine uses it.
@@ -185,7 +188,7 @@
 	o.load(ctx)
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
-	var retryAt, checkedAt time.Time
+	var retryAt, checkedAt, savedAt time.Time
 	savedEra := o.options.Store.Era()
 	for {
 		select {
@@ -207,7 +210,11 @@
 			if now.Before(retryAt) || !o.options.Saves() {
 				continue
 			}
-			err := o.save(ctx, now)
+			var err error
+			if o.isSaveDue(now.Sub(savedAt)) {
+				savedAt = now
+				err = o.save(ctx, now)
+			}
 			if err == nil && checkBuilds {
 				err = o.saveOnlyBuilds(ctx, now)
 			}
@@ -228,6 +235,16 @@
 	o.table.KeepAllUnsaved(now)
 }
 
+// isBuildOutdated reports whether the only build of a service should be saved, as far as this
+// router knows the store.
+func (o *Origins) isBuildOutdated(service string, only onlyBuild, now time.Time) bool {
+	retention := o.retention()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	saved, ok := o.savedBuilds[service]
+	return o.hasLoaded && saved != only.build && (!ok || now.Sub(only.since) >= retention)
+}
+
 func (o *Origins) retention() time.Duration { return max(minRetention, o.options.LongestStream()) }
 
 func (o *Origins) expire(now time.Time) {
@@ -237,8 +254,15 @@
 	o.table.Expire(now, retention)
 }
 
-// checkOnlyBuilds updates the builds that are confirmed. If one no longer is, the origins of
-// its streams must be saved.
+// isSaveDue reports whether unsaved origins should be saved. sinceSave is the time since the last
+// save.
+func (o *Origins) isSaveDue(sinceSave time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return sinceSave >= onlyBuildSaveInterval || o.table.HasUnsaved(func(b streamorigin.Build) bool { return !o.confirmed[b] })
+}
+
+// checkOnlyBuilds updates the builds that are confirmed.
 func (o *Origins) checkOnlyBuilds(now time.Time) {
 	only := o.options.OnlyBuilds()
 	for service := range o.onlySince {
@@ -257,12 +281,6 @@
 			confirmed[build] = true
 		}
 	}
-	for build := range o.confirmed {
-		if !confirmed[build] {
-			o.table.KeepAllUnsaved(now)
-			break
-		}
-	}
 	o.confirmed = confirmed
 }
 
@@ -270,11 +288,12 @@
 // stream lasts, or for which none was saved yet.
 func (o *Origins) saveOnlyBuilds(ctx context.Context, now time.Time) error {
 	for service, only := range o.onlySince {
-		o.mu.Lock()
-		saved, ok := o.savedBuilds[service]
-		hasLoaded := o.hasLoaded
-		o.mu.Unlock()
-		if !hasLoaded || saved == only.build || ok && now.Sub(only.since) < o.retention() {
+		if !o.isBuildOutdated(service, only, now) {
+			continue
+		}
+		// Another router may have saved it meanwhile.
+		o.load(ctx)
+		if !o.isBuildOutdated(service, only, now) {
 			continue
 		}
 		if _, err := o.options.Store.SaveStreams(ctx, buildKeyPrefix+service, streamorigin.EncodeBuild(only.build)); err != nil {
@@ -291,7 +310,7 @@
 // save writes the unsaved origins, if any, as one record.
 func (o *Origins) save(ctx context.Context, now time.Time) error {
 	o.mu.Lock()
-	origins := o.table.TakeUnsaved(maxSavedOrigins, func(b streamorigin.Build) bool { return o.confirmed[b] })
+	origins := o.table.TakeUnsaved(maxSavedOrigins)
 	o.mu.Unlock()
 	if len(origins) == 0 {
 		return nil
