--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -106,7 +107,7 @@
 		during(func() { f.store.SetFault(platformtest.LoseReplies) }, func() { f.store.SetFault(platformtest.Healthy) }),
 		f.store.Compact,
 		f.publish,
-		func() { f.store.Put("keyed.servers", "forged", []byte("\xff{")) },
+		f.forgeEntries,
 		during(func() { f.register(e, "draining") }, func() { f.register(e, "ready") }),
 		during(func() { f.store.Put("keyed.servers", e.id, nil) }, func() { f.register(e, "ready") }),
 		func() { c := f.store.Copy(); time.Sleep(duration); f.restoreStore(c, duration/2) },
@@ -114,6 +115,19 @@
 	return faults[random.IntN(len(faults))]
 }
 
+// forgeEntries writes entries of another writer among those of the endpoints.
+func (f *fleet) forgeEntries() {
+	const format = `{"service":"plain","address":%q,"zone":"z","version":"v1","slots":%s,"state":"ready","sequence":%s}`
+	nested := strings.Repeat("[", 100_000)
+	for i, entry := range []string{
+		"\xff{", "null", "[]", nested, fmt.Sprintf(format, "127.0.0.1:80", "16", nested),
+		fmt.Sprintf(format, "127.0.0.1:99999", "16", "1"), fmt.Sprintf(format, "127.0.0.1:80", "1e999", "1"),
+		fmt.Sprintf(format, "127.0.0.1:80", "99999999999999999999", "1"), fmt.Sprintf(format, "127.0.0.1:80", "-1", "1"),
+	} {
+		f.store.Put("keyed.servers", fmt.Sprintf("forged-%d", i), []byte(entry))
+	}
+}
+
 // clearFaults ends the faults that are still active, such as stalled connections.
 func (f *fleet) clearFaults() {
 	f.store.SetFault(platformtest.Healthy)
