A router that starts doesn't take the store for restored

Each start logged that saved origins may be lost, and saved all again, because the era of the store was not known yet.

--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -185,26 +185,20 @@
 
 // Run saves and expires origins until ctx is done and returns its error.
 func (o *Origins) Run(ctx context.Context) error {
-	o.load(ctx)
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
 	var retryAt, checkedAt, savedAt time.Time
-	savedEra := o.options.Store.Era()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			if era := o.options.Store.Era(); era > savedEra {
-				o.options.Log.Info("the saved origins of streams may be lost; saving them again", "era", era, "saved_era", savedEra)
-				savedEra = era
-				o.forgetSaved(now)
-				o.load(ctx)
-			}
+			o.forgetIfRestored(now)
 			o.expire(now)
 			checkBuilds := now.Sub(checkedAt) >= onlyBuildInterval
 			if checkBuilds {
 				checkedAt = now
+				o.loadFirst(ctx)
 				o.checkOnlyBuilds(now)
 			}
 			if now.Before(retryAt) || !o.options.Saves() {
@@ -226,15 +220,30 @@
 	}
 }
 
-// forgetSaved assumes that the store lost what was saved.
-func (o *Origins) forgetSaved(now time.Time) {
+// forgetIfRestored assumes, in a later era of the store, that it lost what was saved.
+func (o *Origins) forgetIfRestored(now time.Time) {
+	era := o.options.Store.Era()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.hasLoaded || era <= o.loaded.Era {
+		return
+	}
+	o.options.Log.Info("the saved origins of streams may be lost; saving them again", "era", era, "saved_era", o.loaded.Era)
 	clear(o.savedBuilds)
 	o.loaded, o.hasLoaded = mirror.Position{}, false
 	o.table.KeepAllUnsaved(now)
 }
 
+// loadFirst loads what the store holds if that has not succeeded yet.
+func (o *Origins) loadFirst(ctx context.Context) {
+	o.mu.Lock()
+	hasLoaded := o.hasLoaded
+	o.mu.Unlock()
+	if !hasLoaded {
+		o.load(ctx)
+	}
+}
+
 // isBuildOutdated reports whether the only build of a service should be saved, as far as this
 // router knows the store.
 func (o *Origins) isBuildOutdated(service string, only onlyBuild, now time.Time) bool {
