--- a/direct/overload/pacer.go
+++ b/direct/overload/pacer.go
@@ -20,10 +20,10 @@
 	maxPaceBurst = 20 * time.Millisecond
 )
 
-// Pacer limits the rate of accepted connections of a process that has no CPU time even to
-// refuse the requests on all of them. Connections beyond the rate wait in the kernel, where
-// they cost nothing, and their callers turn to another router when nobody reads their
-// requests; accepted requests don't wait behind them. Pacer is safe for concurrent use.
+// Pacer limits the rate at which a process that has no CPU time even to refuse all requests
+// begins to read connections. The others wait unread, which costs little, and their callers turn
+// to another router; the requests that are read don't wait behind them. Pacer is safe for
+// concurrent use.
 type Pacer struct {
 	mu sync.Mutex
 	// rate is the allowed rate in connections per second; 0 means no limit.
@@ -58,19 +58,20 @@
 	return p.rate
 }
 
-// Delay returns how long to wait before the next accept, and counts it.
-func (p *Pacer) Delay(now time.Time) time.Duration {
+// Delay counts the next accept and returns how long to wait before it. paced is false while
+// there is no limit.
+func (p *Pacer) Delay(now time.Time) (wait time.Duration, paced bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.accepted++
 	if p.rate == 0 {
-		return 0
+		return 0, false
 	}
 	earliest := now.Add(-maxPaceBurst)
 	if p.next.Before(earliest) {
 		p.next = earliest
 	}
-	wait := p.next.Sub(now)
+	wait = p.next.Sub(now)
 	p.next = p.next.Add(time.Duration(float64(time.Second) / p.rate))
-	return max(wait, 0)
+	return max(wait, 0), true
 }
--- a/direct/overload/pacer_test.go
+++ b/direct/overload/pacer_test.go
@@ -47,7 +47,8 @@
 		for len(h.arrivals) > 0 && !h.now.Before(h.acceptAt) {
 			h.arrivals = h.arrivals[1:]
 			h.accept()
-			h.acceptAt = h.now.Add(h.pacer.Delay(h.now))
+			wait, _ := h.pacer.Delay(h.now)
+			h.acceptAt = h.now.Add(wait)
 		}
 	}
 }
