Connections are left unread only while refusals don't suffice

Paced hosts left callers unread that they could have refused at once; these waited a second instead of turning to another router.

Cause: pacing and early refusals reacted to the same CPU utilization, so pacing took over. Change: the rate falls only while nearly all requests are refused and the CPU time still doesn't suffice.

--- a/direct/listener_test.go
+++ b/direct/listener_test.go
@@ -19,7 +19,7 @@
 	t.Cleanup(func() { _ = inner.Close() })
 	pacer := &overload.Pacer{}
 	for range 50 {
-		pacer.Step(time.Now(), 1)
+		pacer.Step(time.Now(), 1, 0)
 	}
 	return newBoundedListener(inner, descriptors, &overload.Monitor{}, &overload.Admission{}, overload.NewRotation(time.Now()), pacer, metrics.NewRegistry())
 }
--- a/direct/overload/pacer.go
+++ b/direct/overload/pacer.go
@@ -13,6 +13,9 @@
 	// each step of one with time to spare.
 	paceDecrease = 0.8
 	paceIncrease = 1.1
+	// pacedAdmitted is the admitted fraction of requests below which refusals don't free
+	// enough CPU time.
+	pacedAdmitted = 2 * minAdmitted
 	// unpacedFactor is the ratio of the allowed to the actual rate above which connections
 	// are accepted without a limit again.
 	unpacedFactor = 2.0
@@ -34,16 +37,17 @@
 	next time.Time
 }
 
-// Step adapts the rate to the CPU utilization and returns it, in connections per second, or 0
-// if there is no limit. It is called at regular intervals.
-func (p *Pacer) Step(now time.Time, utilization float64) float64 {
+// Step adapts the rate to the CPU utilization and to the fraction of requests that Admission
+// admits, and returns it, in connections per second, or 0 if there is no limit. As long as
+// refusing more requests helps, the rate doesn't fall. It is called at regular intervals.
+func (p *Pacer) Step(now time.Time, utilization, admitted float64) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	elapsed := now.Sub(p.stepped).Seconds()
 	actual := float64(p.accepted) / max(elapsed, 0.001)
 	p.accepted, p.stepped = 0, now
 	switch {
-	case utilization >= saturatedUtilization:
+	case utilization >= saturatedUtilization && admitted <= pacedAdmitted:
 		limit := actual
 		if p.rate > 0 {
 			limit = min(p.rate, max(actual, minAcceptRate))
--- a/direct/overload/pacer_test.go
+++ b/direct/overload/pacer_test.go
@@ -33,7 +33,7 @@
 			utilization := h.meter.Sample(h.now, h.used-backlog)
 			h.admission.Step(utilization)
 			if paced {
-				h.pacer.Step(h.now, utilization)
+				h.pacer.Step(h.now, utilization, h.admission.Admitted())
 			}
 			nextStep = nextStep.Add(stepInterval)
 		}
@@ -103,3 +103,13 @@
 	h.run(4*time.Second, 40, true)
 	must.Zero(t, h.left)
 }
+
+// Guards against a host that leaves callers unread although refusing them would leave it CPU
+// time enough.
+func TestFloodThatCanBeRefusedIsNotPaced(t *testing.T) {
+	h := &pacedHost{floodedHost: newFloodedHost()}
+	h.run(10*time.Second, 300, true)
+	must.Less(t, 1.0, h.admission.Admitted())
+	must.Zero(t, h.pacer.rate)
+	must.Zero(t, h.left)
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -338,7 +338,7 @@
 				p.monitor.SetUtilization(meter.Sample(now, used))
 				fast := fastMeter.Sample(now, used)
 				p.admission.Step(fast)
-				acceptRate.Update(p.pacer.Step(now, fast))
+				acceptRate.Update(p.pacer.Step(now, fast, p.admission.Admitted()))
 				admitted.Update(p.admission.Admitted())
 			} else if measured {
 				p.log.Warn("read CPU time failed; overload is detected by scheduling delay only", "error", err.Error())
