--- a/direct/overload/pacer.go
+++ b/direct/overload/pacer.go
@@ -15,7 +15,7 @@
 	paceIncrease = 1.1
 	// pacedAdmitted is the admitted fraction of requests below which refusals don't free
 	// enough CPU time.
-	pacedAdmitted = 2 * minAdmitted
+	pacedAdmitted = 1.1 * minAdmitted
 	// unpacedFactor is the ratio of the allowed to the actual rate above which connections
 	// are accepted without a limit again.
 	unpacedFactor = 2.0
