--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -57,6 +57,9 @@
 	readyAddress   string
 	fleetPort      int
 
+	// restarting is held while the process is started again; it is taken before mu.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	done    chan struct{}
@@ -278,7 +281,7 @@
 }
 
 // restart waits until the process has exited, kills it after graceSeconds, and
-// starts a new one.
+// starts a new one. Of overlapping calls, only one starts it.
 func (r *router) restart() {
 	r.mu.Lock()
 	done := r.done
@@ -289,7 +292,14 @@
 		r.signal(syscall.SIGKILL)
 		<-done
 	}
-	r.start()
+	r.restarting.Lock()
+	defer r.restarting.Unlock()
+	r.mu.Lock()
+	restarted := r.done != done
+	r.mu.Unlock()
+	if !restarted {
+		r.start()
+	}
 }
 
 func (r *router) waitUntilReady() {
