--- a/direct/overload/admission_test.go
+++ b/direct/overload/admission_test.go
@@ -44,18 +44,23 @@
 			h.admission.Step(h.meter.Sample(h.now, h.used-backlog))
 			nextStep = nextStep.Add(stepInterval)
 		}
-		cost := servedCost
-		if refuse && h.admission.Refuse(func() bool { return rand.IntN(2) == 0 }) {
-			cost = refusedCost
-		} else {
-			h.served++
-			h.waits = append(h.waits, max(h.busyUntil.Sub(h.now), 0))
-		}
-		if h.busyUntil.Before(h.now) {
-			h.busyUntil = h.now
-		}
-		h.busyUntil, h.used = h.busyUntil.Add(cost), h.used+cost
+		h.process(refuse)
+	}
+}
+
+// process processes one request. If refuse is false, it is admitted.
+func (h *floodedHost) process(refuse bool) {
+	cost := servedCost
+	if refuse && h.admission.Refuse(func() bool { return rand.IntN(2) == 0 }) {
+		cost = refusedCost
+	} else {
+		h.served++
+		h.waits = append(h.waits, max(h.busyUntil.Sub(h.now), 0))
+	}
+	if h.busyUntil.Before(h.now) {
+		h.busyUntil = h.now
 	}
+	h.busyUntil, h.used = h.busyUntil.Add(cost), h.used+cost
 }
 
 func longest(waits []time.Duration) (longest time.Duration) {
--- a/direct/overload/pacer_test.go
+++ b/direct/overload/pacer_test.go
@@ -1,7 +1,6 @@
 package overload
 
 import (
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -46,27 +45,13 @@
 		}
 		for len(h.arrivals) > 0 && !h.now.Before(h.acceptAt) {
 			h.arrivals = h.arrivals[1:]
-			h.accept()
+			h.process(true)
 			wait, _ := h.pacer.Delay(h.now)
 			h.acceptAt = h.now.Add(wait)
 		}
 	}
 }
 
-func (h *pacedHost) accept() {
-	cost := servedCost
-	if h.admission.Refuse(func() bool { return rand.IntN(2) == 0 }) {
-		cost = refusedCost
-	} else {
-		h.served++
-		h.waits = append(h.waits, max(h.busyUntil.Sub(h.now), 0))
-	}
-	if h.busyUntil.Before(h.now) {
-		h.busyUntil = h.now
-	}
-	h.busyUntil, h.used = h.busyUntil.Add(cost), h.used+cost
-}
-
 // Guards against a host on which the refusals of a flood alone need more than its CPU time, so
 // that the requests that it admits wait for seconds behind them. 1,700 requests a second need 2.4
 // times its CPU time to be refused. Nineteen of twenty that it admits must begin within the
