Review: keys aren't required once the last tenant is removed

A configuration with an empty list of tenants is taken for one without tenants, so that requests with a key that was taken away or never existed are run (rule ROUTE).

Nothing was changed in the product.

--- a/review/casekit/kit.go
+++ b/review/casekit/kit.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -118,12 +119,19 @@
 	return &Worker{kit: k, ID: id, Service: service, Version: version, Slots: slots, zone: "z1"}
 }
 
-// Publish writes a configuration.
-func (k *Kit) Publish(version int, routes []map[string]any, services []map[string]any) {
-	k.Store.PutJSON("keyed.op", "config", map[string]any{
+// Publish writes a configuration without tenants.
+func (k *Kit) Publish(version int, routes, services []map[string]any) {
+	k.PublishWith(version, routes, services, nil)
+}
+
+// PublishWith writes a configuration with further fields.
+func (k *Kit) PublishWith(version int, routes, services []map[string]any, fields map[string]any) {
+	config := map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 230000},
-	})
+	}
+	maps.Copy(config, fields)
+	k.Store.PutJSON("keyed.op", "config", config)
 	k.Log("the operator sends configuration %d", version)
 }
 
--- a/review/casekit/load.go
+++ b/review/casekit/load.go
@@ -42,7 +42,7 @@
 	case "look":
 		r.Method = http.MethodGet
 	case "chat", "tag":
-		r.Header, r.Body = promptHeaders(topics[i%len(topics)], r.ID), "prompt"
+		r.Header, r.Body = promptHeaders(topics[i/2%len(topics)], r.ID), "prompt"
 		if l.Kind == "chat" {
 			r.Deadline = 12 * time.Second
 		}
