--- a/review/casekit/client.go
+++ b/review/casekit/client.go
@@ -91,8 +91,8 @@
 	if r.Method == http.MethodPost {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(r.Body))
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: case.example\r\n%s: %s\r\n%s: %d\r\n%s%s\r\n", r.Method, r.Path, hRequestID, r.ID,
-		hDeadline, r.Deadline.Milliseconds(), r.Header, length)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: case.example\r\n%s: %s\r\n%s: %d\r\n%s%s\r\n", r.Method, r.Path, names.RequestID, r.ID,
+		names.Deadline, r.Deadline.Milliseconds(), r.Header, length)
 	if _, err := io.WriteString(c.conn, head+r.Body); err != nil {
 		return Answer{Err: err}
 	}
@@ -100,7 +100,7 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	a := Answer{Status: response.StatusCode, Signature: response.Header.Get(hSignature)}
+	a := Answer{Status: response.StatusCode, Signature: response.Header.Get(names.Signature)}
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		a.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/casekit/deployment.go
+++ b/review/casekit/deployment.go
@@ -51,5 +51,5 @@
 
 // promptHeaders are the headers of a request to a model worker.
 func promptHeaders(topic, own string) string {
-	return fmt.Sprintf("X-Acaciaspar-Model: m\r\nX-Acaciaspar-Token-Counts: 628,60\r\nX-Acaciaspar-Prompt-Prefix: %s:119,%s:509\r\n", topic, own)
+	return fmt.Sprintf("%s: m\r\n%s: 628,60\r\n%s: %s:119,%s:509\r\n", names.Model, names.TokenCounts, names.PromptPrefix, topic, own)
 }
--- a/review/casekit/guess.go
+++ b/review/casekit/guess.go
@@ -96,7 +96,7 @@
 func (s *Store) lapse(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.append("keyed.servers", id, nil)
+	s.append(names.WorkersTopic, id, nil)
 }
 
 // streamWithTakeUps sends a request for a stream. If the stream breaks off, it takes it up at
--- a/review/casekit/kit.go
+++ b/review/casekit/kit.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,16 +15,6 @@
 	"time"
 )
 
-// Names of the headers of PROTOCOL.md.
-const (
-	hRequestID        = "X-Acaciaspar-Request-Id"
-	hDeadline         = "X-Acaciaspar-Deadline-Remaining"
-	hExpectedInstance = "X-Acaciaspar-Expected-Instance"
-	hInstance         = "X-Acaciaspar-Instance-Id"
-	hNotExecuted      = "X-Acaciaspar-Not-Executed"
-	hSignature        = "X-Acaciaspar-Response-Signature"
-)
-
 // Kit holds one run of a case.
 type Kit struct {
 	Store *Store
@@ -119,19 +108,12 @@
 	return &Worker{kit: k, ID: id, Service: service, Version: version, Slots: slots, zone: "z1"}
 }
 
-// Publish writes a configuration without tenants.
+// Publish writes a configuration.
 func (k *Kit) Publish(version int, routes, services []map[string]any) {
-	k.PublishWith(version, routes, services, nil)
-}
-
-// PublishWith writes a configuration with further fields.
-func (k *Kit) PublishWith(version int, routes, services []map[string]any, fields map[string]any) {
-	config := map[string]any{
+	k.Store.PutJSON(names.ConfigTopic, "config", map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 230000},
-	}
-	maps.Copy(config, fields)
-	k.Store.PutJSON("keyed.op", "config", config)
+	})
 	k.Log("the operator sends configuration %d", version)
 }
 
@@ -203,83 +185,14 @@
 
 // settings returns a settings file as DEPLOY.md describes it, with the figures of its example.
 func (r *Router) settings(seeds string) string {
-	return fmt.Sprintf(`nodeName: %q
-role: "router"
-machineClass: "front"
-serves:
-  - "front"
-  - "control"
-ipAddress: %q
-zone: "z1"
-region: "r1"
-zones:
-  z1: "r1"
-listenAddresses:
-  front: "%s:%d"
-  ready: "%s:%d"
-  control: "%s:%d"
-internalPorts:
-  - %d
-  - %d
-seeds:
-%sfirstStart: true
-countsAsLoss: false
-limits:
-  cpuShare: 0.304
-  cores: 1
-  memoryMb: 284
-  fileDescriptors: 4100
-  linkMbps: 1000.0
-  diskMb: 0
-dataDirectory: null
-discovery: "platform"
-entry: "virtual_ip"
-heartbeatMs: 1200
-contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"]
-failureTolerance: {machines: 2, zones: 0, regions: 0}
-bounds:
-  seedLagS: 3
-  reuseAfterS: 2
-  stabilityWindowMs: 3000
-  acknowledgeMs: 4000
-  catchUpS: 4
-  drainMs: 2000
-  graceS: 8
-  lossSlackMs: 200
-  configPropagationMs: 2000
-  rollbackSlackMs: 250
-  outerMs: 5000
-  strictRevocation: false
-  revocationMs: 5000
-  retryBudgetRatio: 0.2
-  budgetWindowS: 10
-  retryBudgetSlack: 56
-  recoveryS: 12
-  passMs: 120
-  retryAfterS: 10
-  quotaWindowS: 4
-platform:
-  address: %q
-  form: "log"
-  writesPerS: 400
-  readsPerS: 2000
-  parts: 16
-  appendMs: 3.0
-  partMbPerS: 20.0
-  readMbPerS: 80.0
-  recordBytes: 262144
-  callBytes: 2097152
-  keep_s: 300
-  partitionMb: 200
-  ttlMinimumMs: 1000
-`, r.Name, r.IP, r.IP, r.port+20, r.IP, r.port+21, r.IP, r.port+22, r.port, r.port+15, seeds, r.kit.storeAddress)
+	return fmt.Sprintf(settingsFormat, r.Name, r.IP, r.IP, r.port+20, r.IP, r.port+21, r.IP, r.port+22, r.port, r.port+15, seeds, r.kit.storeAddress)
 }
 
 // Start starts the process with the command of deploy/system.toml.
 func (r *Router) Start() error {
 	c := exec.Command("target/acaciaspar", "platform-router")
 	c.Dir = r.kit.root
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.kit.dir, "ACACIASPAR_BOOT=" + r.boot}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.kit.dir, names.BootVariable + "=" + r.boot}
 	out, err := os.OpenFile(filepath.Join(r.kit.dir, r.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -303,7 +216,7 @@
 func (r *Router) AwaitReady(limit time.Duration) bool {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if response, err := client.Get("http://" + r.ready + "/-/readiness"); err == nil {
+		if response, err := client.Get("http://" + r.ready + names.Readiness); err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				return true
--- a/review/casekit/route.go
+++ b/review/casekit/route.go
@@ -23,11 +23,11 @@
 	var wg sync.WaitGroup
 	for i := range 1000 {
 		if foreign[i] && k.Trouble {
-			// The entry lacks coldRemainingMs and sequence, so it names no worker to use.
-			k.Store.PutJSON("keyed.servers", llm[0].ID, map[string]any{
+			// The entry lacks two fields, so it names no worker to use.
+			k.Store.PutJSON(names.WorkersTopic, llm[0].ID, map[string]any{
 				"service": "desk", "address": llm[0].address, "zone": "z1", "version": "v1", "slots": 6, "state": "ready",
 			})
-			k.Log("another writer writes an entry without coldRemainingMs and sequence for %s, with the service desk", llm[0].ID)
+			k.Log("another writer writes an entry that lacks two fields for %s, with the service desk", llm[0].ID)
 		}
 		wg.Add(1)
 		go func() {
--- a/review/casekit/starved.go
+++ b/review/casekit/starved.go
@@ -32,7 +32,7 @@
 			if faulty.Load() != int32(i) || answers.Add(1)%spoilEvery != 0 {
 				return ""
 			}
-			return "HTTP/1.1 099 OK\r\n" + hRequestID + ": " + in.Header.Get(hRequestID) + "\r\n\r\n"
+			return "HTTP/1.1 099 OK\r\n" + names.RequestID + ": " + in.Header.Get(names.RequestID) + "\r\n\r\n"
 		}
 	}
 	tags, looks := &Load{kit: k, Kind: "tag", perSecond: 50}, &Load{kit: k, Kind: "look", perSecond: 120}
--- a/review/casekit/store.go
+++ b/review/casekit/store.go
@@ -95,11 +95,11 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/-/log-append":
+	case names.Append:
 		s.serveAppend(w, r)
-	case "/-/log-newest":
+	case names.Newest:
 		s.serveNewest(w, r)
-	case "/-/log-read":
+	case names.Read:
 		s.serveRead(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -108,7 +108,7 @@
 
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	name := r.URL.Query().Get("topic")
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == names.ConfigTopic || name == names.WorkersTopic {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
--- a/review/casekit/worker.go
+++ b/review/casekit/worker.go
@@ -81,10 +81,10 @@
 	w.sequence++
 	entry := map[string]any{
 		"service": w.Service, "address": w.address, "zone": w.zone, "version": w.Version, "slots": w.Slots, "state": w.state,
-		"coldRemainingMs": 0, "sequence": w.sequence, "born": w.born,
+		names.ColdRemaining: 0, "sequence": w.sequence, "born": w.born,
 	}
 	w.mu.Unlock()
-	return w.kit.Store.PutJSON("keyed.servers", w.ID, entry)
+	return w.kit.Store.PutJSON(names.WorkersTopic, w.ID, entry)
 }
 
 // Crash ends the incarnation. Its connections are reset, as by the end of a process with
@@ -138,7 +138,7 @@
 
 // answer answers one request and reports whether the connection stays open.
 func (w *Worker) answer(c net.Conn, in *http.Request) bool {
-	id := in.Header.Get(hRequestID)
+	id := in.Header.Get(names.RequestID)
 	w.mu.Lock()
 	version, stop := w.Version, w.stop
 	full := w.running >= w.Slots
@@ -153,18 +153,18 @@
 			w.mu.Unlock()
 		}()
 	}
-	if expected := in.Header.Get(hExpectedInstance); expected != "" && expected != w.ID {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hRequestID, id, hInstance, w.ID)
+	if expected := in.Header.Get(names.ExpectedInstance); expected != "" && expected != w.ID {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names.RequestID, id, names.Instance, w.ID)
 		return err == nil
 	}
 	if full {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", hRequestID, id, hNotExecuted)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", names.RequestID, id, names.NotExecuted)
 		return err == nil
 	}
 	if w.Refuse != nil {
 		if after := w.Refuse(); after != "" {
 			w.kit.Arrived(w, id, "refused with Retry-After "+after)
-			_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", hRequestID, id, hNotExecuted, after)
+			_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", names.RequestID, id, names.NotExecuted, after)
 			return err == nil
 		}
 	}
@@ -181,7 +181,7 @@
 	}
 	time.Sleep(w.Work)
 	body := "answer to " + id
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed-by-%s\r\nContent-Length: %d\r\n\r\n%s", hRequestID, id, hSignature, w.ID, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed-by-%s\r\nContent-Length: %d\r\n\r\n%s", names.RequestID, id, names.Signature, w.ID, len(body), body)
 	return err == nil
 }
 
@@ -191,7 +191,7 @@
 	if w.sleep(w.FirstEventIn, stop) != nil {
 		return false
 	}
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed-by-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", hRequestID, id, hSignature, w.ID); err != nil {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed-by-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", names.RequestID, id, names.Signature, w.ID); err != nil {
 		return false
 	}
 	for n := last + 1; n <= w.Events; n++ {
