--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -1,7 +1,6 @@
 package streamorigin
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,9 +12,6 @@
 	// maxNews bounds the origins that wait for a report to peers. Peers find those beyond
 	// it in the store.
 	maxNews = 4096
-	// unsavedTime is how long an origin waits to be saved. It covers the time until another
-	// router notices that the one that saves origins has failed.
-	unsavedTime = 3 * time.Second
 )
 
 // Stream identifies a stream by a hash of the identifier of the caller's attempt that brought
@@ -42,42 +38,99 @@
 	Build  Build
 }
 
+// SavedOrigin is an origin in the store.
+type SavedOrigin struct {
+	Origin
+	// Revision orders the saved origins of a stream: a router that gave up waiting for a save,
+	// which the store may still have done, saves the stream's final origin under a higher one.
+	Revision uint8
+}
+
 // Table holds the origins of recent streams. It is not safe for concurrent use.
 type Table struct {
 	// recent holds the origins recorded since periodStart, older those of the period before.
-	recent, older map[Stream]Build
+	recent, older period
 	periodStart   time.Time
 	// takeUps counts how often each stream was taken up at this router in this period.
 	takeUps map[Stream]int
 	news    []Origin
-	// unsaved is ordered by time.
-	unsaved []unsavedOrigin
+	// unsaved holds the origins whose loss would leave their stream without one.
+	unsaved map[Stream]SavedOrigin
 }
 
-type unsavedOrigin struct {
-	Origin
-	at time.Time
+type period struct {
+	// recorded holds what routers say of their own streams, saved what was read from the store.
+	recorded map[Stream]recordedOrigin
+	saved    map[Stream]SavedOrigin
+	// givenUp counts the saves of a stream's origin that this router gave up waiting for.
+	givenUp map[Stream]uint8
+}
+
+type recordedOrigin struct {
+	build Build
+	// own is set if the stream began at this router.
+	own bool
+}
+
+func newPeriod(size int) period {
+	return period{recorded: make(map[Stream]recordedOrigin, size), saved: map[Stream]SavedOrigin{}, givenUp: map[Stream]uint8{}}
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{recent: map[Stream]Build{}, takeUps: map[Stream]int{}} }
+func NewTable() *Table {
+	return &Table{recent: newPeriod(0), older: newPeriod(0), takeUps: map[Stream]int{}, unsaved: map[Stream]SavedOrigin{}}
+}
 
-// Lookup returns the build that began a stream, if it is known.
+// Lookup returns the build that began a stream, if it is known. What a router says of its own
+// stream takes precedence over what was saved.
 func (t *Table) Lookup(s Stream) (Build, bool) {
-	if b, ok := t.recent[s]; ok {
+	if b, ok := t.LookupRecorded(s); ok {
 		return b, true
 	}
-	b, ok := t.older[s]
-	return b, ok
+	saved, ok := t.lookupSaved(s)
+	return saved.Build, ok
+}
+
+// LookupRecorded returns the build that began a stream if it began at this router or at a peer
+// that said so.
+func (t *Table) LookupRecorded(s Stream) (Build, bool) {
+	for _, p := range []period{t.recent, t.older} {
+		if o, ok := p.recorded[s]; ok {
+			return o.build, true
+		}
+	}
+	return AnyBuild, false
+}
+
+func (t *Table) lookupSaved(s Stream) (SavedOrigin, bool) {
+	recent, ok := t.recent.saved[s]
+	older, olderOK := t.older.saved[s]
+	if olderOK && (!ok || older.Revision > recent.Revision) {
+		return older, true
+	}
+	return recent, ok
+}
+
+// OnlyOf reports whether all known streams are of builds for which match returns true.
+func (t *Table) OnlyOf(match func(Build) bool) bool {
+	for _, p := range []period{t.recent, t.older} {
+		for _, o := range p.recorded {
+			if !match(o.build) {
+				return false
+			}
+		}
+		for _, o := range p.saved {
+			if !match(o.Build) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // Record records that a stream began at this router.
 func (t *Table) Record(now time.Time, o Origin) {
-	if !t.add(now, o) {
-		return
-	}
-	t.unsaved = append(t.unsaved, unsavedOrigin{o, now})
-	if len(t.news) < maxNews {
+	if t.add(now, o, true) && len(t.news) < maxNews {
 		t.news = append(t.news, o)
 	}
 }
@@ -85,29 +138,35 @@
 // MergePeer adds the origins that a peer reports.
 func (t *Table) MergePeer(now time.Time, origins []Origin) {
 	for _, o := range origins {
-		if t.add(now, o) {
-			t.unsaved = append(t.unsaved, unsavedOrigin{o, now})
-		}
+		t.add(now, o, false)
 	}
 }
 
 // MergeSaved adds origins that were read from the store.
-func (t *Table) MergeSaved(now time.Time, origins []Origin) {
+func (t *Table) MergeSaved(now time.Time, origins []SavedOrigin) {
 	for _, o := range origins {
-		t.add(now, o)
+		if known, ok := t.lookupSaved(o.Stream); ok && known.Revision >= o.Revision {
+			continue
+		}
+		t.makeRoom(now)
+		t.recent.saved[o.Stream] = o
 	}
 }
 
-// add adds an origin unless the stream is known.
-func (t *Table) add(now time.Time, o Origin) bool {
-	if _, known := t.Lookup(o.Stream); known {
+// add adds an origin unless the stream's is known.
+func (t *Table) add(now time.Time, o Origin, own bool) bool {
+	if _, known := t.LookupRecorded(o.Stream); known {
 		return false
 	}
-	if len(t.recent) >= maxRecent {
+	t.makeRoom(now)
+	t.recent.recorded[o.Stream] = recordedOrigin{o.Build, own}
+	return true
+}
+
+func (t *Table) makeRoom(now time.Time) {
+	if len(t.recent.recorded)+len(t.recent.saved) >= maxRecent {
 		t.beginPeriod(now)
 	}
-	t.recent[o.Stream] = o.Build
-	return true
 }
 
 // CountTakeUp counts that a caller takes up a stream at this router, and returns how often callers
@@ -131,44 +190,61 @@
 	return taken
 }
 
-// TakeUnsaved returns up to limit origins that this router has not seen saved.
-func (t *Table) TakeUnsaved(limit int) []Origin {
-	n := min(limit, len(t.unsaved))
-	taken := make([]Origin, n)
-	for i, u := range t.unsaved[:n] {
-		taken[i] = u.Origin
+// GiveUpSave records that this router no longer waits for a save of a stream's origin, which may
+// still be done.
+func (t *Table) GiveUpSave(now time.Time, s Stream) {
+	if len(t.recent.givenUp) >= maxRecent {
+		t.beginPeriod(now)
 	}
-	t.unsaved = t.unsaved[n:]
-	return taken
+	t.recent.givenUp[s] = t.Revision(s) + 1
 }
 
-// HasUnsaved reports whether an unsaved origin is of a build for which match returns true.
-func (t *Table) HasUnsaved(match func(Build) bool) bool {
-	return slices.ContainsFunc(t.unsaved, func(u unsavedOrigin) bool { return match(u.Build) })
+// Revision returns the revision under which a stream's origin should be saved. It is above 0 if
+// the store may hold another origin of the stream.
+func (t *Table) Revision(s Stream) uint8 { return max(t.recent.givenUp[s], t.older.givenUp[s]) }
+
+// KeepUnsaved makes an origin unsaved, because the store may not hold it or may hold another one.
+// It stays so until it is taken, however long the store is away.
+func (t *Table) KeepUnsaved(o SavedOrigin) {
+	if known, ok := t.unsaved[o.Stream]; ok && known.Revision > o.Revision || len(t.unsaved) >= maxRecent {
+		return
+	}
+	t.unsaved[o.Stream] = o
 }
 
-// KeepUnsaved puts back origins that could not be saved.
-func (t *Table) KeepUnsaved(now time.Time, origins []Origin) {
-	kept := make([]unsavedOrigin, 0, len(origins)+len(t.unsaved))
-	for _, o := range origins {
-		kept = append(kept, unsavedOrigin{o, now})
+// KeepAllUnsaved makes known origins unsaved, because the store may have lost them: those of this
+// router's streams, or also all others.
+func (t *Table) KeepAllUnsaved(others bool) {
+	for _, p := range []period{t.older, t.recent} {
+		if others {
+			for _, o := range p.saved {
+				t.KeepUnsaved(o)
+			}
+		}
+		for s, o := range p.recorded {
+			if saved, ok := t.lookupSaved(s); ok && saved.Build == o.build {
+				t.KeepUnsaved(saved)
+			} else if o.own || others {
+				t.KeepUnsaved(SavedOrigin{Origin: Origin{s, o.build}})
+			}
+		}
 	}
-	t.unsaved = append(kept, t.unsaved...)
-	t.unsaved = t.unsaved[max(len(t.unsaved)-maxRecent, 0):]
 }
 
-// KeepAllUnsaved makes all known origins unsaved, because the store may not hold them.
-func (t *Table) KeepAllUnsaved(now time.Time) {
-	t.unsaved = nil
-	for _, period := range []map[Stream]Build{t.older, t.recent} {
-		for s, b := range period {
-			t.unsaved = append(t.unsaved, unsavedOrigin{Origin{s, b}, now})
+// TakeUnsaved returns up to limit unsaved origins.
+func (t *Table) TakeUnsaved(limit int) []SavedOrigin {
+	var taken []SavedOrigin
+	for s, o := range t.unsaved {
+		if len(taken) >= limit {
+			break
 		}
+		taken = append(taken, o)
+		delete(t.unsaved, s)
 	}
+	return taken
 }
 
-// Expire drops the origins that are older than two periods of retention, and the unsaved ones
-// that another router has had the time to save.
+// Expire drops the origins that are older than two periods of retention.
 func (t *Table) Expire(now time.Time, retention time.Duration) {
 	if t.periodStart.IsZero() {
 		t.periodStart = now
@@ -176,18 +252,20 @@
 	if now.Sub(t.periodStart) >= retention {
 		t.beginPeriod(now)
 	}
-	expired := 0
-	for expired < len(t.unsaved) && now.Sub(t.unsaved[expired].at) >= unsavedTime {
-		expired++
-	}
-	t.unsaved = t.unsaved[expired:]
 }
 
 func (t *Table) beginPeriod(now time.Time) {
-	t.older, t.recent = t.recent, make(map[Stream]Build, len(t.recent))
+	t.older, t.recent = t.recent, newPeriod(len(t.recent.recorded))
 	clear(t.takeUps)
 	t.periodStart = now
+	for s := range t.unsaved {
+		if _, known := t.Lookup(s); !known {
+			delete(t.unsaved, s)
+		}
+	}
 }
 
 // Len returns the number of known origins.
-func (t *Table) Len() int { return len(t.recent) + len(t.older) }
+func (t *Table) Len() int {
+	return len(t.recent.recorded) + len(t.older.recorded) + len(t.recent.saved) + len(t.older.saved)
+}
--- a/coordination/streamorigin/table_test.go
+++ b/coordination/streamorigin/table_test.go
@@ -10,13 +10,15 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+func saved(s Stream, b Build) SavedOrigin { return SavedOrigin{Origin: Origin{s, b}} }
+
 // Guards against an origin that is replaced: a stream belongs to the build that wrote its first
 // event, whatever a later report says.
 func TestFirstOriginOfAStreamIsKept(t *testing.T) {
 	table := NewTable()
 	table.Record(start, Origin{1, 10})
 	table.MergePeer(start, []Origin{{1, 20}, {2, 20}})
-	table.MergeSaved(start, []Origin{{2, 30}, {3, 30}})
+	table.MergeSaved(start, []SavedOrigin{saved(2, 30), saved(3, 30)})
 	for stream, want := range map[Stream]Build{1: 10, 2: 20, 3: 30} {
 		build, ok := table.Lookup(stream)
 		must.True(t, ok)
@@ -25,33 +27,79 @@
 }
 
 // Guards against reports that repeat what peers or the store told, and against origins that are
-// not passed on: only own ones are news, and what the store holds needs no saving.
+// not passed on: only own ones are news.
 func TestOnlyUnknownOriginsArePassedOn(t *testing.T) {
 	table := NewTable()
 	table.Record(start, Origin{1, 10})
 	table.MergePeer(start, []Origin{{2, 10}})
-	table.MergeSaved(start, []Origin{{3, 10}})
+	table.MergeSaved(start, []SavedOrigin{saved(3, 10)})
 	must.Eq(t, []Origin{{1, 10}}, table.TakeNews(10))
 	must.Len(t, 0, table.TakeNews(10))
+	must.Len(t, 0, table.TakeUnsaved(10))
+}
+
+// Guards against origins that are dropped unsaved because the store was away for some seconds.
+func TestUnsavedOriginsWaitForTheStore(t *testing.T) {
+	table := NewTable()
+	table.Expire(start, streamTime)
+	table.Record(start, Origin{1, 10})
+	table.KeepUnsaved(saved(1, 10))
+	table.Expire(start.Add(streamTime-1), streamTime)
 	unsaved := table.TakeUnsaved(10)
-	must.Eq(t, []Origin{{1, 10}, {2, 10}}, unsaved)
+	must.Eq(t, []SavedOrigin{saved(1, 10)}, unsaved)
 	must.Len(t, 0, table.TakeUnsaved(10))
-	table.KeepUnsaved(start, unsaved)
-	must.Eq(t, []Origin{{1, 10}}, table.TakeUnsaved(1))
-	table.KeepAllUnsaved(start)
+	table.KeepUnsaved(unsaved[0])
+	must.SliceLen(t, 1, table.TakeUnsaved(1))
+}
+
+// Guards against origins that a restored store has lost: each router saves those of its own
+// streams again, and one that is chosen saves also those of the others.
+func TestOriginsAreSavedAgainAfterARestoration(t *testing.T) {
+	table := NewTable()
+	table.Record(start, Origin{1, 10})
+	table.MergePeer(start, []Origin{{2, 10}})
+	table.MergeSaved(start, []SavedOrigin{saved(3, 10)})
+	table.KeepAllUnsaved(false)
+	must.Eq(t, []SavedOrigin{saved(1, 10)}, table.TakeUnsaved(10))
+	table.KeepAllUnsaved(true)
 	must.SliceLen(t, 3, table.TakeUnsaved(10))
 }
 
-// Guards against origins of one build that hide unsaved ones of another.
-func TestUnsavedOriginsOfABuildAreFound(t *testing.T) {
+// Guards against a save that succeeds after the router gave it up and hides where the stream went
+// on instead.
+func TestLaterRevisionOfASavedOriginPrevails(t *testing.T) {
 	table := NewTable()
+	must.Eq(t, 0, table.Revision(1))
+	table.GiveUpSave(start, 1)
+	must.Eq(t, 1, table.Revision(1))
+	corrected := SavedOrigin{Origin: Origin{1, 20}, Revision: 1}
+	table.KeepUnsaved(corrected)
+	table.KeepUnsaved(saved(1, 10))
+	must.Eq(t, []SavedOrigin{corrected}, table.TakeUnsaved(10))
+	for _, order := range [][]SavedOrigin{{saved(1, 10), corrected}, {corrected, saved(1, 10)}} {
+		reader := NewTable()
+		reader.MergeSaved(start, order[:1])
+		reader.Expire(start, streamTime)
+		reader.Expire(start.Add(streamTime), streamTime)
+		reader.MergeSaved(start, order[1:])
+		build, ok := reader.Lookup(1)
+		must.True(t, ok)
+		must.Eq(t, Build(20), build)
+	}
+}
+
+// Guards against a caller that doesn't name its stream and gets another build's events.
+func TestOnlyStreamsOfOneBuild(t *testing.T) {
 	is := func(build Build) func(Build) bool { return func(b Build) bool { return b == build } }
+	table := NewTable()
+	must.True(t, table.OnlyOf(is(10)))
 	table.Record(start, Origin{1, 10})
-	table.Record(start, Origin{2, 20})
-	must.True(t, table.HasUnsaved(is(20)))
-	must.False(t, table.HasUnsaved(is(30)))
-	table.TakeUnsaved(10)
-	must.False(t, table.HasUnsaved(is(20)))
+	must.True(t, table.OnlyOf(is(10)))
+	table.MergeSaved(start, []SavedOrigin{saved(2, 20)})
+	must.False(t, table.OnlyOf(is(10)))
+	table = NewTable()
+	table.MergePeer(start, []Origin{{1, 20}})
+	must.False(t, table.OnlyOf(is(10)))
 }
 
 // Guards against origins that are forgotten while their stream may still be taken up, and
@@ -69,7 +117,8 @@
 			must.True(t, ok)
 		}
 		must.LessEq(t, 60, table.Len())
-		must.LessEq(t, int(unsavedTime/time.Second)+1, len(table.unsaved))
+		table.KeepUnsaved(saved(Stream(i), 1))
+		must.LessEq(t, 60, len(table.unsaved))
 	}
 }
 
@@ -81,17 +130,22 @@
 	}
 	must.LessEq(t, 2*maxRecent, table.Len())
 	must.LessEq(t, maxNews, len(table.news))
-	table.KeepUnsaved(start, table.TakeUnsaved(10))
+	for i := range 3 * maxRecent {
+		table.KeepUnsaved(saved(Stream(i), 1))
+		table.GiveUpSave(start, Stream(i))
+	}
 	must.LessEq(t, maxRecent, len(table.unsaved))
+	must.LessEq(t, 2*maxRecent, len(table.recent.givenUp)+len(table.older.givenUp))
 }
 
 // Guards against saved origins that change, and against a foreign record that is taken for
 // origins.
 func TestSavedOriginsRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		want := []Origin{}
+		want := []SavedOrigin{}
 		for range rapid.IntRange(0, 20).Draw(t, "origins") {
-			want = append(want, Origin{Stream(rapid.Uint64().Draw(t, "stream")), Build(rapid.Uint32().Draw(t, "build"))})
+			o := Origin{Stream(rapid.Uint64().Draw(t, "stream")), Build(rapid.Uint32().Draw(t, "build"))}
+			want = append(want, SavedOrigin{o, rapid.Uint8().Draw(t, "revision")})
 		}
 		encoded := Encode(want)
 		got, err := Decode(encoded)
@@ -105,7 +159,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add(Encode([]Origin{{1, 2}}))
+	f.Add(Encode([]SavedOrigin{saved(1, 2)}))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		origins, err := Decode(b)
--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -192,3 +192,14 @@
 	s.Append(topic, key, string(value))
 	return era, nil
 }
+
+// errMoved is returned by WriteAt if the topic ends elsewhere.
+var errMoved = errors.New("the topic doesn't end at this offset")
+
+// WriteAt implements follow.Store.
+func (s *Store) WriteAt(ctx context.Context, topic follow.Topic, key string, value []byte, at int64) (int64, error) {
+	if int64(s.Len(topic)) != at {
+		return 0, errMoved
+	}
+	return s.Write(ctx, topic, key, value)
+}
--- a/direct/dispatch/builds_test.go
+++ b/direct/dispatch/builds_test.go
@@ -36,7 +36,7 @@
 		}
 	}
 	continued := *request
-	continued.Build = streamorigin.BuildOf("s", "v2")
+	continued.Build, continued.Continued = streamorigin.BuildOf("s", "v2"), true
 	a, refusal := d.PlaceEngine(now, &continued)
 	must.Nil(t, refusal, must.Sprint("after", placed, "new requests"))
 	must.Eq(t, "v2", a.Endpoint.ID)
@@ -58,7 +58,8 @@
 	must.False(t, d.HasReady("s", v2))
 	must.False(t, d.HasReady("other", v1))
 	must.False(t, d.HasUsable(time.Unix(1_700_000_000, 0), "s", nil, v2))
-	must.MapEmpty(t, d.OnlyBuilds())
 	d.registry.Put(registry.Endpoint{ID: "p", Service: "plain", Version: "v1"})
-	must.Eq(t, map[string]streamorigin.Build{"plain": streamorigin.BuildOf("plain", "v1")}, d.OnlyBuilds())
+	must.Eq(t, map[string]map[streamorigin.Build]int{
+		"s": {v1: len(d.registry.Ready("s")), v2: 1}, "plain": {streamorigin.BuildOf("plain", "v1"): 1},
+	}, d.Builds(), must.Sprint("endpoints that drain still write to streams"))
 }
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -171,6 +170,8 @@
 	Exclude []string
 	// Build is the only build that can run the request, or streamorigin.AnyBuild.
 	Build streamorigin.Build
+	// Continued is set if the caller has the first events of the stream.
+	Continued bool
 	// Repeated is set if an endpoint may already have run the request, or the beginning of
 	// the stream that it continues. Its team's share was checked and charged before the first
 	// attempt and does not limit it again: the interrupted response would be lost.
@@ -286,7 +287,7 @@
 		return nil, refuse(request, allowance, 0, len(candidates))
 	}
 	demand := placement.Request{Cost: request.Cost, Target: request.Target, Allowance: allowance}
-	if request.Build != streamorigin.AnyBuild {
+	if request.Continued {
 		demand.Allowance *= continuedStreamFactor
 	}
 	index, wait, ok := placement.Choose(d.policy, demand, candidates)
@@ -427,19 +428,19 @@
 	return slices.ContainsFunc(d.registry.Ready(service), func(e registry.Endpoint) bool { return runs(e, build) })
 }
 
-// OnlyBuilds returns the build of each service whose registered endpoints, in any state, are of
-// a single one.
-func (d *Dispatcher) OnlyBuilds() map[string]streamorigin.Build {
-	only := map[string]streamorigin.Build{}
+// EntriesDue returns how long entries of live endpoints may still be missing.
+func (d *Dispatcher) EntriesDue(now time.Time) time.Duration { return d.registry.EntriesDue(now) }
+
+// Builds returns, by service, the number of registered endpoints of each build, in any state.
+func (d *Dispatcher) Builds() map[string]map[streamorigin.Build]int {
+	builds := map[string]map[streamorigin.Build]int{}
 	for _, e := range d.registry.All() {
-		build := BuildOf(e)
-		if known, ok := only[e.Service]; ok && known != build {
-			build = streamorigin.AnyBuild
+		if builds[e.Service] == nil {
+			builds[e.Service] = map[streamorigin.Build]int{}
 		}
-		only[e.Service] = build
+		builds[e.Service][BuildOf(e)]++
 	}
-	maps.DeleteFunc(only, func(_ string, b streamorigin.Build) bool { return b == streamorigin.AnyBuild })
-	return only
+	return builds
 }
 
 // PlacePlain chooses an endpoint of a plain service: the one with the fewest
@@ -575,6 +576,13 @@
 	return b
 }
 
+// Routers returns the number of routers that share the retry budget.
+func (d *Dispatcher) Routers() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.routers
+}
+
 // SetRouters sets the number of routers that share the retry budget.
 func (d *Dispatcher) SetRouters(n int) {
 	d.mu.Lock()
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -47,6 +47,41 @@
 	mu      sync.Mutex
 	builds  map[string]streamorigin.Build
 	takeUps int
+	// unsaved makes Begin fail, implied is the only build that needs no saved origin.
+	unsaved bool
+	implied streamorigin.Build
+	// onBegin is called by Begin.
+	onBegin func()
+}
+
+func (o *origins) Begin(_ context.Context, attempt string, build streamorigin.Build) bool {
+	if o.onBegin != nil {
+		o.onBegin()
+	}
+	o.mu.Lock()
+	refused := o.unsaved && build != o.implied
+	o.mu.Unlock()
+	if refused {
+		return false
+	}
+	o.Record(attempt, build)
+	return true
+}
+
+// failSaves makes saves fail; streams of the implied build need none.
+func (o *origins) failSaves(implied streamorigin.Build) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unsaved, o.implied = true, implied
+}
+
+func (o *origins) Restriction(string) streamorigin.Build {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.unsaved {
+		return o.implied
+	}
+	return streamorigin.AnyBuild
 }
 
 func (o *origins) CountTakeUp(string) int {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -74,9 +74,15 @@
 // Origins finds the builds that began streams, which callers take up again after their
 // connection broke.
 type Origins interface {
-	// Record records the build that began the stream whose first event this attempt of the
-	// caller brings.
+	// Begin records the build that began the stream whose first event this attempt of the
+	// caller brings. It returns false, and records nothing, if the origin can't be made to
+	// outlive this process in time.
+	Begin(ctx context.Context, attempt string, build streamorigin.Build) bool
+	// Record records an origin that may be lost with this process.
 	Record(attempt string, build streamorigin.Build)
+	// Restriction returns the only build at which new streams of a service should begin
+	// because the origins of others can't be saved at present, or streamorigin.AnyBuild.
+	Restriction(service string) streamorigin.Build
 	// Find returns the build that began the stream whose first event this attempt, of one of
 	// these services, brought, and false if it is unknown. attempt is empty if the caller
 	// doesn't name it.
@@ -415,7 +421,7 @@
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
-		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.build,
+		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Continued: r.build != streamorigin.AnyBuild,
 		Repeated: r.possibleExecutions > 0 || r.continues,
 	}
 }
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -14,9 +14,14 @@
 // requests that way.
 const maxExemptTakeUps = 3
 
-// unknownOriginRetryAfter is the delay after which a caller should retry if its stream can't
-// continue now: another router may know its origin, or an endpoint of its build return.
-const unknownOriginRetryAfter = 300 * time.Millisecond
+const (
+	// unknownOriginRetryAfter is the delay after which a caller should retry if the origin of its
+	// stream is unknown: the store may be back, or a router that knows it.
+	unknownOriginRetryAfter = time.Second
+	// missingBuildRetryAfter is the delay if no endpoint of the build is registered although all
+	// entries should be there: one may start.
+	missingBuildRetryAfter = 300 * time.Millisecond
+)
 
 // resolveOrigin finds the build that began a stream that the caller takes up again, and the
 // service that has it. If it returns false, it has refused the request: joined from two
@@ -39,7 +44,8 @@
 			return true
 		}
 	}
-	r.refuse(http.StatusServiceUnavailable, "no endpoint of the build that began the stream", unknownOriginRetryAfter)
+	delay := max(missingBuildRetryAfter, r.h.Dispatcher.EntriesDue(time.Now()))
+	r.refuse(http.StatusServiceUnavailable, "no endpoint of the build that began the stream", delay)
 	return false
 }
 
@@ -59,12 +65,34 @@
 	return r.h.Origins.Find(r.ctx, attempt, services)
 }
 
+// placedBuild returns the only build at which the request should be placed, or
+// streamorigin.AnyBuild.
+func (r *request) placedBuild() streamorigin.Build {
+	if r.build != streamorigin.AnyBuild || r.route.Semantics != routing.Stream || !r.route.Resumable {
+		return r.build
+	}
+	if b := r.h.Origins.Restriction(r.service.Name); b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
+		return b
+	}
+	return streamorigin.AnyBuild
+}
+
 // recordOrigin records the build of the first endpoint whose events are forwarded to the
-// caller.
-func (r *request) recordOrigin(a *attempt) {
+// caller. It returns false if the origin can't be saved and the request, for which it took a
+// retry, can begin again at a build that needs no saved origin.
+func (r *request) recordOrigin(a *attempt) bool {
 	if r.build != streamorigin.AnyBuild || !r.route.Resumable {
-		return
+		return true
+	}
+	build := dispatch.BuildOf(a.assignment.Endpoint)
+	if !r.h.Origins.Begin(r.ctx, r.id, build) {
+		if other := r.placedBuild(); other != streamorigin.AnyBuild && other != build && r.takeRetry(a) {
+			r.h.Log.Info("origin of a stream not saved; beginning again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+			return false
+		}
+		r.h.Log.Warn("stream goes on although its origin isn't saved", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+		r.h.Origins.Record(r.id, build)
 	}
-	r.build = dispatch.BuildOf(a.assignment.Endpoint)
-	r.h.Origins.Record(r.id, r.build)
+	r.build = build
+	return true
 }
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -29,8 +29,9 @@
 )
 
 var (
-	errStalled      = errors.New("endpoint stalled")
-	errEventTooLong = errors.New("event in the endpoint's stream is too long")
+	errStalled       = errors.New("endpoint stalled")
+	errUnsavedOrigin = errors.New("the origin of the stream can't be saved")
+	errEventTooLong  = errors.New("event in the endpoint's stream is too long")
 )
 
 // streamState is the state of a streamed response across attempts.
@@ -86,7 +87,13 @@
 		n, err := a.response.Body.Read(buffer)
 		now := time.Now()
 		if n > 0 {
-			if writeErr := r.forwardEvents(a, s, buffer[:n], eventStream, now); writeErr != nil {
+			writeErr := r.forwardEvents(a, s, buffer[:n], eventStream, now)
+			if errors.Is(writeErr, errUnsavedOrigin) {
+				r.endAttempt(a, endpointload.Abandoned)
+				s.splitter = eventstream.Splitter{}
+				return retryRequest
+			}
+			if writeErr != nil {
 				r.endAttempt(a, endpointload.Abandoned)
 				r.abortDisconnected(writeErr)
 			}
@@ -114,7 +121,8 @@
 
 // forwardEvents writes the events that are complete with data, or data itself if
 // the response is not an event stream. Only complete events count as received: an
-// endpoint that sends single bytes and no events is stalled.
+// endpoint that sends single bytes and no events is stalled. It returns errUnsavedOrigin if the
+// request should begin again at another endpoint.
 func (r *request) forwardEvents(a *attempt, s *streamState, data []byte, eventStream bool, now time.Time) error {
 	if eventStream {
 		data = s.splitter.Feed(data)
@@ -128,8 +136,10 @@
 		a.assignment.Served(now)
 	}
 	if !s.headersSent {
+		if eventStream && !r.recordOrigin(a) {
+			return errUnsavedOrigin
+		}
 		s.headersSent = true
-		r.recordOrigin(a)
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
 		r.copyResponseHeader(a.response.Header)
 		r.w.WriteHeader(a.response.Status)
--- a/direct/entry/versions_test.go
+++ b/direct/entry/versions_test.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/state/registry"
@@ -126,3 +128,69 @@
 	}
 	must.Eq(t, http.StatusTooManyRequests, r.takeUp("id-1", 2).status)
 }
+
+func buildOfVersion(version string) streamorigin.Build {
+	return dispatch.BuildOf(registry.Endpoint{Service: "engines", Version: version})
+}
+
+// Guards against a caller that gets the first event of a stream whose origin is lost if all
+// routers are killed right then.
+func TestFirstEventWaitsForItsOrigin(t *testing.T) {
+	r := newRouter(t)
+	r.addVersion("e1", "engines", "v2", streamFrom("v2", 4, 4))
+	saved, began := make(chan struct{}), make(chan struct{})
+	r.origins.onBegin = func() { close(began); <-saved }
+	answered := make(chan result)
+	go func() { answered <- r.post("/resumable/1") }()
+	<-began
+	select {
+	case <-answered:
+		t.Fatal("answered before the origin was saved")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(saved)
+	got := <-answered
+	must.NoError(t, got.err)
+	must.Eq(t, 4, strings.Count(got.body, "id:"))
+}
+
+// Guards against streams that can't be told apart after a kill of all routers, and against streams
+// that are refused: while origins can't be saved, streams begin where none is needed, and a
+// stream that had begun elsewhere begins again there.
+func TestStreamsBeginAtTheImpliedBuildWhileOriginsCannotBeSaved(t *testing.T) {
+	r := newRouter(t)
+	r.addVersion("e1", "engines", "v1", streamFrom("v1", 4, 4))
+	r.addVersion("e2", "engines", "v2", streamFrom("v2", 4, 4))
+	r.origins.failSaves(buildOfVersion("v1"))
+	for range 20 {
+		got := r.post("/resumable/1")
+		must.Eq(t, http.StatusOK, got.status)
+		must.Eq(t, 4, strings.Count(got.body, "data: v1"))
+	}
+
+	r = newRouter(t)
+	r.addVersion("e2", "engines", "v2", streamFrom("v2", 4, 4))
+	// The store fails after the stream was placed.
+	r.origins.onBegin = sync.OnceFunc(func() {
+		r.addVersion("e1", "engines", "v1", streamFrom("v1", 4, 4))
+		r.origins.failSaves(buildOfVersion("v1"))
+	})
+	got := r.post("/resumable/1")
+	must.NoError(t, got.err)
+	must.Eq(t, 4, strings.Count(got.body, "data: v1"))
+	must.False(t, strings.Contains(got.body, "v2"))
+	build, ok := r.origins.Find(t.Context(), "id-1", nil)
+	must.True(t, ok)
+	must.Eq(t, buildOfVersion("v1"), build)
+}
+
+// Guards against an answer that is ready and withheld because its origin can't be saved: without
+// another build to begin at, the caller gets it.
+func TestStreamWithoutAlternativeIsDelivered(t *testing.T) {
+	r := newRouter(t)
+	r.addVersion("e2", "engines", "v2", streamFrom("v2", 4, 4))
+	r.origins.failSaves(buildOfVersion("v1"))
+	got := r.post("/resumable/1")
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, 4, strings.Count(got.body, "data: v2"))
+}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciaspar/acaciaspar/observability"
@@ -490,11 +491,24 @@
 }
 
 // SaveStreams implements origins.Store.
-func (f *Follower) SaveStreams(ctx context.Context, key string, value []byte) (era int64, err error) {
+func (f *Follower) SaveStreams(ctx context.Context, key string, value []byte) error {
 	call, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
 	f.storeCalls.Inc(1)
-	return f.store.Write(call, Streams, key, value)
+	_, err := f.store.Write(call, Streams, key, value)
+	return err
+}
+
+// SaveStreamsAt implements origins.Store.
+func (f *Follower) SaveStreamsAt(ctx context.Context, key string, value []byte, end mirror.Position) error {
+	call, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	f.storeCalls.Inc(1)
+	era, err := f.store.WriteAt(call, Streams, key, value, end.Next)
+	if err == nil && era != end.Era {
+		return eris.Errorf("the store was restored: era %d after %d", era, end.Era)
+	}
+	return err
 }
 
 // LoadStreams implements origins.Store. It lists the topic if the store doesn't hold the
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -42,13 +42,16 @@
 	// end returns all records that the list may lack.
 	List(ctx context.Context, topic Topic) (mirror.Batch, error)
 	// Read returns the records at and after from in the store's present era. It returns
-	// as soon as there is a record, or none after wait. It returns ErrCompacted if the
+	// as soon as there is a record, or none after wait. Without a wait, it returns all records up
+	// to the end. It returns ErrCompacted if the
 	// store doesn't hold the records at from: they were compacted, or the store was
 	// restored from a copy that ends before.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
 	// Write appends a record to Members, Crashes or Streams and returns the era that it belongs
 	// to. If the store is restored from a copy later, the record may be lost.
 	Write(ctx context.Context, topic Topic, key string, value []byte) (era int64, err error)
+	// WriteAt does the same if the topic ends at the offset at, and otherwise returns an error.
+	WriteAt(ctx context.Context, topic Topic, key string, value []byte, at int64) (era int64, err error)
 }
 
 // Decoder decodes the values of records.
--- a/direct/origins/doc.go
+++ b/direct/origins/doc.go
@@ -1,11 +1,10 @@
-// Package origins finds the build of a service's software that began a stream that a caller
-// takes up again, at any router and also after all routers were restarted. Routers report the
-// origins of their streams to their peers, and some of them save all origins in the store.
+// Package origins keeps the builds that began resumable streams, so that a stream that its caller
+// takes up again goes on at the build that wrote its first events, also after all routers were
+// killed.
 //
-// While all endpoints of a service are of one build, that build is saved, and an unknown stream
-// belongs to it; the origins of its streams are then saved less often. The record is replaced
-// when the endpoints have been of another build for longer than any stream lasts, so it shows
-// a restarted router whether another build was in service shortly before.
-//
-// Origins owns a streamorigin.Table.
+// The store holds the implied build of each service. The origin of a stream of another build is
+// saved before the caller gets its first event. A stream without a saved origin is therefore of
+// the implied build; that is concluded only from a read of the store that began after the caller
+// came back and succeeded. While origins can't be saved, new streams begin only at the implied
+// build if it has endpoints.
 package origins
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
@@ -16,39 +18,37 @@
 )
 
 const (
-	// saveInterval is the interval at which new origins are saved. The origins of the
-	// streams that began in the last interval are lost if all routers are killed.
-	saveInterval = 60 * time.Millisecond
-	// onlyBuildSaveInterval is the interval while services have a single build. Origins are
-	// needed then only if a release begins just when all routers are killed.
-	onlyBuildSaveInterval = 500 * time.Millisecond
-	// onlyBuildInterval is the interval at which the builds of services are checked.
-	onlyBuildInterval = 500 * time.Millisecond
-	// saveRetryDelay is the delay after a failed save.
-	saveRetryDelay = 500 * time.Millisecond
-	// slots is the number of records that one router keeps in the store. Together they
-	// hold the origins of the last 30 s.
-	slots = 512
-	// buildKeyPrefix begins the key of the record with the only build of a service, and
+	// upkeepInterval is the interval at which the store's era and the implied builds are checked.
+	upkeepInterval = 500 * time.Millisecond
+	// impliedRefreshInterval is the interval at which the store is read while the implied build of
+	// a service is unknown, outdated or without endpoints.
+	impliedRefreshInterval = 2 * time.Second
+	// impliedKeyPrefix begins the key of the record with the implied build of a service, and
 	// originsKeyPrefix those of the records with origins.
-	buildKeyPrefix   = "build/"
+	impliedKeyPrefix = "implied/"
 	originsKeyPrefix = "origins/"
-	// maxSavedOrigins bounds the origins in one record of 48 KiB.
-	maxSavedOrigins = 4096
-	// minRetention is the shortest time for which origins are kept in memory.
+	// minRetention is the shortest time for which origins are kept.
 	minRetention = 30 * time.Second
 	// loadTimeout bounds the reading of saved origins while a caller waits.
 	loadTimeout = 400 * time.Millisecond
 	// secondLookDelay is the delay before an unknown origin is looked for again: a
-	// router that still runs reports and saves it within this time.
+	// router that still runs reports it within this time.
 	secondLookDelay = 250 * time.Millisecond
 )
 
+var (
+	errNotLoaded   = errors.New("the saved origins have not been read yet")
+	errEarlierRead = errors.New("the reply is of an earlier era of the store")
+)
+
 // Store is the part of the store that holds the saved origins.
 type Store interface {
-	// SaveStreams writes a record under a key and returns the era that it belongs to.
-	SaveStreams(ctx context.Context, key string, value []byte) (era int64, err error)
-	// LoadStreams returns the records after a position, or all for the zero Position.
+	// SaveStreams writes a record under a key.
+	SaveStreams(ctx context.Context, key string, value []byte) error
+	// SaveStreamsAt writes a record if the topic ends at a position, and otherwise returns an
+	// error.
+	SaveStreamsAt(ctx context.Context, key string, value []byte, end mirror.Position) error
+	// LoadStreams returns all records after a position, or all for the zero Position.
 	LoadStreams(ctx context.Context, after mirror.Position) (mirror.Batch, error)
 	// Era returns the latest era of the store that is known here.
 	Era() int64
@@ -59,16 +59,20 @@
 	// Name is the name of this router, under which it saves origins.
 	Name  string
 	Store Store
-	// Saves reports whether this router currently saves origins for the fleet.
+	// Saves reports whether this router currently keeps the implied builds, and saves the origins
+	// of other routers again after a restoration of the store.
 	Saves func() bool
-	// OnlyBuilds returns the build of each service whose registered endpoints are of a single
-	// one.
-	OnlyBuilds func() map[string]streamorigin.Build
+	// Builds returns, by service, the number of registered endpoints of each build, in any state.
+	Builds func() map[string]map[streamorigin.Build]int
+	// Routers returns the number of routers in the fleet.
+	Routers func() int
 	// LongestStream returns the longest time that a stream may last; origins are kept at
 	// least that long.
 	LongestStream func() time.Duration
-	Log           *slog.Logger
-	Metrics       metrics.Registry
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
+	Log        *slog.Logger
+	Metrics    metrics.Registry
 }
 
 // Origins is safe for concurrent use. Its mutex is never held during I/O or while another
@@ -77,81 +81,144 @@
 	options Options
 	loads   singleflight.Group
 	unknown metrics.Counter
+	saver   *saver
 
 	mu    sync.Mutex
 	table *streamorigin.Table
 	// hasLoaded is set once what the store holds was loaded, loaded is the position after it.
 	hasLoaded bool
 	loaded    mirror.Position
-	// savedBuilds holds the builds of services in the store.
-	savedBuilds map[string]streamorigin.Build
-	// confirmed holds the builds whose service has no other one, in the store and among its
-	// endpoints.
-	confirmed map[streamorigin.Build]bool
-	// onlySince holds the services whose endpoints are of a single build, and since when. Only
-	// Run's goroutine uses it.
-	onlySince map[string]onlyBuild
-}
-
-type onlyBuild struct {
-	build streamorigin.Build
-	since time.Time
+	// era is the latest era of the store that is known here; it begins with the first load.
+	era int64
+	// implied holds the implied builds of services in the store.
+	implied map[string]streamorigin.Implied
+	policy  streamorigin.ImpliedPolicy
+	// refreshedAt is the time of the latest read for the implied builds. Only the upkeep uses it.
+	refreshedAt time.Time
 }
 
 // New returns Origins that know no stream. Run saves and loads them.
 func New(o Options) *Origins {
-	return &Origins{
-		options: o, table: streamorigin.NewTable(), savedBuilds: map[string]streamorigin.Build{}, onlySince: map[string]onlyBuild{},
+	origins := &Origins{
+		options: o, table: streamorigin.NewTable(), implied: map[string]streamorigin.Implied{},
+		policy:  streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
 		unknown: metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
 	}
+	origins.saver = newSaver(origins)
+	return origins
+}
+
+// Begin records the build that began the stream whose first event this attempt of the caller
+// brings. It returns once the origin outlives this process, or false if that could not be achieved
+// in time; then nothing is recorded, and the caller must not get the event unless Record is
+// called.
+func (o *Origins) Begin(ctx context.Context, attempt string, build streamorigin.Build) bool {
+	origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build}
+	o.mu.Lock()
+	if o.isImplied(build) && o.table.Revision(origin.Stream) == 0 {
+		o.table.Record(time.Now(), origin)
+		o.mu.Unlock()
+		return true
+	}
+	o.mu.Unlock()
+	if !o.saver.save(ctx, origin) {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Record(time.Now(), origin)
+	return true
 }
 
-// Record records the build that began the stream whose first event this attempt brings.
+// Record records the build that began a stream although its origin may be lost with this process.
+// It is saved as soon as possible.
 func (o *Origins) Record(attempt string, build streamorigin.Build) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(time.Now(), streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build})
+	origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build}
+	o.table.Record(time.Now(), origin)
+	o.table.KeepUnsaved(streamorigin.SavedOrigin{Origin: origin, Revision: o.table.Revision(origin.Stream)})
 }
 
-// Find returns the build that began the stream whose first event this attempt, of one of these
-// services, brought. If this router doesn't know it, it looks in the store, twice within about
-// 0.3 s. An empty attempt is known only if the services have a single build.
-func (o *Origins) Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool) {
-	if b, ok := o.lookup(attempt, services); ok {
-		return b, true
+// Restriction returns the only build at which new streams of a service should begin because the
+// origins of other builds can't be saved at present, or streamorigin.AnyBuild.
+func (o *Origins) Restriction(service string) streamorigin.Build {
+	if o.saver.working(time.Now()) {
+		return streamorigin.AnyBuild
 	}
-	o.load(ctx)
-	if b, ok := o.lookup(attempt, services); ok {
-		return b, true
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	build, _ := o.impliedBuild(service)
+	return build
+}
+
+// impliedBuild returns the implied build of a service if it is in force in the present era.
+func (o *Origins) impliedBuild(service string) (streamorigin.Build, bool) {
+	i, ok := o.implied[service]
+	if !ok || i.Era != o.era {
+		return streamorigin.AnyBuild, false
 	}
+	return i.Build, true
+}
+
+func (o *Origins) isImplied(build streamorigin.Build) bool {
+	for service := range o.implied {
+		if b, ok := o.impliedBuild(service); ok && b == build {
+			return true
+		}
+	}
+	return false
+}
+
+// Find returns the build that began the stream whose first event this attempt, of one of these
+// services, brought. If this router doesn't know it, it reads the store, at most twice within
+// about a second. An empty attempt is known only if all recent streams are of the implied build.
+func (o *Origins) Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool) {
+	began := time.Now()
+	stream := streamorigin.StreamOf(attempt)
 	if attempt != "" {
-		select {
-		case <-ctx.Done():
-		case <-time.After(secondLookDelay):
-			o.load(ctx)
+		o.mu.Lock()
+		b, ok := o.table.LookupRecorded(stream)
+		o.mu.Unlock()
+		if ok {
+			return b, true
 		}
 	}
-	b, ok := o.lookup(attempt, services)
-	if !ok {
-		o.unknown.Inc(1)
+	for look := range 2 {
+		if look > 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(secondLookDelay):
+			}
+		}
+		fresh := o.loadSince(ctx, began)
+		if b, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+			return b, true
+		}
 	}
-	return b, ok
+	o.unknown.Inc(1)
+	o.options.Log.Info("origin of a stream is unknown", "attempt", attempt, "services", services)
+	return streamorigin.AnyBuild, false
 }
 
-func (o *Origins) lookup(attempt string, services []string) (streamorigin.Build, bool) {
+// lookup returns the build of a stream as far as it follows from what is known. fresh is set if
+// all origins that were saved before the caller came back have been read.
+func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, bool) {
 	o.mu.Lock()
-	b, ok := o.table.Lookup(streamorigin.StreamOf(attempt))
-	o.mu.Unlock()
-	if ok && attempt != "" {
-		return b, true
+	defer o.mu.Unlock()
+	if named {
+		if b, ok := o.table.Lookup(stream); ok {
+			return b, true
+		}
 	}
-	if len(services) != 1 {
+	if !fresh || len(services) != 1 {
 		return streamorigin.AnyBuild, false
 	}
-	b, ok = o.options.OnlyBuilds()[services[0]]
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return b, ok && b == o.savedBuilds[services[0]]
+	b, ok := o.impliedBuild(services[0])
+	if !ok || !named && !o.table.OnlyOf(o.isImplied) {
+		return streamorigin.AnyBuild, false
+	}
+	return b, true
 }
 
 // CountTakeUp counts that a caller takes up the stream whose first event this attempt brought,
@@ -185,73 +252,49 @@
 
 // Run saves and expires origins until ctx is done and returns its error.
 func (o *Origins) Run(ctx context.Context) error {
-	ticker := time.NewTicker(saveInterval)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return o.saver.run(ctx) })
+	group.Go(func() error { return o.runUpkeep(ctx) })
+	return group.Wait()
+}
+
+func (o *Origins) runUpkeep(ctx context.Context) error {
+	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
-	var retryAt, checkedAt, savedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			o.forgetIfRestored(now)
 			o.expire(now)
-			checkBuilds := now.Sub(checkedAt) >= onlyBuildInterval
-			if checkBuilds {
-				checkedAt = now
-				o.loadFirst(ctx)
-				o.checkOnlyBuilds(now)
-			}
-			if now.Before(retryAt) || !o.options.Saves() {
-				continue
-			}
-			var err error
-			if o.isSaveDue(now.Sub(savedAt)) {
-				savedAt = now
-				err = o.save(ctx, now)
-			}
-			if err == nil && checkBuilds {
-				err = o.saveOnlyBuilds(ctx, now)
-			}
-			if err != nil {
-				o.options.Log.Warn("save origins of streams failed; retrying", "error", err.Error())
-				retryAt = time.Now().Add(saveRetryDelay)
-			}
+			o.loadFirst(ctx)
+			o.noteEra(o.options.Store.Era())
+			o.refreshImplied(ctx, now)
+			o.saveImplied(ctx, now)
 		}
 	}
 }
 
-// forgetIfRestored assumes, in a later era of the store, that it lost what was saved.
-func (o *Origins) forgetIfRestored(now time.Time) {
-	era := o.options.Store.Era()
+// noteEra assumes, in a later era of the store, that it lost what was saved.
+func (o *Origins) noteEra(era int64) {
+	saves := o.options.Saves()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.hasLoaded || era <= o.loaded.Era {
+	if !o.hasLoaded || era <= o.era {
 		return
 	}
-	o.options.Log.Info("the saved origins of streams may be lost; saving them again", "era", era, "saved_era", o.loaded.Era)
-	clear(o.savedBuilds)
-	o.loaded, o.hasLoaded = mirror.Position{}, false
-	o.table.KeepAllUnsaved(now)
+	o.options.Log.Info("the saved origins of streams may be lost; saving them again", "era", era, "saved_era", o.era)
+	o.era = era
+	o.policy.Restored()
+	o.table.KeepAllUnsaved(saves)
 }
 
 // loadFirst loads what the store holds if that has not succeeded yet.
-func (o *Origins) loadFirst(ctx context.Context) {
+func (o *Origins) loadFirst(ctx context.Context) bool {
 	o.mu.Lock()
 	hasLoaded := o.hasLoaded
 	o.mu.Unlock()
-	if !hasLoaded {
-		o.load(ctx)
-	}
-}
-
-// isBuildOutdated reports whether the only build of a service should be saved, as far as this
-// router knows the store.
-func (o *Origins) isBuildOutdated(service string, only onlyBuild, now time.Time) bool {
-	retention := o.retention()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	saved, ok := o.savedBuilds[service]
-	return o.hasLoaded && saved != only.build && (!ok || now.Sub(only.since) >= retention)
+	return hasLoaded || o.loadSince(ctx, time.Time{})
 }
 
 func (o *Origins) retention() time.Duration { return max(minRetention, o.options.LongestStream()) }
@@ -263,92 +306,91 @@
 	o.table.Expire(now, retention)
 }
 
-// isSaveDue reports whether unsaved origins should be saved. sinceSave is the time since the last
-// save.
-func (o *Origins) isSaveDue(sinceSave time.Duration) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return sinceSave >= onlyBuildSaveInterval || o.table.HasUnsaved(func(b streamorigin.Build) bool { return !o.confirmed[b] })
-}
-
-// checkOnlyBuilds updates the builds that are confirmed.
-func (o *Origins) checkOnlyBuilds(now time.Time) {
-	only := o.options.OnlyBuilds()
-	for service := range o.onlySince {
-		if o.onlySince[service].build != only[service] {
-			delete(o.onlySince, service)
-		}
+// refreshImplied reads the store if another router may have saved an implied build that is needed
+// here.
+func (o *Origins) refreshImplied(ctx context.Context, now time.Time) {
+	if now.Sub(o.refreshedAt) < impliedRefreshInterval {
+		return
 	}
-	confirmed := map[streamorigin.Build]bool{}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for service, build := range only {
-		if o.onlySince[service].build != build {
-			o.onlySince[service] = onlyBuild{build, now}
-		}
-		if o.savedBuilds[service] == build {
-			confirmed[build] = true
+	for service, builds := range o.options.Builds() {
+		o.mu.Lock()
+		build, ok := o.impliedBuild(service)
+		o.mu.Unlock()
+		if !ok || builds[build] == 0 {
+			o.refreshedAt = now
+			o.loadSince(ctx, now)
+			return
 		}
 	}
-	o.confirmed = confirmed
 }
 
-// saveOnlyBuilds saves the builds of services that have had no other one for longer than any
-// stream lasts, or for which none was saved yet.
-func (o *Origins) saveOnlyBuilds(ctx context.Context, now time.Time) error {
-	for service, only := range o.onlySince {
-		if !o.isBuildOutdated(service, only, now) {
+// saveImplied saves the implied builds of services where the policy allows another one.
+func (o *Origins) saveImplied(ctx context.Context, now time.Time) {
+	if !o.options.Saves() || !o.saver.working(now) {
+		o.mu.Lock()
+		o.policy.Disturbed()
+		o.mu.Unlock()
+		return
+	}
+	for service, builds := range o.options.Builds() {
+		if next, _ := o.nextImplied(now, service, builds); next.Build == streamorigin.AnyBuild {
 			continue
 		}
 		// Another router may have saved it meanwhile.
-		o.load(ctx)
-		if !o.isBuildOutdated(service, only, now) {
+		if !o.loadSince(ctx, time.Now()) {
+			return
+		}
+		next, end := o.nextImplied(now, service, builds)
+		if next.Build == streamorigin.AnyBuild {
 			continue
 		}
-		if _, err := o.options.Store.SaveStreams(ctx, buildKeyPrefix+service, streamorigin.EncodeBuild(only.build)); err != nil {
-			return err
+		err := o.options.Store.SaveStreamsAt(ctx, impliedKeyPrefix+service, streamorigin.EncodeImplied(next), end)
+		if err != nil {
+			o.options.Log.Warn("save implied build of a service failed; retrying", "service", service, "error", err.Error())
+			return
 		}
-		o.options.Log.Info("only build of a service saved", "service", service)
-		o.mu.Lock()
-		o.savedBuilds[service] = only.build
-		o.mu.Unlock()
+		o.options.Log.Info("implied build of a service saved", "service", service, "build", next.Build, "era", next.Era)
+		o.loadSince(ctx, time.Now())
 	}
-	return nil
 }
 
-// save writes the unsaved origins, if any, as one record.
-func (o *Origins) save(ctx context.Context, now time.Time) error {
+// nextImplied returns the implied build that should be saved for a service, or
+// streamorigin.AnyBuild, and the position up to which the store was read.
+func (o *Origins) nextImplied(now time.Time, service string, builds map[streamorigin.Build]int) (streamorigin.Implied, mirror.Position) {
+	retention := o.retention()
 	o.mu.Lock()
-	origins := o.table.TakeUnsaved(maxSavedOrigins)
-	o.mu.Unlock()
-	if len(origins) == 0 {
-		return nil
+	defer o.mu.Unlock()
+	if !o.hasLoaded {
+		return streamorigin.Implied{}, mirror.Position{}
 	}
-	// The slot follows from the time of day, so that a restarted router doesn't overwrite
-	// its latest records.
-	slot := now.UnixMilli() / saveInterval.Milliseconds() % slots
-	_, err := o.options.Store.SaveStreams(ctx, fmt.Sprintf("%s%s/%d", originsKeyPrefix, o.options.Name, slot), streamorigin.Encode(origins))
-	if err != nil {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.table.KeepUnsaved(now, origins)
+	var saved *streamorigin.Implied
+	if i, ok := o.implied[service]; ok {
+		saved = &i
 	}
-	return err
+	return streamorigin.Implied{Build: o.policy.Next(now, service, builds, saved, o.era, retention), Era: o.era}, o.loaded
 }
 
-// load reads the origins that were saved since the last call. Concurrent calls share one
-// read.
-func (o *Origins) load(ctx context.Context) {
-	done := o.loads.DoChan("load", func() (any, error) {
-		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), loadTimeout)
-		defer cancel()
-		return nil, o.loadOnce(call)
-	})
-	select {
-	case <-ctx.Done():
-	case result := <-done:
-		if result.Err != nil {
-			o.options.Log.Warn("load origins of streams failed", "error", result.Err.Error())
+// loadSince reads the origins that were saved since the last read. It reports whether a read that
+// began at or after a time succeeded. Concurrent calls share one read.
+func (o *Origins) loadSince(ctx context.Context, since time.Time) bool {
+	for {
+		done := o.loads.DoChan("load", func() (any, error) {
+			began := time.Now()
+			call, cancel := context.WithTimeout(context.WithoutCancel(ctx), loadTimeout)
+			defer cancel()
+			return began, o.loadOnce(call)
+		})
+		select {
+		case <-ctx.Done():
+			return false
+		case result := <-done:
+			if result.Err != nil {
+				o.options.Log.Warn("load origins of streams failed", "error", result.Err.Error())
+				return false
+			}
+			if began, ok := result.Val.(time.Time); ok && !began.Before(since) {
+				return true
+			}
 		}
 	}
 }
@@ -361,14 +403,31 @@
 	if err != nil {
 		return err
 	}
+	o.noteEra(batch.End.Era)
+	if batch.End.Era < o.options.Store.Era() {
+		return errEarlierRead
+	}
 	now := time.Now()
+	var ownSlots []int
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	defer func() {
+		o.mu.Unlock()
+		o.saver.occupy(now, ownSlots)
+	}()
+	if !o.hasLoaded {
+		o.era = batch.End.Era
+	}
+	if batch.Complete {
+		clear(o.implied)
+	}
 	o.loaded, o.hasLoaded = batch.End, true
 	for _, r := range batch.Records {
 		if r.IsTombstone() {
 			continue
 		}
+		if slot, ok := o.ownSlot(r.Key); ok {
+			ownSlots = append(ownSlots, slot)
+		}
 		if err := o.mergeRecord(now, r); err != nil {
 			o.options.Log.Warn("invalid saved origins ignored", "key", r.Key, "error", err.Error())
 		}
@@ -376,13 +435,26 @@
 	return nil
 }
 
+// ownSlot returns the slot of one of this router's records, which may be of an earlier process.
+func (o *Origins) ownSlot(key string) (slot int, ok bool) {
+	text, ok := strings.CutPrefix(key, originsKeyPrefix+o.options.Name+"/")
+	if !ok {
+		return 0, false
+	}
+	_, err := fmt.Sscanf(text, "%d", &slot)
+	return slot, err == nil && slot >= 0
+}
+
 func (o *Origins) mergeRecord(now time.Time, r mirror.Record) error {
-	if service, ok := strings.CutPrefix(r.Key, buildKeyPrefix); ok {
-		build, err := streamorigin.DecodeBuild(r.Value)
-		if err == nil {
-			o.savedBuilds[service] = build
+	if service, ok := strings.CutPrefix(r.Key, impliedKeyPrefix); ok {
+		implied, err := streamorigin.DecodeImplied(r.Value)
+		if err != nil {
+			// What was implied before this record isn't known to hold any more.
+			delete(o.implied, service)
+			return err
 		}
-		return err
+		o.implied[service] = implied
+		return nil
 	}
 	origins, err := streamorigin.Decode(r.Value)
 	if err == nil {
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -40,36 +40,59 @@
 	b.list = list
 }
 
-func (b *builds) only() map[string]streamorigin.Build {
+func (b *builds) count() map[string]map[streamorigin.Build]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.list) != 1 {
-		return nil
+	counts := map[streamorigin.Build]int{}
+	for _, build := range b.list {
+		counts[build]++
 	}
-	return map[string]streamorigin.Build{service: b.list[0]}
+	return map[string]map[streamorigin.Build]int{service: counts}
 }
 
 const service = "engines"
 
-// start starts the origins of a router with this name on the store, and a follower that knows
-// the store's era. The service has endpoints of two builds.
-func start(t *testing.T, ctx context.Context, name string, store *directtest.Store) *origins.Origins {
-	t.Helper()
-	return startWith(t, ctx, name, store, &builds{list: []streamorigin.Build{build, otherBuild}})
+// routers is a fleet whose routers can be killed.
+type routers struct {
+	t      *testing.T
+	store  *directtest.Store
+	builds *builds
+	// firstStart is set until a router was killed.
+	firstStart bool
+	ctx        context.Context
+	cancel     context.CancelFunc
 }
 
-func startWith(t *testing.T, ctx context.Context, name string, store *directtest.Store, b *builds) *origins.Origins {
-	t.Helper()
+// newRouters returns a fleet that starts for the first time, in front of endpoints of these builds.
+func newRouters(t *testing.T, list ...streamorigin.Build) *routers {
+	f := &routers{t: t, store: directtest.NewStore(), builds: &builds{list: list}, firstStart: true}
+	f.ctx, f.cancel = context.WithCancel(t.Context())
+	return f
+}
+
+// kill ends all routers.
+func (f *routers) kill() {
+	f.cancel()
+	synctest.Wait()
+	f.firstStart = false
+	f.ctx, f.cancel = context.WithCancel(f.t.Context())
+}
+
+// start starts the origins of a router, and a follower that knows the store's era.
+func (f *routers) start(name string) *origins.Origins {
+	f.t.Helper()
 	registryMetrics := metrics.NewRegistry()
-	f := follow.New(follow.Options{
-		ReadWait: time.Second, Store: store, Decoder: directtest.Decoder{}, Peers: noPeers{}, Routes: &routing.Store{},
+	follower := follow.New(follow.Options{
+		ReadWait: time.Second, Store: f.store, Decoder: directtest.Decoder{}, Peers: noPeers{}, Routes: &routing.Store{},
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Store: f, Saves: func() bool { return true }, LongestStream: func() time.Duration { return 0 }, OnlyBuilds: b.only,
+		Name: name, Store: follower, Saves: func() bool { return true }, LongestStream: func() time.Duration { return 0 },
+		Builds: f.builds.count, Routers: func() int { return 2 }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
-	go func() { _ = f.Run(ctx) }()
+	ctx := f.ctx
+	go func() { _ = follower.Run(ctx) }()
 	go func() { _ = o.Run(ctx) }()
 	return o
 }
@@ -77,191 +100,294 @@
 const (
 	build      = streamorigin.Build(7)
 	otherBuild = streamorigin.Build(8)
-	// singleBuildTime is the time after which a build that is the only one counts as such.
-	singleBuildTime = 31 * time.Second
+	// retention is the time after which no stream is left.
+	retention = 30 * time.Second
 )
 
-func mustFind(t *testing.T, o *origins.Origins, attempt string) {
+func mustFind(t *testing.T, o *origins.Origins, attempt string, want streamorigin.Build) {
 	t.Helper()
 	got, ok := o.Find(t.Context(), attempt, []string{service})
 	must.True(t, ok, must.Sprint(attempt))
-	must.Eq(t, build, got)
+	must.Eq(t, want, got)
 }
 
-// Guards against streams whose origin is unknown after all routers were killed.
+func mustNotFind(t *testing.T, o *origins.Origins, attempt string) {
+	t.Helper()
+	_, ok := o.Find(t.Context(), attempt, []string{service})
+	must.False(t, ok, must.Sprint(attempt))
+}
+
+// Guards against streams whose origin is unknown, or taken for another one, after all routers were
+// killed right after their first events.
 func TestOriginsOutliveAllRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := directtest.NewStore()
-		ctx, kill := context.WithCancel(t.Context())
-		o := start(t, ctx, "r1", store)
-		o.Record("id-1", build)
-		time.Sleep(time.Second)
-		kill()
-		synctest.Wait()
-		ctx, stop := context.WithCancel(t.Context())
-		mustFind(t, start(t, ctx, "r2", store), "id-1")
-		stop()
-		synctest.Wait()
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.True(t, o.Begin(t.Context(), "implied", build))
+		must.True(t, o.Begin(t.Context(), "saved", otherBuild))
+		f.kill()
+		// The entries lapsed, and only some are back.
+		for _, list := range [][]streamorigin.Build{{build}, {otherBuild}, {}} {
+			f.builds.set(list...)
+			next := f.start("r2")
+			mustFind(t, next, "implied", build)
+			mustFind(t, next, "saved", otherBuild)
+			f.kill()
+		}
+	})
+}
+
+// Guards against streams that go on at another build after an outage of the store in which all
+// routers were killed: no origin could be saved.
+func TestStreamsOfAnOutageStayAtTheirBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.store.SetUnreachable(true)
+		must.False(t, o.Begin(t.Context(), "other", otherBuild), must.Sprint("its origin isn't saved"))
+		must.Eq(t, build, o.Restriction(service))
+		must.True(t, o.Begin(t.Context(), "implied", build))
+		f.kill()
+		f.store.SetUnreachable(false)
+		f.builds.set(otherBuild)
+		mustFind(t, f.start("r2"), "implied", build)
+		f.kill()
 	})
 }
 
-// Guards against a take-up that is refused because its origin was saved after this router
-// read the store, and against a caller that waits long for an origin that nobody knows.
-func TestUnknownOriginIsLookedForAgain(t *testing.T) {
+// Guards against a restriction that outlasts the outage, and against an origin that is dropped
+// because the store was away for longer than some seconds.
+func TestOriginsAreSavedAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := directtest.NewStore()
-		ctx, stop := context.WithCancel(t.Context())
-		a, b := start(t, ctx, "r1", store), start(t, ctx, "r2", store)
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		f.store.SetUnreachable(true)
+		must.False(t, o.Begin(t.Context(), "without alternative", otherBuild))
+		o.Record("without alternative", otherBuild)
+		must.False(t, o.Begin(t.Context(), "begun again", otherBuild))
+		must.False(t, o.Begin(t.Context(), "begun again", build), must.Sprint("the store may hold the other build"))
+		o.Record("begun again", build)
+		time.Sleep(20 * time.Second)
+		f.store.SetUnreachable(false)
 		time.Sleep(time.Second)
-		a.Record("id-1", build)
-		mustFind(t, b, "id-1")
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		must.True(t, o.Begin(t.Context(), "later", otherBuild))
+		f.kill()
+		next := f.start("r2")
+		mustFind(t, next, "without alternative", otherBuild)
+		mustFind(t, next, "begun again", build)
+		mustFind(t, next, "later", otherBuild)
+		f.kill()
+	})
+}
+
+// Guards against a take-up for which an unread record is taken for a missing one, and against a
+// caller that waits long while the store can't be read.
+func TestUnknownOriginIsLookedForInTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		a, b := f.start("r1"), f.start("r2")
+		time.Sleep(3 * time.Second)
+		must.True(t, a.Begin(t.Context(), "id-1", build))
+		must.True(t, a.Begin(t.Context(), "id-2", otherBuild))
+		mustFind(t, b, "id-2", otherBuild)
+		mustFind(t, b, "id-1", build)
+		f.store.SetUnreachable(true)
 		began := time.Now()
-		_, ok := b.Find(t.Context(), "id-2", []string{service})
-		must.False(t, ok)
-		must.LessEq(t, time.Second, time.Since(began))
-		store.SetUnreachable(true)
-		began = time.Now()
-		_, ok = b.Find(t.Context(), "id-2", []string{service})
-		must.False(t, ok)
+		mustNotFind(t, b, "id-3")
 		must.LessEq(t, 2*time.Second, time.Since(began))
-		stop()
-		synctest.Wait()
+		mustFind(t, b, "id-2", otherBuild)
+		f.kill()
 	})
 }
 
-// Guards against origins that are lost with an outage of the store, or when it comes back
-// from an older copy.
+// Guards against origins that are lost when the store comes back from an older copy: streams of
+// the implied build, too, could then be of any build.
 func TestOriginsAreSavedAgain(t *testing.T) {
+	for name, impliedInCopy := range map[string]bool{"with the implied build": true, "from before it": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRouters(t, build, build, otherBuild)
+				older := f.store.Copy()
+				o := f.start("r1")
+				time.Sleep(2 * time.Second)
+				if impliedInCopy {
+					older = f.store.Copy()
+				}
+				must.True(t, o.Begin(t.Context(), "saved before", otherBuild))
+				must.True(t, o.Begin(t.Context(), "implied before", build))
+				f.store.SetUnreachable(true)
+				o.Record("during", otherBuild)
+				time.Sleep(2 * time.Second)
+				f.store.Restore(older)
+				f.store.SetUnreachable(false)
+				time.Sleep(5 * time.Second)
+				must.True(t, o.Begin(t.Context(), "after", build))
+				f.kill()
+				next := f.start("r2")
+				mustFind(t, next, "saved before", otherBuild)
+				mustFind(t, next, "implied before", build)
+				mustFind(t, next, "during", otherBuild)
+				mustFind(t, next, "after", build)
+				mustNotFind(t, next, "unknown")
+				time.Sleep(retention + 2*time.Second)
+				must.True(t, next.Begin(t.Context(), "much later", build))
+				mustFind(t, next, "unknown", build)
+				f.kill()
+			})
+		})
+	}
+}
+
+// Guards against an origin that is lost because all routers are killed right after a restoration,
+// and that is taken for the implied build.
+func TestUnknownStreamAfterARestorationIsNotGuessed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := directtest.NewStore()
-		ctx, kill := context.WithCancel(t.Context())
-		older := store.Copy()
-		o := start(t, ctx, "r1", store)
-		time.Sleep(time.Second)
-		o.Record("saved before", build)
-		time.Sleep(time.Second)
-		store.SetUnreachable(true)
-		o.Record("during", build)
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		store.Restore(older)
-		store.SetUnreachable(false)
-		time.Sleep(5 * time.Second)
-		kill()
-		synctest.Wait()
-		ctx, stop := context.WithCancel(t.Context())
-		next := start(t, ctx, "r2", store)
-		mustFind(t, next, "saved before")
-		mustFind(t, next, "during")
-		stop()
-		synctest.Wait()
+		older := f.store.Copy()
+		must.True(t, o.Begin(t.Context(), "lost", otherBuild))
+		f.kill()
+		f.store.Restore(older)
+		mustNotFind(t, f.start("r2"), "lost")
+		f.kill()
 	})
 }
 
-// Guards against an invalid record, from another writer, that hides the others.
+// Guards against an invalid record, from another writer, that hides the others, or that leaves an
+// implied build in force which it replaced.
 func TestInvalidSavedOriginsAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := directtest.NewStore()
-		store.Append(follow.Streams, "other", "not origins")
-		ctx, kill := context.WithCancel(t.Context())
-		start(t, ctx, "r1", store).Record("id-1", build)
-		time.Sleep(time.Second)
-		kill()
-		synctest.Wait()
-		ctx, stop := context.WithCancel(t.Context())
-		mustFind(t, start(t, ctx, "r2", store), "id-1")
-		stop()
-		synctest.Wait()
+		f := newRouters(t, build, build, otherBuild)
+		f.store.Append(follow.Streams, "other", "not origins")
+		f.store.Append(follow.Streams, "origins/r1/5", "not origins")
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.True(t, o.Begin(t.Context(), "id-1", build))
+		must.True(t, o.Begin(t.Context(), "id-2", otherBuild))
+		f.kill()
+		next := f.start("r2")
+		mustFind(t, next, "id-1", build)
+		mustFind(t, next, "id-2", otherBuild)
+		f.store.Append(follow.Streams, "implied/"+service, "not a build")
+		mustNotFind(t, next, "id-3")
+		f.kill()
 	})
 }
 
-// Guards against frequent calls to the store while a service has a single build, and against
+// Guards against calls to the store for the streams of a service with a single build, and against
 // streams of that build that can't be taken up after all routers were killed.
-func TestStreamsOfASingleBuildAreSavedRarely(t *testing.T) {
+func TestStreamsOfTheImpliedBuildAreNotSaved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := directtest.NewStore()
-		b := &builds{list: []streamorigin.Build{build}}
-		ctx, kill := context.WithCancel(t.Context())
-		o := startWith(t, ctx, "r1", store, b)
+		f := newRouters(t, build)
+		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		saved := store.Len(follow.Streams)
+		saved := f.store.Len(follow.Streams)
 		for i := range 100 {
-			o.Record(fmt.Sprint("stream-", i), build)
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), build))
 			time.Sleep(50 * time.Millisecond)
 		}
-		must.Between(t, saved+1, store.Len(follow.Streams), saved+11, must.Sprint("two a second"))
-		o.Record("id-1", build)
-		kill()
-		synctest.Wait()
-		ctx, stop := context.WithCancel(t.Context())
-		next := startWith(t, ctx, "r2", store, b)
-		mustFind(t, next, "id-1")
-		mustFind(t, next, "")
+		must.Eq(t, saved, f.store.Len(follow.Streams))
+		f.kill()
+		next := f.start("r2")
+		mustFind(t, next, "stream-99", build)
+		mustFind(t, next, "", build)
 		_, ok := next.Find(t.Context(), "id-1", []string{service, "other"})
 		must.False(t, ok, must.Sprint("which service began it is unknown"))
-		stop()
-		synctest.Wait()
+		f.builds.set(build, otherBuild)
+		must.True(t, next.Begin(t.Context(), "other", otherBuild))
+		mustNotFind(t, next, "")
+		f.kill()
 	})
 }
 
-// Guards against a router that hides a change of builds: it replaces the saved build by the one
-// that it sees, because it read the store before the build was saved.
-func TestSavedBuildIsNotReplacedEarly(t *testing.T) {
+// Guards against first events that wait long, and against a call to the store for each of many
+// streams.
+func TestOriginsAreSavedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := directtest.NewStore()
-		b, late := &builds{list: []streamorigin.Build{build}}, &builds{list: []streamorigin.Build{build, otherBuild}}
-		ctx, stop := context.WithCancel(t.Context())
-		startWith(t, ctx, "r2", store, late)
-		time.Sleep(time.Second)
-		startWith(t, ctx, "r1", store, b)
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		saved := store.Len(follow.Streams)
-		must.Positive(t, saved)
-		late.set(otherBuild)
+		saved := f.store.Len(follow.Streams)
+		var streams sync.WaitGroup
+		for i := range 1000 {
+			streams.Go(func() {
+				began := time.Now()
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild))
+				must.LessEq(t, 120*time.Millisecond, time.Since(began))
+			})
+			time.Sleep(time.Millisecond)
+		}
+		streams.Wait()
+		must.Between(t, saved+1, f.store.Len(follow.Streams), saved+30)
+		f.kill()
+		next := f.start("r1")
+		for i := range 1000 {
+			mustFind(t, next, fmt.Sprint("stream-", i), otherBuild)
+		}
+		// A restarted router doesn't overwrite what it saved before.
+		for i := range 100 {
+			must.True(t, next.Begin(t.Context(), fmt.Sprint("next-", i), otherBuild))
+		}
+		f.kill()
+		last := f.start("r2")
+		for i := range 1000 {
+			mustFind(t, last, fmt.Sprint("stream-", i), otherBuild)
+		}
+		f.kill()
+	})
+}
+
+// Guards against two routers that imply different builds because they see different endpoints: the
+// second one reads what the first one saved.
+func TestImpliedBuildIsNotReplacedByAnotherRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		a := f.start("r1")
+		f.builds = &builds{list: []streamorigin.Build{otherBuild}}
+		b := f.start("r2")
 		time.Sleep(5 * time.Second)
-		must.Eq(t, saved, store.Len(follow.Streams))
-		stop()
-		synctest.Wait()
+		f.store.SetUnreachable(true)
+		must.False(t, a.Begin(t.Context(), "id-1", streamorigin.Build(9)))
+		must.False(t, b.Begin(t.Context(), "id-2", streamorigin.Build(9)))
+		must.Eq(t, a.Restriction(service), b.Restriction(service))
+		must.NotEq(t, streamorigin.AnyBuild, a.Restriction(service))
+		f.kill()
 	})
 }
 
 // Guards against streams joined from two builds when all routers are killed around a release:
-// while the first endpoint of the new build is there, after the old ones have left, and
-// shortly after.
-func TestUnknownStreamsAroundAReleaseAreNotGuessed(t *testing.T) {
+// while the first endpoint of the new build is there, after the old ones have left, and later.
+func TestStreamsAroundAReleaseStayAtTheirBuild(t *testing.T) {
 	for _, during := range [][]streamorigin.Build{{build, otherBuild}, {otherBuild}} {
 		synctest.Test(t, func(t *testing.T) {
-			store := directtest.NewStore()
-			b := &builds{list: []streamorigin.Build{build}}
-			ctx, kill := context.WithCancel(t.Context())
-			o := startWith(t, ctx, "r1", store, b)
-			time.Sleep(singleBuildTime)
-			o.Record("before", build)
-			time.Sleep(time.Second)
-			b.set(build, otherBuild)
-			o.Record("new", otherBuild)
-			time.Sleep(time.Second)
-			b.set(during...)
-			// The router is killed between two saves.
-			time.Sleep(10 * time.Millisecond)
-			o.Record("lost", otherBuild)
-			kill()
-			synctest.Wait()
+			f := newRouters(t, build)
+			o := f.start("r1")
+			time.Sleep(2 * time.Second)
+			must.True(t, o.Begin(t.Context(), "before", build))
+			f.builds.set(build, otherBuild)
+			must.True(t, o.Begin(t.Context(), "new", otherBuild))
+			f.builds.set(during...)
+			time.Sleep(10 * time.Second)
+			must.True(t, o.Begin(t.Context(), "newest", otherBuild))
+			f.kill()
 
-			ctx, stop := context.WithCancel(t.Context())
-			next := startWith(t, ctx, "r2", store, b)
-			mustFind(t, next, "before")
-			got, ok := next.Find(t.Context(), "new", []string{service})
-			must.True(t, ok)
-			must.Eq(t, otherBuild, got)
-			_, ok = next.Find(t.Context(), "lost", []string{service})
-			must.False(t, ok)
-			b.set(otherBuild)
-			time.Sleep(singleBuildTime)
-			got, ok = next.Find(t.Context(), "a later one", []string{service})
-			must.True(t, ok)
-			must.Eq(t, otherBuild, got)
-			stop()
-			synctest.Wait()
+			next := f.start("r2")
+			mustFind(t, next, "before", build)
+			mustFind(t, next, "new", otherBuild)
+			mustFind(t, next, "newest", otherBuild)
+			f.builds.set(otherBuild)
+			time.Sleep(retention + 2*time.Second)
+			saved := f.store.Len(follow.Streams)
+			must.True(t, next.Begin(t.Context(), "much later", otherBuild))
+			must.Eq(t, saved, f.store.Len(follow.Streams), must.Sprint("the new build is implied"))
+			mustFind(t, next, "", otherBuild)
+			f.kill()
 		})
 	}
 }
--- /dev/null
+++ b/direct/origins/saver.go
@@ -0,0 +1,216 @@
+package origins
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
+)
+
+const (
+	// minSaveInterval is the shortest interval between two saves of a router. A caller waits for
+	// its first event as long, and expects it within 120 ms.
+	minSaveInterval = 40 * time.Millisecond
+	// saveIntervalPerRouter lengthens the interval with the size of the fleet, so that all
+	// routers together save at most 100 times a second.
+	saveIntervalPerRouter = 10 * time.Millisecond
+	// saveTimeout bounds one save.
+	saveTimeout = 400 * time.Millisecond
+	// saveWait is how long a caller's first event waits for the save of its origin.
+	saveWait = 600 * time.Millisecond
+	// slowSave is the duration of a save from which on saves count as failing.
+	slowSave = 250 * time.Millisecond
+	// saveRetryDelay is the delay after a failed save while callers wait for it, probeInterval the
+	// delay while none does.
+	saveRetryDelay = 100 * time.Millisecond
+	probeInterval  = 500 * time.Millisecond
+	// maxSavedOrigins bounds the origins in one record of 52 KiB.
+	maxSavedOrigins = 4096
+)
+
+// saver saves the origins of this router's streams, several at a time. Its mutex is never held
+// during I/O or while another one is acquired.
+type saver struct {
+	origins *Origins
+	wake    chan struct{}
+	saves   metrics.Counter
+	failed  metrics.Counter
+	// waitedMs counts the time that first events waited, in milliseconds.
+	waitedMs metrics.Counter
+
+	mu      sync.Mutex
+	pending []*pendingSave
+	// failing is set after a failed save until one succeeds.
+	failing bool
+	// began is the beginning of the save in progress; zero if there is none.
+	began time.Time
+	slots slots
+}
+
+type pendingSave struct {
+	origin streamorigin.SavedOrigin
+	done   chan struct{}
+}
+
+func newSaver(o *Origins) *saver {
+	return &saver{
+		origins: o, wake: make(chan struct{}, 1),
+		saves:    metrics.GetOrRegisterCounter("direct.origin_saves", o.options.Metrics),
+		failed:   metrics.GetOrRegisterCounter("direct.origin_saves_failed", o.options.Metrics),
+		waitedMs: metrics.GetOrRegisterCounter("direct.origin_wait_ms", o.options.Metrics),
+	}
+}
+
+// working reports whether saves succeed at present.
+func (s *saver) working(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.failing && (s.began.IsZero() || now.Sub(s.began) < slowSave)
+}
+
+// save waits until an origin is saved, and returns false if it isn't in time.
+func (s *saver) save(ctx context.Context, origin streamorigin.Origin) bool {
+	began := time.Now()
+	o := s.origins
+	o.mu.Lock()
+	p := &pendingSave{
+		origin: streamorigin.SavedOrigin{Origin: origin, Revision: o.table.Revision(origin.Stream)},
+		done:   make(chan struct{}),
+	}
+	o.mu.Unlock()
+	s.mu.Lock()
+	s.pending = append(s.pending, p)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	timer := time.NewTimer(saveWait)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		s.waitedMs.Inc(time.Since(began).Milliseconds())
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	s.pending = slices.DeleteFunc(s.pending, func(q *pendingSave) bool { return q == p })
+	s.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.GiveUpSave(time.Now(), origin.Stream)
+	return false
+}
+
+// run saves origins until ctx is done and returns its error.
+func (s *saver) run(ctx context.Context) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		isProbe := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.wake:
+		case <-ticker.C:
+			isProbe = true
+		}
+		for s.saveOnce(ctx, isProbe) {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(s.interval()):
+			}
+		}
+	}
+}
+
+// interval returns the delay before the next save.
+func (s *saver) interval() time.Duration {
+	interval := max(minSaveInterval, time.Duration(s.origins.options.Routers())*saveIntervalPerRouter)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing {
+		return max(interval, saveRetryDelay)
+	}
+	return interval
+}
+
+// saveOnce saves the pending origins and the unsaved ones. It reports whether it tried to save
+// and callers may wait for another save. A probe also saves while nothing waits, to find out
+// whether saves succeed again.
+func (s *saver) saveOnce(ctx context.Context, isProbe bool) bool {
+	o := s.origins
+	s.mu.Lock()
+	pending := slices.Clone(s.pending[:min(len(s.pending), maxSavedOrigins)])
+	failing := s.failing
+	s.mu.Unlock()
+	o.mu.Lock()
+	unsaved := o.table.TakeUnsaved(maxSavedOrigins - len(pending))
+	o.mu.Unlock()
+	if len(pending)+len(unsaved) == 0 && !(isProbe && failing) {
+		return false
+	}
+	origins := make([]streamorigin.SavedOrigin, 0, len(pending)+len(unsaved))
+	for _, p := range pending {
+		origins = append(origins, p.origin)
+	}
+	err := s.write(ctx, append(origins, unsaved...))
+	s.saves.Inc(1)
+	if err != nil {
+		s.failed.Inc(1)
+		o.mu.Lock()
+		for _, u := range unsaved {
+			o.table.KeepUnsaved(u)
+		}
+		o.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began = time.Time{}
+	if s.failing != (err != nil) {
+		s.failing = err != nil
+		if s.failing {
+			o.options.Log.Warn("save origins of streams failed; retrying", "origins", len(origins)+len(unsaved), "error", err.Error())
+		} else {
+			o.options.Log.Info("origins of streams can be saved again")
+		}
+	}
+	if err != nil {
+		return len(s.pending) > 0
+	}
+	for _, p := range pending {
+		close(p.done)
+	}
+	s.pending = slices.DeleteFunc(s.pending, func(p *pendingSave) bool { return slices.Contains(pending, p) })
+	return true
+}
+
+// write saves origins as one record.
+func (s *saver) write(ctx context.Context, origins []streamorigin.SavedOrigin) error {
+	// Before the first load, the slots of an earlier process aren't known.
+	if !s.origins.loadFirst(ctx) {
+		return errNotLoaded
+	}
+	now := time.Now()
+	s.mu.Lock()
+	s.began = now
+	slot := s.slots.next(now, s.origins.retention())
+	s.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	return s.origins.options.Store.SaveStreams(call, fmt.Sprintf("%s%s/%d", originsKeyPrefix, s.origins.options.Name, slot), streamorigin.Encode(origins))
+}
+
+// occupy records the slots that an earlier process of this router has written.
+func (s *saver) occupy(now time.Time, occupied []int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots.occupy(now, occupied)
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -195,8 +195,8 @@
 	})
 	p.follower.OnChange = p.updateDispatcher
 	p.origins = origins.New(origins.Options{
-		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, OnlyBuilds: p.dispatcher.OnlyBuilds,
-		LongestStream: p.longestStream, Log: p.log, Metrics: p.metrics,
+		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
+		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
 	})
 	p.handler.Origins = p.origins
 }
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -25,6 +25,7 @@
 	Descriptors       int           `flag:"descriptors" default:"4096" usage:"file descriptors that this process may use"`
 	RetryFraction     float64       `flag:"retry-fraction" default:"0.1" usage:"fraction of a service's requests that may be retried, in addition to the retry floor"`
 	RetryFloor        float64       `flag:"retry-floor" default:"10" usage:"retries of a service per 10 s that the whole fleet may make regardless of the number of requests"`
+	FirstStart        bool          `flag:"first-start" default:"false" usage:"whether the whole fleet starts for the first time, so that no stream began before"`
 	LogLinesPerSecond int           `flag:"log-lines-per-second" default:"500" usage:"maximum log lines per second of each message; further lines are only counted"`
 	LogLevel          slog.Level    `flag:"log-level" default:"INFO" usage:"DEBUG, INFO, WARN or ERROR"`
 }
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -64,6 +64,8 @@
 	// recovered is the end of the latest outage of the store.
 	recovered time.Time
 	outage    bool
+	// reached is the first time at which the store responded.
+	reached time.Time
 	// ready caches the lists that Ready returns. It is cleared on each change.
 	ready map[string][]Endpoint
 	// departed holds the endpoints that were removed, by ID.
@@ -213,9 +215,28 @@
 	if t.outage {
 		t.recovered = now
 	}
+	if t.reached.IsZero() {
+		t.reached = now
+	}
 	t.outage = false
 }
 
+// EntriesDue returns how long, from now, entries of live endpoints may still be missing: after an
+// outage of the store, or since this router first reached the store, which may have been away
+// before. It returns RecoveryTime during an outage.
+func (t *Table) EntriesDue(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage || t.reached.IsZero() {
+		return RecoveryTime
+	}
+	latest := t.reached
+	if t.recovered.After(latest) {
+		latest = t.recovered
+	}
+	return max(latest.Add(RecoveryTime).Sub(now), 0)
+}
+
 func (t *Table) recovering(now time.Time) bool {
 	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryTime)))
 }
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -141,3 +141,20 @@
 	}
 	must.LessEq(t, maxLeaving, len(table.leaving))
 }
+
+// Guards against callers that come back before the entries they need, after an outage of the store
+// or at a router that started in one.
+func TestEntriesAreDueAfterAnOutageOrAStart(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	table := NewTable()
+	must.Eq(t, RecoveryTime, table.EntriesDue(now))
+	table.StoreRecovered(now)
+	table.StoreRecovered(now.Add(time.Second))
+	must.Eq(t, RecoveryTime-time.Second, table.EntriesDue(now.Add(time.Second)))
+	must.Eq(t, 0, table.EntriesDue(now.Add(time.Minute)))
+	table.StoreUnavailable()
+	must.Eq(t, RecoveryTime, table.EntriesDue(now.Add(time.Minute)))
+	table.StoreRecovered(now.Add(time.Hour))
+	must.Eq(t, RecoveryTime, table.EntriesDue(now.Add(time.Hour)))
+	must.Eq(t, 0, table.EntriesDue(now.Add(2*time.Hour)))
+}
--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -96,7 +96,7 @@
 		ip := routerIP(i)
 		r := &router{f: f, index: i, ip: ip, fleetPort: port, trafficAddress: fmt.Sprintf("%s:%d", ip, port+trafficPortOffset), readyAddress: fmt.Sprintf("%s:%d", ip, port+readyPortOffset)}
 		f.routers = append(f.routers, r)
-		r.writeSettings()
+		r.writeSettings(true)
 		r.start()
 	}
 	t.Cleanup(f.close)
@@ -242,15 +242,17 @@
 	return filepath.Join(r.f.dir, fmt.Sprintf("boot-%d.yaml", r.index))
 }
 
-func (r *router) writeSettings() {
+// writeSettings writes the settings of a router. As on the platform, only those of the first start
+// of the whole fleet say so.
+func (r *router) writeSettings(firstStart bool) {
 	var seeds []string
 	for i := range numRouters {
 		seeds = append(seeds, fmt.Sprintf("%q", routerIP(i)+":1"))
 	}
 	text := fmt.Sprintf(`{"nodeName":"r%d","ipAddress":%q,"zone":"z","listenAddresses":{"front":%q,"ready":%q},"internalPorts":[%d,%d],
-"seeds":[%s],"limits":{"memoryMb":256,"fileDescriptors":2048},
+"firstStart":%t,"seeds":[%s],"limits":{"memoryMb":256,"fileDescriptors":2048},
 "bounds":{"graceS":%d,"drainMs":2000,"configPropagationMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":50},"platform":{"address":%q}}`,
-		r.index, r.ip, r.trafficAddress, r.readyAddress, r.fleetPort, r.fleetPort+15, strings.Join(seeds, ","), graceSeconds, r.f.storeProxy.Address())
+		r.index, r.ip, r.trafficAddress, r.readyAddress, r.fleetPort, r.fleetPort+15, firstStart, strings.Join(seeds, ","), graceSeconds, r.f.storeProxy.Address())
 	must.NoError(r.f.t, os.WriteFile(r.settingsPath(), []byte(text), 0o600))
 }
 
@@ -298,6 +300,7 @@
 	restarted := r.done != done
 	r.mu.Unlock()
 	if !restarted {
+		r.writeSettings(false)
 		r.start()
 	}
 }
--- a/testbed/soak/versions_test.go
+++ b/testbed/soak/versions_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -51,11 +52,11 @@
 
 // attempt sends one attempt of a stream to a router, under an identifier of its own, and
 // appends the events of the response.
-func (s *versionedStream) attempt(ctx context.Context, r *router, number int) (status int, err error) {
+func (s *versionedStream) attempt(ctx context.Context, r *router, number int) (status int, retryAfter time.Duration, err error) {
 	id := fmt.Sprintf("%s-%d", s.id, number)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.trafficAddress+"/stream/again/"+s.id, strings.NewReader("body"))
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	req.Host = "soak.example"
 	req.Header.Set(platformtest.RequestID, id)
@@ -67,7 +68,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(req)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer response.Body.Close()
 	lines := bufio.NewScanner(response.Body)
@@ -78,15 +79,17 @@
 		}
 	}
 	s.complete = lines.Err() == nil && len(s.versions) == versionedEvents
-	return response.StatusCode, lines.Err()
+	// Without the header, the delay is zero.
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return response.StatusCode, time.Duration(seconds * float64(time.Second)), lines.Err()
 }
 
 // takeUp takes the stream up again until it is complete or refused several times.
 func (s *versionedStream) takeUp(ctx context.Context, routers []*router) {
 	for number := 1; number <= 4 && !s.complete; number++ {
-		status, err := s.attempt(ctx, routers[number%len(routers)], number)
+		status, retryAfter, err := s.attempt(ctx, routers[number%len(routers)], number)
 		if err == nil && status != http.StatusOK {
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(max(retryAfter, 300*time.Millisecond))
 		}
 	}
 }
@@ -109,14 +112,14 @@
 	must.GreaterEq(t, len(streams)/2, complete)
 }
 
-// begin starts streams at all routers and returns a function that waits for their end.
-func (f *fleet) beginStreams(ctx context.Context) (streams []*versionedStream, wait func()) {
+// beginStreams starts streams at all routers and returns a function that waits for their end.
+func (f *fleet) beginStreams(ctx context.Context, name string) (streams []*versionedStream, wait func()) {
 	var running sync.WaitGroup
 	for i := range numVersionedStreams {
-		s := &versionedStream{id: fmt.Sprintf("stream-%d", i)}
+		s := &versionedStream{id: fmt.Sprintf("%s-%d", name, i)}
 		streams = append(streams, s)
 		// An attempt that a kill interrupts returns an error, which the events received show.
-		running.Go(func() { _, _ = s.attempt(ctx, f.routers[i%len(f.routers)], 0) })
+		running.Go(func() { _, _, _ = s.attempt(ctx, f.routers[i%len(f.routers)], 0) })
 		time.Sleep(10 * time.Millisecond)
 	}
 	return streams, running.Wait
@@ -133,7 +136,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	streams, wait := f.beginStreams(ctx)
+	streams, wait := f.beginStreams(ctx, "stream")
 	time.Sleep(300 * time.Millisecond)
 	for _, r := range f.routers {
 		r.signal(syscall.SIGKILL)
@@ -152,3 +155,68 @@
 	running.Wait()
 	checkStreams(t, streams)
 }
+
+// Guards against streams that go on at another software version, and against streams that don't go
+// on at all, because all routers were killed in an outage of the store: neither was the origin of a
+// stream saved, nor are the entries of all endpoints back when callers return. Those of one version
+// are back later than the others.
+func TestStreamsTakenUpAfterAnOutageStayAtTheirVersion(t *testing.T) {
+	const (
+		entriesBack     = 200 * time.Millisecond
+		lateEntriesBack = 1150 * time.Millisecond
+	)
+	for _, late := range []string{"v1", "v2"} {
+		t.Run(late+" is back late", func(t *testing.T) {
+			f := startFleet(t, func(f *fleet) {
+				// The endpoints of each version have room for all streams.
+				for i := range 8 {
+					f.addVersionedEngine(fmt.Sprintf("engine-old-%d", i), "v1")
+				}
+			})
+			// The routers see that the service has a single version before the other one joins.
+			time.Sleep(2 * time.Second)
+			for i := range 8 {
+				f.addVersionedEngine(fmt.Sprintf("engine-new-%d", i), "v2")
+			}
+			time.Sleep(500 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			before, waitBefore := f.beginStreams(ctx, "before")
+			f.store.SetFault(platformtest.Unresponsive)
+			during, waitDuring := f.beginStreams(ctx, "during")
+			time.Sleep(300 * time.Millisecond)
+			for _, e := range f.endpoints {
+				f.store.Put("keyed.servers", e.id, nil)
+			}
+			for _, r := range f.routers {
+				r.signal(syscall.SIGKILL)
+			}
+			waitBefore()
+			waitDuring()
+			for _, r := range f.routers {
+				r.restart()
+			}
+			f.store.SetFault(platformtest.Healthy)
+			var running sync.WaitGroup
+			for _, e := range f.endpoints {
+				delay := entriesBack
+				if e.version == late {
+					delay = lateEntriesBack
+				}
+				running.Go(func() {
+					time.Sleep(delay)
+					f.register(e, "ready")
+				})
+			}
+			for _, r := range f.routers {
+				r.waitUntilReady()
+			}
+			for _, s := range append(before, during...) {
+				running.Go(func() { s.takeUp(ctx, f.routers) })
+			}
+			running.Wait()
+			checkStreams(t, before)
+			checkStreams(t, during)
+		})
+	}
+}
