A stream isn't cut because its endpoint was silent for a moment

A sound endpoint may be silent for a second or so and go on.

Cause found by reading: a router cancelled a resumable stream after 1.2 s of silence if another endpoint seemed usable, before it knew whether that one had a place or could be reached. If not, the answer was cut. The time to place and connect counted as silence too, so that a router short of CPU time took a request away from an endpoint that had just got it.

Change: the router first takes a place at the other endpoint and connects to it, and cancels only then, if the endpoint is still silent. Silence counts from the moment the request is written. The log line of a failed attempt names why this router ended it.

--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -178,9 +178,11 @@
 	tokens       int64
 	queuedTokens int64
 	sent         time.Time
-	started      bool
-	ended        bool
-	measure      bool
+	// written is the time at which the request was written to the endpoint.
+	written time.Time
+	started bool
+	ended   bool
+	measure bool
 }
 
 // StartAttempt records an attempt that is about to be sent. queuedTokens is the number
@@ -197,6 +199,15 @@
 	return &Attempt{table: t, endpoint: e, tokens: tokens, queuedTokens: queuedTokens, sent: now, measure: true}
 }
 
+// RecordSent records that the request is written to the endpoint. Placing it and connecting may
+// have taken long.
+func (a *Attempt) RecordSent(now time.Time) {
+	a.written = now
+	if a.endpoint.running == 1 {
+		a.endpoint.lastActivity = now
+	}
+}
+
 // RecordFirstEvent records the first event of the response and, if the endpoint
 // had at least minRateTokens prompt tokens to process until then, an observation of
 // the prefill rate. Only the first call has an effect.
@@ -273,8 +284,10 @@
 }
 
 // Stalled reports whether the attempt's endpoint has sent no byte within the
-// stall timeout.
-func (a *Attempt) Stalled(now time.Time) bool { return a.endpoint.stalled(now) }
+// stall timeout, in which it had this request.
+func (a *Attempt) Stalled(now time.Time) bool {
+	return !a.written.IsZero() && now.Sub(a.written) > stallTimeout && a.endpoint.stalled(now)
+}
 
 // OwnLoads returns this router's loads by endpoint, without endpoints that are idle
 // and reachable.
--- a/coordination/endpointload/table_test.go
+++ b/coordination/endpointload/table_test.go
@@ -101,3 +101,19 @@
 	attempt.RecordReceived(late)
 	must.True(t, table.View(late, "e", nil).Usable)
 }
+
+// Guards against the time that this router needs to connect, which counts as silence of the
+// endpoint.
+func TestAttemptIsNotStalledBeforeItWasSent(t *testing.T) {
+	table := NewTable(40)
+	a := table.StartAttempt(start, "e", prompt.Cost{}, 0)
+	must.False(t, a.Stalled(start.Add(time.Minute)))
+	sent := start.Add(2 * time.Second)
+	a.RecordSent(sent)
+	must.False(t, a.Stalled(sent.Add(stallTimeout)))
+	must.True(t, table.View(sent.Add(stallTimeout), "e", nil).Usable)
+	must.True(t, a.Stalled(sent.Add(stallTimeout+time.Millisecond)))
+	other := table.StartAttempt(sent.Add(stallTimeout), "e", prompt.Cost{}, 0)
+	other.RecordSent(sent.Add(stallTimeout))
+	must.False(t, other.Stalled(sent.Add(2*stallTimeout)), must.Sprint("it has had this request for a shorter time"))
+}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -514,6 +514,9 @@
 	return begun
 }
 
+// Sent records that the request is written to the endpoint. Until then, its silence doesn't count.
+func (a *Assignment) Sent(now time.Time) { a.withLock(func() { a.attempt.RecordSent(now) }) }
+
 // Receive records that any bytes of the response arrived.
 func (a *Assignment) Receive(now time.Time) { a.withLock(func() { a.attempt.RecordReceived(now) }) }
 
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -56,6 +56,7 @@
 // deliver sends the request to one endpoint after another until the caller has
 // the final response.
 func (r *request) deliver(d delivery) {
+	defer r.releaseReplacement()
 	notSentCount, refusedCount := 0, 0
 	for {
 		assignment, refusal := r.place(time.Now())
@@ -94,12 +95,20 @@
 	}
 }
 
+// releaseReplacement gives up the place that the request didn't need because it has ended.
+func (r *request) releaseReplacement() {
+	if replacement := r.stall.end(); replacement != nil {
+		replacement.End(time.Now(), endpointload.NotSent)
+	}
+}
+
 // attempt is one attempt to run the request at an endpoint.
 type attempt struct {
 	assignment *dispatch.Assignment
 	outcome    attemptOutcome
 	response   *endpointhttp.Response
 	err        error
+	ctx        context.Context
 	cancel     context.CancelFunc
 	startedAt  time.Time
 	// duration is the time until the response headers were read or the attempt
@@ -121,8 +130,8 @@
 // attempt owns cancel, which cancels ctx.
 func (r *request) send(ctx context.Context, cancel context.CancelFunc, assignment *dispatch.Assignment, extra http.Header) *attempt {
 	now := time.Now()
-	a := &attempt{assignment: assignment, cancel: cancel, startedAt: now}
-	out := r.endpointRequest(assignment.Endpoint.ID, now)
+	a := &attempt{assignment: assignment, ctx: ctx, cancel: cancel, startedAt: now}
+	out := r.endpointRequest(assignment, now)
 	for name, values := range extra {
 		out.Header[name] = values
 	}
@@ -245,6 +254,7 @@
 	if a.response != nil {
 		a.response.Close()
 	}
+	cause := context.Cause(a.ctx)
 	a.cancel()
 	now := time.Now()
 	if result == endpointload.Failed && a.err != nil && a.assignment.Interrupted(now, a.response != nil) {
@@ -256,7 +266,7 @@
 	a.assignment.End(now, result)
 	r.h.Metrics.countAttempt(result)
 	if result != endpointload.Succeeded {
-		r.logFailedAttempt(a, result)
+		r.logFailedAttempt(a, result, cause)
 	}
 }
 
@@ -314,7 +324,8 @@
 	return endpointload.Failed
 }
 
-func (r *request) logFailedAttempt(a *attempt, result endpointload.Result) {
+// logFailedAttempt logs an attempt. cause is why this router ended it, or nil.
+func (r *request) logFailedAttempt(a *attempt, result endpointload.Result, cause error) {
 	attrs := []slog.Attr{
 		slog.String("request", r.id), slog.String("route", r.route.Name),
 		slog.String("endpoint", a.assignment.Endpoint.ID), slog.String("result", resultName(result)),
@@ -324,6 +335,9 @@
 	if a.err != nil {
 		attrs = append(attrs, slog.String("error", a.err.Error()))
 	}
+	if cause != nil {
+		attrs = append(attrs, slog.String("cause", cause.Error()))
+	}
 	if a.response != nil {
 		attrs = append(attrs, slog.Int("status", a.response.Status), slog.Bool("reused", a.response.Reused))
 	}
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
 
@@ -64,7 +65,8 @@
 	singleExecutionMaxIdle = 500 * time.Millisecond
 )
 
-func (r *request) endpointRequest(instance string, now time.Time) *endpointhttp.Request {
+func (r *request) endpointRequest(assignment *dispatch.Assignment, now time.Time) *endpointhttp.Request {
+	instance := assignment.Endpoint.ID
 	idle := repeatableMaxIdle
 	if !r.route.Repeatable() {
 		idle = singleExecutionMaxIdle
@@ -73,7 +75,10 @@
 		Method: r.in.Method, URI: r.uri(), Host: r.in.Host,
 		Header: r.endpointHeader(instance, now), Body: r.body,
 		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
-		Recheck: func() error { return r.recheck(instance) },
+		Recheck: func() error {
+			assignment.Sent(time.Now())
+			return r.recheck(instance)
+		},
 	}
 }
 
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -41,6 +41,10 @@
 func (d plainDelivery) rejectUnplaced(refusal *dispatch.Refusal) { d.r.rejectUnplaced(refusal) }
 
 func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
+	if replacement := r.stall.end(); replacement != nil {
+		return replacement, nil
+	}
+	r.stall = nil
 	if r.sentAttempts > 0 {
 		if refusal := r.h.Dispatcher.Quarantine(now, r.cost, r.fingerprint()); refusal != nil {
 			return nil, refusal
@@ -177,7 +181,7 @@
 // unless a's stall watch has taken it.
 func (r *request) takeRetry(a *attempt) bool {
 	return r.route.Repeatable() && r.possibleExecutions < r.route.Attempts && !r.callerDisconnected() && !a.assignment.Quarantined() &&
-		time.Until(r.deadline) > minRetryTime && (a.stall.tookRetry() || r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name))
+		time.Until(r.deadline) > minRetryTime && (a.stall.hasTakenRetry() || r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name))
 }
 
 func (r *request) callerDisconnected() bool { return r.disconnected || r.in.Context().Err() != nil }
