An endpoint is used again after an answer that can't be forwarded

Cause: the HTTP server panics when such a status is written. The handler ended before the attempt was ended, so the endpoint counted as busy, and then as stalled, for good.

Change: a status below 100 is a broken answer, where answers are decoded. The end of an attempt follows from the scope of its request, whatever ends the handler.

Evidence: TestResponseThatCannotBeForwardedEndsItsAttempt and TestPanicEndsTheAttempt failed before (EOF without an answer; the load stays 1) and pass. Not done: a fuzz test of answers, and the same for the handlers of router/ and agent/.

--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -57,6 +57,7 @@
 // the final response.
 func (r *request) deliver(d delivery) {
 	defer r.releaseReplacement()
+	defer r.endUnfinished()
 	notSentCount, refusedCount := 0, 0
 	for {
 		assignment, refusal := r.place(time.Now())
@@ -95,6 +96,15 @@
 	}
 }
 
+// endUnfinished ends the attempt that a panic left unfinished, so that its endpoint doesn't count
+// as busy for as long as the process runs.
+func (r *request) endUnfinished() {
+	if a := r.unfinished; a != nil {
+		r.h.Log.Warn("attempt ended without a result", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+		r.endAttempt(a, endpointload.Failed)
+	}
+}
+
 // releaseReplacement gives up the place that the request didn't need because it has ended.
 func (r *request) releaseReplacement() {
 	if replacement := r.stall.end(); replacement != nil {
@@ -131,6 +141,7 @@
 func (r *request) send(ctx context.Context, cancel context.CancelFunc, assignment *dispatch.Assignment, extra http.Header) *attempt {
 	now := time.Now()
 	a := &attempt{assignment: assignment, ctx: ctx, cancel: cancel, startedAt: now}
+	r.unfinished = a
 	out := r.endpointRequest(assignment, now)
 	for name, values := range extra {
 		out.Header[name] = values
@@ -251,6 +262,7 @@
 
 // endAttempt releases the attempt's connection and records its result.
 func (r *request) endAttempt(a *attempt, result endpointload.Result) {
+	r.unfinished = nil
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/direct/entry/faulty_answers_test.go
+++ b/direct/entry/faulty_answers_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -117,3 +119,49 @@
 		})
 	}
 }
+
+// Guards against an endpoint that counts as busy for good, and gets no more requests, because its
+// response couldn't be forwarded and the request's handler ended by a panic.
+func TestResponseThatCannotBeForwardedEndsItsAttempt(t *testing.T) {
+	for _, path := range []string{"/resumable/1", "/stream/1", "/order/1", "/lookup/1"} {
+		for _, status := range []string{"000", "099"} {
+			for _, length := range []int{0, 10, 300 << 10} {
+				r := newRouter(t)
+				fault := func(c net.Conn, call *directtest.Call) bool {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", status, headers.RequestID, call.ID(),
+						headers.Signature, length, strings.Repeat("x", length))
+					return true
+				}
+				r.addVersion("e1", "engines", "v1", fault)
+				r.addVersion("p1", "plain", "v1", fault)
+				got := r.post(path)
+				must.Between(t, 500, got.status, 599, must.Sprint(path, status, length, got.err))
+				must.MapEmpty(t, r.handler.Dispatcher.Report(time.Now()).Loads, must.Sprint(path, status, length))
+			}
+		}
+	}
+}
+
+// panicWriter panics when the response begins, as the HTTP server does for some responses.
+type panicWriter struct{ http.ResponseWriter }
+
+func (panicWriter) WriteHeader(int) { panic("the response can't be written") }
+
+// Guards against the same, whatever the reason of a panic.
+func TestPanicEndsTheAttempt(t *testing.T) {
+	for _, path := range []string{"/resumable/1", "/stream/1", "/order/1"} {
+		r := newRouter(t)
+		r.addVersion("e1", "engines", "v1", streamFrom("v1", 4, 4))
+		r.addVersion("p1", "plain", "v1", func(c net.Conn, call *directtest.Call) bool {
+			directtest.Respond(c, call, http.StatusOK, "answer")
+			return true
+		})
+		in := r.request(http.MethodPost, path, "body")
+		in.RequestURI = path
+		func() {
+			defer func() { must.NotNil(t, recover()) }()
+			r.handler.ServeHTTP(panicWriter{httptest.NewRecorder()}, in)
+		}()
+		must.MapEmpty(t, r.handler.Dispatcher.Report(time.Now()).Loads, must.Sprint(path))
+	}
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -146,6 +146,8 @@
 	build streamorigin.Build
 	// continues is set if the request continues a stream within its team's share.
 	continues bool
+	// unfinished is the attempt in progress, or nil.
+	unfinished *attempt
 	// stall watches the present attempt, if it may be moved to another endpoint.
 	stall *stallWatch
 	// disconnected is set once the caller's connection was found closed.
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -59,8 +59,9 @@
 const maxStaleBytes = 1 << 20
 
 var (
-	errMismatchedID = eris.New("response identifier does not match the request")
-	errTooManyStale = eris.New("too many responses to other requests on the connection")
+	errMismatchedID  = eris.New("response identifier does not match the request")
+	errInvalidStatus = eris.New("response has a status that HTTP doesn't define")
+	errTooManyStale  = eris.New("too many responses to other requests on the connection")
 )
 
 // Response is the response to one request. Close must be called.
@@ -209,6 +210,9 @@
 			}
 			continue
 		}
+		if response.StatusCode < 100 {
+			return nil, errInvalidStatus
+		}
 		id := response.Header.Get(r.IDHeader)
 		if id == r.ID || (id == "" && !reused) {
 			return response, nil
