--- a/testbed/soak/crashing_part_test.go
+++ b/testbed/soak/crashing_part_test.go
@@ -77,6 +77,7 @@
 func (f *fleet) registerAddress(id, service, address string) {
 	entry, err := json.Marshal(map[string]any{
 		"service": service, "address": address, "zone": "z", "version": defaultVersion, "slots": 16, "state": "ready", "born": time.Now().UnixMilli(),
+		"coldRemainingMs": 0, "sequence": 1,
 	})
 	must.NoError(f.t, err)
 	f.store.Put("keyed.servers", id, entry)
--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -182,6 +182,7 @@
 func (f *fleet) register(e *endpoint, state string) {
 	entry, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.proxy.Address(), "zone": "z", "version": e.version, "slots": 16, "state": state, "born": time.Now().UnixMilli(),
+		"coldRemainingMs": 0, "sequence": 1,
 	})
 	must.NoError(f.t, err)
 	f.store.Put("keyed.servers", e.id, entry)
