A paced router accepts connections again after one accept failed

Cause: acceptPending returned on an error of Accept, such as too many open files, with the listener's deadline in place; if pacing ended before the next call, each later accept failed by it.

Evidence: TestFailedAcceptClearsTheDeadline failed before (i/o timeout) and passes.

--- a/direct/listener.go
+++ b/direct/listener.go
@@ -124,10 +124,19 @@
 	if err := listener.SetDeadline(time.Now().Add(pendingTimeout)); err != nil {
 		return eris.Wrap(err, "set the deadline of the listener")
 	}
+	acceptErr := l.acceptUntilDeadline()
+	// With the deadline left in place, all later accepts would fail.
+	if err := listener.SetDeadline(time.Time{}); err != nil {
+		return eris.Wrap(err, "clear the deadline of the listener")
+	}
+	return acceptErr
+}
+
+func (l *boundedListener) acceptUntilDeadline() error {
 	for range maxPending {
 		c, err := l.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			break
+			return nil
 		}
 		if err != nil {
 			return err
@@ -136,7 +145,7 @@
 			l.waiting = append(l.waiting, waitingConn{bounded, time.Now()})
 		}
 	}
-	return eris.Wrap(listener.SetDeadline(time.Time{}), "clear the deadline of the listener")
+	return nil
 }
 
 // closeUnread closes the connections that have waited for maxUnreadTime. Their callers get to
--- a/direct/listener_test.go
+++ b/direct/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,3 +83,32 @@
 	}
 	must.Eq(t, 6, closed)
 }
+
+// failingListener fails one accept.
+type failingListener struct {
+	*net.TCPListener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.TCPListener.Accept()
+}
+
+// Guards against a router that accepts no connection any more after one accept failed while it was
+// paced: the deadline for pending connections stays in place.
+func TestFailedAcceptClearsTheDeadline(t *testing.T) {
+	l := newPacedListener(t, 1000)
+	inner, ok := l.Listener.(*net.TCPListener)
+	must.True(t, ok)
+	l.Listener = &failingListener{TCPListener: inner}
+	must.ErrorIs(t, l.acceptPending(), syscall.EMFILE)
+	time.Sleep(2 * pendingTimeout)
+	dial(t, l)
+	c, err := l.Listener.Accept()
+	must.NoError(t, err)
+	must.NoError(t, c.Close())
+}
