A lapsed entry doesn't make routers forget what an endpoint asked for

An endpoint's limit on requests and its pause were forgotten once its entry was missing. In an outage of the store, entries of live endpoints lapse and come back: the endpoint then got more requests than it wants. They are now kept for as long as departures are remembered, a minute, unless the entry that comes back is of another instance.

Evidence: TestLapsedEntryKeepsLimitAndPause failed before (0 limits instead of 1) and passes.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -611,15 +611,12 @@
 	}
 }
 
-// EvictExpired evicts the loads of endpoints that are no longer registered, expired
+// EvictExpired evicts the loads of endpoints that departed long ago, expired
 // reports of peers, and the usage of idle teams and inactive peers.
 func (d *Dispatcher) EvictExpired(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loads.EvictIdle(func(id string) bool {
-		_, ok := d.registry.Lookup(id)
-		return ok
-	})
+	d.loads.EvictIdle(d.registry.Remembers)
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
 	d.expireLimits(now)
--- /dev/null
+++ b/direct/dispatch/lapse_test.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+// Guards against an endpoint that gets more requests than it wants because its entry lapsed in an
+// outage of the store and came back: it still names its limit and its pause.
+func TestLapsedEntryKeepsLimitAndPause(t *testing.T) {
+	d := newBuilds("v1")
+	now := time.Now()
+	e := registry.Endpoint{ID: "e1", Service: "s", Version: "v1", Slots: 8, Started: now}
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	a, refusal := d.PlaceEngine(now, &Request{Service: "s", Target: time.Second, Exclude: []string{"v1"}})
+	must.Nil(t, refusal)
+	a.RecordLimit(now, 2, now)
+	a.Pause(now, time.Minute)
+	a.End(now, 0)
+	d.registry.Remove(e.ID, now)
+	d.EvictExpired(now)
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	must.Eq(t, 1, d.LimitedEndpoints())
+	must.False(t, d.Accepting(e.ID))
+
+	d.registry.Remove(e.ID, now)
+	d.EvictExpired(now)
+	e.Started = now.Add(time.Second)
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	must.Eq(t, 0, d.LimitedEndpoints(), must.Sprint("another instance"))
+	must.True(t, d.Accepting(e.ID))
+
+	d.registry.Remove(e.ID, now)
+	d.registry.Expire(now.Add(2 * time.Minute))
+	d.EvictExpired(now)
+	must.MapEmpty(t, d.loads.OwnLoads(now))
+	must.False(t, d.registry.Remembers(e.ID))
+}
--- a/direct/dispatch/limits.go
+++ b/direct/dispatch/limits.go
@@ -56,13 +56,13 @@
 	return d.requestLimits.Limited() == 0 || d.requestLimits.Allow(now, endpointload.Hash(id))
 }
 
-// expireLimits drops the limits of endpoints that are no longer registered.
+// expireLimits drops the limits of endpoints that departed long ago.
 func (d *Dispatcher) expireLimits(now time.Time) {
-	registered := map[uint32]bool{}
-	for _, e := range d.registry.All() {
-		registered[endpointload.Hash(e.ID)] = true
+	remembered := map[uint32]bool{}
+	for _, id := range d.registry.Remembered() {
+		remembered[endpointload.Hash(id)] = true
 	}
-	d.requestLimits.Expire(now, func(endpoint uint32) bool { return registered[endpoint] })
+	d.requestLimits.Expire(now, func(endpoint uint32) bool { return remembered[endpoint] })
 }
 
 // LimitedEndpoints returns the number of endpoints that have named a limit.
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -297,6 +297,29 @@
 	return list
 }
 
+// Remembers reports whether an endpoint is registered or departed within departureRetention. Its
+// entry may have lapsed while it lives, and come back.
+func (t *Table) Remembers(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, departed := t.departed[id]
+	return departed || t.endpoints[id] != nil
+}
+
+// Remembered returns the IDs of the endpoints for which Remembers returns true.
+func (t *Table) Remembered() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := make([]string, 0, len(t.endpoints)+len(t.departed))
+	for id := range t.endpoints {
+		ids = append(ids, id)
+	}
+	for id := range t.departed {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // Lookup returns an endpoint by ID.
 func (t *Table) Lookup(id string) (Endpoint, bool) {
 	t.mu.Lock()
