--- a/direct/directtest/endpoint.go
+++ b/direct/directtest/endpoint.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
@@ -125,3 +126,26 @@
 
 // Event returns the event with this ID in an event stream.
 func Event(id int) string { return fmt.Sprintf("id: %d\ndata: piece-%d\n\n", id, id) }
+
+// RefusingAddress returns an address that refuses connections. Its port stays bound until the end
+// of the test: after a listener is closed, another process may get its port and accept.
+func RefusingAddress(t testing.TB) string {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	address, err := syscall.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound, ok := address.(*syscall.SockaddrInet4)
+	if !ok {
+		t.Fatalf("unexpected address %v", address)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.Port)
+}
