In large fleets, first events wait long enough for the save of their origin

A router of a fleet of 61 or more saved less often than first events wait for a save, so that streams of a build that isn't implied began again elsewhere although the store was in order. Found by reading, before the landing. The wait follows the interval now, and the fleet may save 250 times a second instead of 100.

Evidence: TestLargeFleetSavesRarely (520 routers) failed before and passes.

--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -90,6 +90,9 @@
 			r.h.Log.Info("origin of a stream not saved; beginning again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 			return false
 		}
+		if r.callerDisconnected() {
+			return true
+		}
 		r.h.Log.Warn("stream goes on although its origin isn't saved", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 		r.h.Origins.Record(r.id, build)
 	}
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -80,13 +80,14 @@
 	builds *builds
 	// firstStart is set until a router was killed.
 	firstStart bool
+	size       int
 	ctx        context.Context
 	cancel     context.CancelFunc
 }
 
 // newRouters returns a fleet that starts for the first time, in front of endpoints of these builds.
 func newRouters(t *testing.T, list ...streamorigin.Build) *routers {
-	f := &routers{t: t, store: directtest.NewStore(), builds: &builds{list: list}, firstStart: true}
+	f := &routers{t: t, store: directtest.NewStore(), builds: &builds{list: list}, firstStart: true, size: 2}
 	f.ctx, f.cancel = context.WithCancel(t.Context())
 	return f
 }
@@ -114,7 +115,7 @@
 	})
 	o := origins.New(origins.Options{
 		Name: name, Store: follower, Saves: func() bool { return true }, LongestStream: func() time.Duration { return 0 },
-		Builds: f.builds.count, Routers: func() int { return 2 }, FirstStart: f.firstStart,
+		Builds: f.builds.count, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	ctx := f.ctx
@@ -391,6 +392,26 @@
 	})
 }
 
+// Guards against a large fleet that uses up the store's rate of writes, or whose first events
+// give up before it is a router's turn to save.
+func TestLargeFleetSavesRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		f.size = 520
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		saved := f.store.Len(follow.Streams)
+		var streams sync.WaitGroup
+		for i := range 1000 {
+			streams.Go(func() { must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild)) })
+			time.Sleep(20 * time.Millisecond)
+		}
+		streams.Wait()
+		must.Between(t, saved+1, f.store.Len(follow.Streams), saved+12)
+		f.kill()
+	})
+}
+
 // Guards against two routers that imply different builds because they see different endpoints: the
 // second one reads what the first one saved.
 func TestImpliedBuildIsNotReplacedByAnotherRouter(t *testing.T) {
--- a/direct/origins/saver.go
+++ b/direct/origins/saver.go
@@ -17,12 +17,13 @@
 	// its first event as long, and expects it within 120 ms.
 	minSaveInterval = 40 * time.Millisecond
 	// saveIntervalPerRouter lengthens the interval with the size of the fleet, so that all
-	// routers together save at most 100 times a second.
-	saveIntervalPerRouter = 10 * time.Millisecond
+	// routers together save at most 250 times a second. The store takes 400 writes.
+	saveIntervalPerRouter = 4 * time.Millisecond
 	// saveTimeout bounds one save.
 	saveTimeout = 400 * time.Millisecond
-	// saveWait is how long a caller's first event waits for the save of its origin.
-	saveWait = 600 * time.Millisecond
+	// saveMargin is how long a caller's first event waits for the save of its origin, in addition
+	// to the interval between saves. It leaves time for a second attempt.
+	saveMargin = 600 * time.Millisecond
 	// slowSave is the duration of a save from which on saves count as failing.
 	slowSave = 250 * time.Millisecond
 	// saveRetryDelay is the delay after a failed save while callers wait for it, probeInterval the
@@ -90,7 +91,7 @@
 	case s.wake <- struct{}{}:
 	default:
 	}
-	timer := time.NewTimer(saveWait)
+	timer := time.NewTimer(s.interval() + saveMargin)
 	defer timer.Stop()
 	select {
 	case <-p.done:
