Log whether response bytes were unread when the router ended an attempt for silence

The cause in `send did not succeed` can't tell an endpoint that is silent from a router that is late to read what the endpoint sent (hypotheses 1 and 3 of the incident). The cause names it now, from a look into the socket at the moment of the cut.

--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -150,6 +150,8 @@
 	unfinished *attempt
 	// stall watches the present attempt, if it may be moved to another endpoint.
 	stall *stallWatch
+	// unread reports whether response bytes of the attempt in progress wait in the socket.
+	unread atomic.Pointer[func() bool]
 	// disconnected is set once the caller's connection was found closed.
 	disconnected bool
 }
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -75,7 +75,8 @@
 		Method: r.in.Method, URI: r.uri(), Host: r.in.Host,
 		Header: r.endpointHeader(instance, now), Body: r.body,
 		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
-		Recheck: func() error {
+		Recheck: func(unread func() bool) error {
+			r.unread.Store(&unread)
 			assignment.Sent(time.Now())
 			return r.recheck(instance)
 		},
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -28,7 +28,10 @@
 	minRetryTime = 20 * time.Millisecond
 )
 
-var errRetryTimeout = errors.New("endpoint did not respond within the retry timeout")
+var (
+	errRetryTimeout       = errors.New("endpoint did not respond within the retry timeout")
+	errRetryTimeoutUnread = errors.New("retry timeout, with response bytes unread")
+)
 
 // plainDelivery buffers a response that is not streamed until it is complete.
 type plainDelivery struct{ r *request }
@@ -78,8 +81,9 @@
 		return r.send(ctx, cancel, assignment, nil)
 	}
 	timeout := time.Duration(float64(r.route.LatencyTarget) * retryTimeoutFraction)
-	ctx, cancel := context.WithTimeoutCause(r.ctx, timeout, errRetryTimeout)
-	return r.send(ctx, cancel, assignment, nil)
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(r.silenceCause(errRetryTimeout, errRetryTimeoutUnread)) })
+	return r.send(ctx, func() { timer.Stop(); cancel(nil) }, assignment, nil)
 }
 
 // relayBuffered reads the whole response and forwards it, unless it is incomplete
--- a/direct/entry/stall.go
+++ b/direct/entry/stall.go
@@ -32,7 +32,7 @@
 	next := *r.dispatchRequest(time.Now())
 	next.Exclude = append(slices.Clone(r.exclude), assignment.Endpoint.ID)
 	next.Repeated = true
-	w := &stallWatch{assignment: assignment, handler: r.h, next: next, isEngine: r.service.Engine != nil}
+	w := &stallWatch{r: r, assignment: assignment, handler: r.h, next: next, isEngine: r.service.Engine != nil}
 	go w.run(ctx, cancel)
 	r.stall = w
 	a := r.send(ctx, func() { cancel(nil) }, assignment, extra)
@@ -40,6 +40,15 @@
 	return a
 }
 
+// silenceCause returns unread if response bytes wait in the socket, so that this process was late
+// and its endpoint not silent, and otherwise silent.
+func (r *request) silenceCause(silent, unread error) error {
+	if hasUnread := r.unread.Load(); hasUnread != nil && (*hasUnread)() {
+		return unread
+	}
+	return silent
+}
+
 // stallWatch moves a stream whose endpoint remains stalled for stallTimeout: it cancels the
 // attempt. It does so only once another endpoint has a place for the stream and a connection,
 // and the retry budget allows a retry, which it takes: otherwise the stream would end, and a
@@ -50,6 +59,7 @@
 	// next is the request to place at the other endpoint.
 	next     dispatch.Request
 	isEngine bool
+	r        *request
 
 	mu sync.Mutex
 	// replacement is the place at the other endpoint, once the attempt was cancelled.
@@ -160,6 +170,6 @@
 		return false
 	}
 	w.replacement, w.tookRetry = replacement, true
-	cancel(errStalled)
+	cancel(w.r.silenceCause(errStalled, errStalledUnread))
 	return true
 }
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -30,6 +30,7 @@
 
 var (
 	errStalled       = errors.New("endpoint stalled")
+	errStalledUnread = errors.New("endpoint stalled, with response bytes unread")
 	errUnsavedOrigin = errors.New("the origin of the stream can't be saved")
 	errEventTooLong  = errors.New("event in the endpoint's stream is too long")
 )
