A request isn't ended before there is something better than its attempt

Callers saw: a request to a sound endpoint that was silent for 1.6 s ended as 502 "the answer was lost" 3.8 s before its timeout, as a connection closed inside the body, or as two of four events. A request answered with 500 ended as 502 if its retry was refused. A stream whose endpoint broke off was cut while another endpoint of its build was saturated.

Cause: the router ended what it had before it had something better. It cancelled a silent attempt and only then tried another one, which can be refused, break off or hang; it dropped a complete response for a retry; it placed a response that had begun like a new request.

Change: a second attempt runs beside the silent one (hedge.go), within the route's attempts and the retry budget. The first of the two that has something to forward goes on, the other one is cancelled then. A complete server error is kept and delivered if nothing better comes. A response that has begun is placed beyond the limits for new requests, but not at endpoints that are paused or above their request limit. Silence doesn't count while response bytes wait unread, while this router writes to the caller, or if a check comes late. A stream whose origin can't be saved is given up only once an endpoint of the implied build has its first event.

TestEndpointFailureSequences asserted that a 500 is that of the last attempt, which is wrong once a 500 isn't dropped. It now asserts that a 500 is delivered exactly if an attempt gave one and none gave a complete answer, and fails before ("full, failure, full": 502).

--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
 
@@ -65,8 +64,8 @@
 	singleExecutionMaxIdle = 500 * time.Millisecond
 )
 
-func (r *request) endpointRequest(assignment *dispatch.Assignment, now time.Time) *endpointhttp.Request {
-	instance := assignment.Endpoint.ID
+func (r *request) endpointRequest(a *attempt, now time.Time) *endpointhttp.Request {
+	instance := a.assignment.Endpoint.ID
 	idle := repeatableMaxIdle
 	if !r.route.Repeatable() {
 		idle = singleExecutionMaxIdle
@@ -76,8 +75,8 @@
 		Header: r.endpointHeader(instance, now), Body: r.body,
 		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
 		Recheck: func(unread func() bool) error {
-			r.unread.Store(&unread)
-			assignment.Sent(time.Now())
+			a.unread.Store(&unread)
+			a.assignment.Sent(time.Now())
 			return r.recheck(instance)
 		},
 	}
