An invalid entry keeps what was known of its endpoint

Callers saw: another writer's record under the identifier of a live endpoint took it out of use until its next heartbeat (1.2 s); with one endpoint left, requests were refused.

Cause: Follower.applyEndpoint removed the endpoint when its record couldn't be decoded.

Change: the record is ignored with its log line, and the endpoint stays as it was, ready or draining. Only a removal of the key removes it.

Evidence: TestInvalidEntryKeepsWhatWasKnown failed before (0 endpoints in place of 1).

--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -322,7 +322,6 @@
 	endpoint, err := f.decoder.Endpoint(r)
 	if err != nil {
 		f.ignoreRecord(r, err)
-		f.endpoints.Remove(r.Key, now)
 		return
 	}
 	previous, ok := f.endpoints.Lookup(endpoint.ID)
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -190,6 +190,27 @@
 	})
 }
 
+// Guards against an endpoint that is given up, or is used although it drains, because another
+// writer put a record that names no endpoint under its identifier.
+func TestInvalidEntryKeepsWhatWasKnown(t *testing.T) {
+	runFollower(t, nil, func(f *fixture) {
+		draining := directtest.Encode(registry.Endpoint{ID: "b", Service: "s", Address: "127.0.0.1:2", State: registry.Draining})
+		f.store.Append(follow.Endpoints, "a", endpoint("a"))
+		f.store.Append(follow.Endpoints, "b", draining)
+		time.Sleep(time.Second)
+		f.store.Append(follow.Endpoints, "a", "\xff{")
+		f.store.Append(follow.Endpoints, "b", "\xff{")
+		time.Sleep(time.Second)
+		must.Eq(t, 1, f.readyEndpoints())
+		known, ok := f.endpoints.Lookup("b")
+		must.True(t, ok)
+		must.Eq(t, registry.Draining, known.State)
+		f.store.Append(follow.Endpoints, "a", "")
+		time.Sleep(time.Second)
+		must.Eq(t, 0, f.readyEndpoints(), must.Sprint("the endpoint has left"))
+	})
+}
+
 // Guards against missing a record if the store does not end waiting reads when
 // the record is written.
 func TestMissedNotificationIsReadAfterReadWait(t *testing.T) {
