An answer whose status or protocol HTTP/1 doesn't define is broken

Cause: where an answer is decoded, only statuses below 100 were refused.

Change: a final answer has a status from 200 to 599 and version 1 of the protocol; anything else counts as no answer. HTTP/1.0 is taken as before.

Evidence: TestResponseOutsideOfHTTPIsRejected failed before ("HTTP/1.1 600 OK"), and without the check of the version ("HTTP/0.9 200 OK").

--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -58,9 +58,13 @@
 // maxStaleBytes limits the body of a skipped response.
 const maxStaleBytes = 1 << 20
 
+// maxStatus is the highest status of a response (RFC 9110, section 15).
+const maxStatus = 599
+
 var (
 	errMismatchedID  = eris.New("response identifier does not match the request")
 	errInvalidStatus = eris.New("response has a status that HTTP doesn't define")
+	errOtherProtocol = eris.New("response is not in HTTP/1")
 	errTooManyStale  = eris.New("too many responses to other requests on the connection")
 )
 
@@ -210,9 +214,12 @@
 			}
 			continue
 		}
-		if response.StatusCode < 100 {
+		if response.StatusCode < 200 || response.StatusCode > maxStatus {
 			return nil, errInvalidStatus
 		}
+		if response.ProtoMajor != 1 {
+			return nil, errOtherProtocol
+		}
 		id := response.Header.Get(r.IDHeader)
 		if id == r.ID || (id == "" && !reused) {
 			return response, nil
--- a/transport/endpointhttp/exchange_test.go
+++ b/transport/endpointhttp/exchange_test.go
@@ -150,6 +150,22 @@
 	must.True(t, NotSent(err))
 }
 
+// Guards against a status or a protocol version that HTTP/1.1 doesn't define reaching a caller.
+func TestResponseOutsideOfHTTPIsRejected(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20x OK",
+		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.10 200 OK", "ICY 200 OK",
+	} {
+		target := startEndpoint(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = io.WriteString(c, line+"\r\nId: "+readRequest(r)+"\r\nContent-Length: 1\r\n\r\nx")
+			readRequest(r)
+		})
+		_, err := do(t, NewPool(time.Second), target, "a")
+		must.Error(t, err, must.Sprint(line))
+		must.False(t, NotSent(err))
+	}
+}
+
 // Guards against accepting a truncated response as complete, for both framings.
 func TestTruncatedResponseIsError(t *testing.T) {
 	for name, text := range map[string]string{
