Saved origins of streams name a build, under a router's key

Callers saw: nothing yet; shown by tests. A saved origin without a build was taken for one that allows every build, so a stream that its caller takes up could go on at an endpoint of another version (ORDER). A record under any other key, too, was taken for origins. A record with the largest number made a router number its own ones below 0.

Cause: Decode checked the length and the format only; mergeRecord decoded every key but those of implied builds; ownSlot took any number, and numbers with something after them.

Change: a record with an origin without a build, an implied build of an era below 0 or an unknown key is ignored with a log line that says what is wrong; numbers are whole and at most 2^20.

Unchanged on purpose: an invalid record under the key of an implied build ends what was implied. The store holds no other then, and a router that starts later couldn't know it.

Evidence: TestForeignOriginsAreIgnored (build 0 found) and TestRecordWithAHugeNumberIsIgnored (number -) failed before.

--- a/coordination/streamorigin/encode.go
+++ b/coordination/streamorigin/encode.go
@@ -23,10 +23,27 @@
 
 // DecodeImplied decodes what EncodeImplied returned. It returns an error for anything else.
 func DecodeImplied(b []byte) (Implied, error) {
-	if len(b) != impliedBytes || b[0] != formatVersion || binary.LittleEndian.Uint32(b[1:]) == uint32(AnyBuild) {
-		return Implied{}, eris.New("invalid implied build of a service")
+	if err := checkFormat(b, len(b) == impliedBytes); err != nil {
+		return Implied{}, eris.Wrap(err, "invalid implied build of a service")
 	}
-	return Implied{Build: Build(binary.LittleEndian.Uint32(b[1:])), Era: int64(binary.LittleEndian.Uint64(b[5:]))}, nil
+	i := Implied{Build: Build(binary.LittleEndian.Uint32(b[1:])), Era: int64(binary.LittleEndian.Uint64(b[5:]))}
+	if i.Build == AnyBuild {
+		return Implied{}, eris.New("invalid implied build of a service: the build is missing")
+	}
+	if i.Era < 0 {
+		return Implied{}, eris.Errorf("invalid implied build of a service: the era %d is out of range", i.Era)
+	}
+	return i, nil
+}
+
+func checkFormat(b []byte, validLength bool) error {
+	if len(b) == 0 || b[0] != formatVersion {
+		return eris.New("unknown format")
+	}
+	if !validLength {
+		return eris.Errorf("invalid length of %d bytes", len(b))
+	}
+	return nil
 }
 
 // Encode encodes origins for the store.
@@ -43,12 +60,15 @@
 
 // Decode decodes what Encode returned. It returns an error for anything else.
 func Decode(b []byte) ([]SavedOrigin, error) {
-	if len(b) == 0 || b[0] != formatVersion || (len(b)-1)%originBytes != 0 {
-		return nil, eris.New("invalid saved origins of streams")
+	if err := checkFormat(b, (len(b)-1)%originBytes == 0); err != nil {
+		return nil, eris.Wrap(err, "invalid saved origins of streams")
 	}
 	origins := make([]SavedOrigin, 0, (len(b)-1)/originBytes)
 	for b = b[1:]; len(b) > 0; b = b[originBytes:] {
 		o := Origin{Stream(binary.LittleEndian.Uint64(b)), Build(binary.LittleEndian.Uint32(b[8:]))}
+		if o.Build == AnyBuild {
+			return nil, eris.Errorf("invalid saved origins of streams: the build of origin %d is missing", len(origins))
+		}
 		origins = append(origins, SavedOrigin{Origin: o, Revision: b[12]})
 	}
 	return origins, nil
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +27,9 @@
 	// originsKeyPrefix those of the records with origins.
 	impliedKeyPrefix = "implied/"
 	originsKeyPrefix = "origins/"
+	// maxSlot bounds the numbers of a router's records. It saves at most 25 a second, and uses each
+	// number again after retention.
+	maxSlot = 1 << 20
 	// minRetention is the shortest time for which origins are kept.
 	minRetention = 30 * time.Second
 	// loadTimeout bounds the reading of saved origins while a caller waits.
@@ -38,6 +41,7 @@
 
 var (
 	errNotLoaded   = errors.New("the saved origins have not been read yet")
+	errUnknownKey  = errors.New("the key is of no saved origins and no implied build")
 	errEarlierRead = errors.New("the reply is of an earlier era of the store")
 )
 
@@ -441,8 +445,8 @@
 	if !ok {
 		return 0, false
 	}
-	_, err := fmt.Sscanf(text, "%d", &slot)
-	return slot, err == nil && slot >= 0
+	slot, err := strconv.Atoi(text)
+	return slot, err == nil && slot >= 0 && slot <= maxSlot
 }
 
 func (o *Origins) mergeRecord(now time.Time, r mirror.Record) error {
@@ -456,6 +460,9 @@
 		o.implied[service] = implied
 		return nil
 	}
+	if !strings.HasPrefix(r.Key, originsKeyPrefix) {
+		return errUnknownKey
+	}
 	origins, err := streamorigin.Decode(r.Value)
 	if err == nil {
 		o.table.MergeSaved(now, origins)
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -329,6 +332,54 @@
 	})
 }
 
+// Guards against a stream that goes on at any build because another writer's record names none, or
+// at a wrong one because a record that isn't a router's is taken for its origins.
+func TestForeignOriginsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		saved := func(attempt string, b streamorigin.Build) string {
+			origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: b}
+			return string(streamorigin.Encode([]streamorigin.SavedOrigin{{Origin: origin}}))
+		}
+		f.store.Append(follow.Streams, "origins/r9/0", saved("without build", streamorigin.AnyBuild))
+		f.store.Append(follow.Streams, "other", saved("other key", otherBuild))
+		f.store.Append(follow.Streams, "origins/r9/1", saved("whole", otherBuild))
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		mustFind(t, o, "without build", build)
+		mustFind(t, o, "other key", build)
+		mustFind(t, o, "whole", otherBuild)
+		f.kill()
+	})
+}
+
+// Guards against numbers of records that overflow because a record of another writer has the
+// largest one.
+func TestRecordWithAHugeNumberIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		foreign := []string{"origins/r1/9223372036854775806", "origins/r1/99999999999999999999", "origins/r1/-1", "origins/r1/7x", "origins/r1/"}
+		for _, key := range foreign {
+			f.store.Append(follow.Streams, key, "not origins")
+		}
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), otherBuild))
+		}
+		listed, err := f.store.List(t.Context(), follow.Streams)
+		must.NoError(t, err)
+		for _, r := range listed.Records {
+			if number, ok := strings.CutPrefix(r.Key, "origins/r1/"); ok && !slices.Contains(foreign, r.Key) {
+				n, err := strconv.Atoi(number)
+				must.NoError(t, err)
+				must.Between(t, 0, n, 9)
+			}
+		}
+		f.kill()
+	})
+}
+
 // Guards against calls to the store for the streams of a service with a single build, and against
 // streams of that build that can't be taken up after all routers were killed.
 func TestStreamsOfTheImpliedBuildAreNotSaved(t *testing.T) {
