Reports of peers are checked field by field

Callers saw: nothing yet; shown by tests. A report of a peer, or of anything that sends to the same port, with an origin without a build let a stream be taken up at any build (ORDER); one with port 0, or with the address of no single host, became a peer that gets reports; a prompt of thousands of parts went into the comparison of crashes, under the dispatcher's lock; counts out of range were cut to the largest one. Nothing of it was logged. A peer's record with an offset beyond its reply's end kept all later records of its key from being applied.

Cause: decoders checked lengths, not values; a bad report was counted only.

Change: each field of the three reports is checked where it is decoded; the error, and the log line (one a minute and sender), name the field. Addresses from the store's list of members are checked likewise. Of a peer's records, those beyond its end are ignored with a log line.

Evidence: of 25 cases of TestInvalidReportsAreRejected, TestInvalidCrashReportsAreRejected and TestInvalidLimitReportsAreRejected, 18 were accepted before, and none named a field. TestInvalidReportIsLoggedAndIgnored and TestInvalidAddressesOfPeersAreIgnored failed before. The round-trip tests draw what routers send; what they no longer draw is in the tests of invalid reports. By hand: FuzzHandleReport and FuzzRecordsReply (new) 10 s each, the three decoders 6 s each, no finding.

--- a/direct/mesh/crashes.go
+++ b/direct/mesh/crashes.go
@@ -68,7 +68,7 @@
 func (m *Mesh) handleCrashReport(now time.Time, data []byte, sender *net.UDPAddr) {
 	instance, facts, err := DecodeCrashes(now, data)
 	if err != nil {
-		m.badReports.Inc(1)
+		m.ignoreReport(now, sender, err)
 		return
 	}
 	if instance == m.instance {
--- a/direct/mesh/limits.go
+++ b/direct/mesh/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
@@ -59,10 +60,10 @@
 	m.sendToPeers(report.Append(nil), m.livePeers())
 }
 
-func (m *Mesh) handleLimitReport(now time.Time, data []byte) {
+func (m *Mesh) handleLimitReport(now time.Time, data []byte, sender *net.UDPAddr) {
 	report, err := loadreport.DecodeLimitReport(data)
 	if err != nil {
-		m.badReports.Inc(1)
+		m.ignoreReport(now, sender, err)
 		return
 	}
 	if report.Instance == m.instance {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
+	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
@@ -88,6 +89,7 @@
 	reportsSent     metrics.Counter
 	reportBytesSent metrics.Counter
 	badReports      metrics.Counter
+	limiter         observability.LogLimiter
 
 	// teamsSentAt is the time of the latest report with teams; only Send uses it.
 	teamsSentAt time.Time
@@ -161,10 +163,14 @@
 	if parsed == m.address {
 		return
 	}
-	if err != nil || !parsed.Addr().Is4() {
+	if err != nil || !loadreport.IsRouterAddress(parsed) {
 		m.badReports.Inc(1)
+		if m.limiter.Allow(now, address, "address") {
+			m.log.Warn("invalid address of a peer ignored", "address", address)
+		}
 		return
 	}
+	address = parsed.String()
 	m.mu.Lock()
 	_, known := m.peers[address]
 	added := !known && len(m.peers) < maxPeers
@@ -379,12 +385,12 @@
 		m.handleCrashReport(now, data, sender)
 		return
 	case loadreport.IsLimitReport(data):
-		m.handleLimitReport(now, data)
+		m.handleLimitReport(now, data, sender)
 		return
 	}
 	report, err := loadreport.Decode(data)
 	if err != nil {
-		m.badReports.Inc(1)
+		m.ignoreReport(now, sender, err)
 		return
 	}
 	if report.Instance == m.instance {
@@ -410,6 +416,13 @@
 	}
 }
 
+func (m *Mesh) ignoreReport(now time.Time, sender *net.UDPAddr, err error) {
+	m.badReports.Inc(1)
+	if m.limiter.Allow(now, sender.String(), "report") {
+		m.log.Warn("invalid report ignored", "sender", sender.String(), "error", err.Error())
+	}
+}
+
 func decodeStreams(streams []loadreport.StreamOrigin) []streamorigin.Origin {
 	origins := make([]streamorigin.Origin, len(streams))
 	for i, s := range streams {
@@ -466,17 +479,42 @@
 	if err != nil {
 		return mirror.Batch{}, false, eris.Wrapf(err, "fetch records from %s", address)
 	}
+	batch, err := m.decodeRecords(reply)
+	if err != nil {
+		return mirror.Batch{}, false, eris.Wrapf(err, "records from %s", address)
+	}
+	if !batch.Complete && batch.End.Era != known.Era {
+		return mirror.Batch{}, false, eris.Errorf("incomplete records of era %d from %s, era %d is known", reply.Era, address, known.Era)
+	}
+	return batch, true, nil
+}
+
+// maxOffset bounds the offsets of the store's records. A record with a higher one would keep all
+// later records of its key from being applied.
+const maxOffset = 1 << 53
+
+// decodeRecords returns the records of a peer's reply. It ignores records that can't be before its
+// end.
+func (m *Mesh) decodeRecords(reply *fleetpb.RecordsReply) (mirror.Batch, error) {
+	if reply.Era < 0 || reply.Next < 0 || reply.Next > maxOffset {
+		return mirror.Batch{}, eris.Errorf("the end is out of range: era %d, offset %d", reply.Era, reply.Next)
+	}
 	batch := mirror.Batch{
 		Records: make([]mirror.Record, 0, len(reply.Records)), Complete: reply.Complete,
 		End: mirror.Position{Era: reply.Era, Next: reply.Next},
 	}
 	for _, r := range reply.Records {
+		// What is kept across a restoration of the store, and what replaces a lost record, may have the
+		// offset of the end.
+		if r.Offset < 0 || r.Offset > reply.Next {
+			if m.limiter.Allow(time.Now(), r.Key, "offset") {
+				m.log.Warn("invalid record of a peer ignored", "key", r.Key, "offset", r.Offset, "end", reply.Next)
+			}
+			continue
+		}
 		batch.Records = append(batch.Records, mirror.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
-	if !batch.Complete && batch.End.Era != known.Era {
-		return mirror.Batch{}, false, eris.Errorf("incomplete records of era %d from %s, era %d is known", reply.Era, address, known.Era)
-	}
-	return batch, true, nil
+	return batch, nil
 }
 
 const (
--- a/protocol/loadreport/crashes.go
+++ b/protocol/loadreport/crashes.go
@@ -1,11 +1,18 @@
 package loadreport
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+)
 
 // crashFormatVersion is the first byte of a datagram with a CrashReport. Routers that
 // don't know it ignore the datagram.
 const crashFormatVersion = 0xB4
 
+// maxCrashParts bounds the parts of one prompt; routers parse no more.
+const maxCrashParts = 64
+
 // CrashReport tells peers which requests engines were running when they crashed. It is
 // sent after such a crash and, while any is remembered, at long intervals.
 type CrashReport struct {
@@ -76,24 +83,22 @@
 	minServedBytes      = 9
 )
 
-// DecodeCrashReport parses a datagram.
+// DecodeCrashReport parses a datagram. The error names the field that is invalid.
 func DecodeCrashReport(data []byte) (*CrashReport, error) {
 	d := decoder{rest: data}
-	if d.uint8() != crashFormatVersion {
-		return nil, errInvalid
-	}
-	r := &CrashReport{Instance: string(d.bytes(d.length(1)))}
-	r.Interrupted = decodeList(&d, minInterruptedBytes, func() InterruptedRequest {
+	d.format(crashFormatVersion)
+	r := &CrashReport{Instance: d.instance()}
+	r.Interrupted = decodeList(d.at("interrupted requests"), minInterruptedBytes, func() InterruptedRequest {
 		i := InterruptedRequest{Crash: d.uint32()}
-		age := d.uvarint()
-		i.AgeMs, i.Responding = uint32(min(age>>1, MaxCount)), age&1 != 0
+		i.AgeMs, i.Responding = d.countAndFlag()
 		i.Parts = decodeList(&d, partBytes, d.uint64)
+		d.check(len(i.Parts) <= maxCrashParts)
 		i.Request = d.uint64()
 		return i
 	})
-	r.Served = decodeList(&d, minServedBytes, func() ServedPart { return ServedPart{Part: d.uint64(), AgeMs: d.count()} })
-	if d.failed || len(d.rest) > 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
-		return nil, errInvalid
+	r.Served = decodeList(d.at("served parts"), minServedBytes, func() ServedPart { return ServedPart{Part: d.uint64(), AgeMs: d.count()} })
+	if err := d.end(); err != nil {
+		return nil, eris.Wrap(err, "invalid report of crashes")
 	}
 	return r, nil
 }
--- a/protocol/loadreport/crashes_test.go
+++ b/protocol/loadreport/crashes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"math"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -44,6 +46,21 @@
 	})
 }
 
+// Guards against a report with a value out of range, such as a prompt of thousands of parts, whose
+// comparison with others would hold up the router, and against an error that doesn't name the field.
+func TestInvalidCrashReportsAreRejected(t *testing.T) {
+	for name, r := range map[string]CrashReport{
+		"instance":              {},
+		"interrupted requests":  {Instance: "a", Interrupted: []InterruptedRequest{{Parts: make([]uint64, maxCrashParts+1)}}},
+		"interrupted requests ": {Instance: "a", Interrupted: []InterruptedRequest{{AgeMs: MaxCount + 1}}},
+		"served parts":          {Instance: "a", Served: []ServedPart{{AgeMs: math.MaxUint32}}},
+	} {
+		_, err := DecodeCrashReport(r.Append(nil))
+		must.Error(t, err, must.Sprint(name))
+		must.StrContains(t, err.Error(), strings.TrimSpace(name))
+	}
+}
+
 // Guards against datagrams that stop a router or make it allocate more memory than they
 // are long.
 func FuzzDecodeCrashReport(f *testing.F) {
--- a/protocol/loadreport/limits.go
+++ b/protocol/loadreport/limits.go
@@ -1,6 +1,10 @@
 package loadreport
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+)
 
 // limitFormatVersion is the first byte of a datagram with a LimitReport. Routers that
 // don't know it ignore the datagram.
@@ -52,22 +56,20 @@
 // minLimitBytes is the smallest size of an entry of Limits, in bytes.
 const minLimitBytes = 6
 
-// DecodeLimitReport parses a datagram.
+// DecodeLimitReport parses a datagram. The error names the field that is invalid.
 func DecodeLimitReport(data []byte) (*LimitReport, error) {
 	d := decoder{rest: data}
-	if d.uint8() != limitFormatVersion {
-		return nil, errInvalid
-	}
-	r := &LimitReport{Instance: string(d.bytes(d.length(1))), Requests: d.count()}
-	r.Limits = decodeList(&d, minLimitBytes, func() RequestLimit {
+	d.format(limitFormatVersion)
+	r := &LimitReport{Instance: d.instance()}
+	r.Requests = d.at("requests").count()
+	r.Limits = decodeList(d.at("limits"), minLimitBytes, func() RequestLimit {
 		l := RequestLimit{Endpoint: d.uint32()}
-		rate := d.uvarint()
-		l.MilliRate, l.Limited = uint32(min(rate>>1, MaxCount)), rate&1 != 0
+		l.MilliRate, l.Limited = d.countAndFlag()
 		l.AgeMs = d.count()
 		return l
 	})
-	if d.failed || len(d.rest) > 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
-		return nil, errInvalid
+	if err := d.end(); err != nil {
+		return nil, eris.Wrap(err, "invalid report of limits")
 	}
 	return r, nil
 }
--- a/protocol/loadreport/limits_test.go
+++ b/protocol/loadreport/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -31,6 +32,18 @@
 	})
 }
 
+// Guards against a report with a value out of range, and against an error that doesn't name the field.
+func TestInvalidLimitReportsAreRejected(t *testing.T) {
+	for name, r := range map[string]LimitReport{
+		"instance": {}, "requests": {Instance: "a", Requests: MaxCount + 1}, "limits": {Instance: "a", Limits: []RequestLimit{{MilliRate: MaxCount + 1}}},
+		"limits ": {Instance: "a", Limits: []RequestLimit{{AgeMs: MaxCount + 1}}},
+	} {
+		_, err := DecodeLimitReport(r.Append(nil))
+		must.Error(t, err, must.Sprint(name))
+		must.StrContains(t, err.Error(), strings.TrimSpace(name))
+	}
+}
+
 // Guards against datagrams that stop a router or make it allocate more memory than they
 // are long.
 func FuzzDecodeLimitReport(f *testing.F) {
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -166,48 +166,97 @@
 	streamBytes      = 12
 )
 
-var errInvalid = eris.New("invalid load report")
-
-// Decode parses a datagram.
+// Decode parses a datagram. The error names the field that is invalid.
 func Decode(data []byte) (*Report, error) {
 	d := decoder{rest: data}
-	if d.uint8() != formatVersion {
-		return nil, errInvalid
-	}
-	flags := d.uint8()
+	d.format(formatVersion)
+	flags := d.at("flags").uint8()
+	d.check(flags&^knownFlags == 0)
 	r := &Report{
 		Leaving: flags&flagLeaving != 0, ReadsStore: flags&flagReadsStore != 0,
 		OutOfRotation: flags&flagOutOfRotation != 0, HasTeams: flags&flagHasTeams != 0,
 	}
-	r.Instance = string(d.bytes(d.length(1)))
-	r.Address = d.address()
-	r.Sequence, r.ConfigVersion = d.uvarint(), d.uvarint()
-	r.ConfigEnd, r.EndpointsEnd = d.position(), d.position()
-	r.Members = decodeList(&d, addressBytes, d.address)
-	r.Endpoints = decodeList(&d, minEndpointBytes, func() EndpointLoad {
+	r.Instance = d.instance()
+	r.Address = d.at("address").address()
+	r.Sequence = d.at("sequence").uvarint()
+	r.ConfigVersion = d.at("configuration version").uvarint()
+	r.ConfigEnd = d.at("end of the configuration").position()
+	r.EndpointsEnd = d.at("end of the endpoints").position()
+	r.Members = decodeList(d.at("members"), addressBytes, d.address)
+	r.Endpoints = decodeList(d.at("endpoints"), minEndpointBytes, func() EndpointLoad {
 		e := EndpointLoad{Endpoint: d.uint32(), PendingTokens: d.count()}
-		running := d.uvarint()
-		e.Running, e.Unreachable = uint32(min(running>>1, MaxCount)), running&1 != 0
+		e.Running, e.Unreachable = d.countAndFlag()
 		return e
 	})
-	r.Teams = decodeList(&d, minTeamBytes, func() TeamUsage {
+	r.Teams = decodeList(d.at("teams"), minTeamBytes, func() TeamUsage {
 		return TeamUsage{Team: d.uint32(), RequestedTokens: d.count(), StartedTokens: d.count(), BegunTokens: d.count()}
 	})
-	r.Placed = decodeList(&d, placedBytes, func() PlacedPart { return PlacedPart{Endpoint: d.uint32(), Part: d.uint64()} })
-	r.Streams = decodeList(&d, streamBytes, func() StreamOrigin { return StreamOrigin{Stream: d.uint64(), Build: d.uint32()} })
-	if d.failed || len(d.rest) > 0 || flags&^knownFlags != 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
-		return nil, errInvalid
+	r.Placed = decodeList(d.at("placed parts"), placedBytes, func() PlacedPart { return PlacedPart{Endpoint: d.uint32(), Part: d.uint64()} })
+	r.Streams = decodeList(d.at("streams"), streamBytes, func() StreamOrigin {
+		s := StreamOrigin{Stream: d.uint64(), Build: d.uint32()}
+		// An origin without a build would allow every build.
+		d.check(s.Build != 0)
+		return s
+	})
+	if err := d.end(); err != nil {
+		return nil, eris.Wrap(err, "invalid load report")
 	}
 	return r, nil
 }
 
-// MaxCount bounds counts, so that sums over a fleet don't overflow.
-const MaxCount = 1 << 30
+// MaxCount bounds counts, so that sums over a fleet don't overflow. maxOffset bounds the offsets of
+// the store's records.
+const (
+	MaxCount  = 1 << 30
+	maxOffset = 1 << 53
+)
+
+// noEra is the era of a sender that knows nothing of a topic yet.
+const noEra = -1
 
 // decoder reads values from the front of rest. After a failure, it returns zero values.
 type decoder struct {
-	rest   []byte
-	failed bool
+	rest []byte
+	// field is the field that is read at present, and invalid the first one that is invalid.
+	field, invalid string
+	failed         bool
+}
+
+// at names the field that is read next.
+func (d *decoder) at(field string) *decoder {
+	d.field = field
+	return d
+}
+
+// check fails unless a value is valid.
+func (d *decoder) check(valid bool) {
+	if !valid {
+		d.fail()
+	}
+}
+
+func (d *decoder) fail() {
+	if !d.failed {
+		d.failed, d.invalid = true, d.field
+	}
+	d.rest = nil
+}
+
+// end returns an error that names the invalid field, if there is one or the datagram goes on.
+func (d *decoder) end() error {
+	d.at("end").check(len(d.rest) == 0)
+	if d.failed {
+		return eris.Errorf("the field %s is missing or out of range", d.invalid)
+	}
+	return nil
+}
+
+func (d *decoder) format(version byte) { d.check(d.at("format").uint8() == version) }
+
+func (d *decoder) instance() string {
+	instance := string(d.bytes(d.at("instance").length(1)))
+	d.check(instance != "" && len(instance) <= maxInstanceBytes)
+	return instance
 }
 
 // zeros is what a failed decoder returns; no value is longer.
@@ -215,7 +264,7 @@
 
 func (d *decoder) bytes(n int) []byte {
 	if n > len(d.rest) {
-		d.failed, d.rest = true, nil
+		d.fail()
 		return zeros[:min(n, len(zeros))]
 	}
 	b := d.rest[:n]
@@ -226,7 +275,19 @@
 func (d *decoder) uint8() byte    { return d.bytes(1)[0] }
 func (d *decoder) uint32() uint32 { return binary.LittleEndian.Uint32(d.bytes(4)) }
 func (d *decoder) uint64() uint64 { return binary.LittleEndian.Uint64(d.bytes(8)) }
-func (d *decoder) count() uint32  { return uint32(min(d.uvarint(), MaxCount)) }
+
+func (d *decoder) count() uint32 {
+	n := d.uvarint()
+	d.check(n <= MaxCount)
+	return uint32(min(n, MaxCount))
+}
+
+// countAndFlag reads a count whose lowest bit is a flag.
+func (d *decoder) countAndFlag() (n uint32, flag bool) {
+	v := d.uvarint()
+	d.check(v>>1 <= MaxCount)
+	return uint32(min(v>>1, MaxCount)), v&1 != 0
+}
 
 func (d *decoder) uvarint() uint64 {
 	v, n := binary.Uvarint(d.rest)
@@ -235,7 +296,9 @@
 }
 
 func (d *decoder) position() Position {
-	return Position{Era: d.varint(), Next: d.varint()}
+	p := Position{Era: d.varint(), Next: d.varint()}
+	d.check(p.Era >= noEra && p.Next >= 0 && p.Next <= maxOffset)
+	return p
 }
 
 func (d *decoder) varint() int64 {
@@ -247,7 +310,7 @@
 // skip removes n bytes; n is not positive if the varint was invalid.
 func (d *decoder) skip(n int) {
 	if n <= 0 {
-		d.failed, d.rest = true, nil
+		d.fail()
 		return
 	}
 	d.rest = d.rest[n:]
@@ -257,15 +320,23 @@
 func (d *decoder) length(entryBytes int) int {
 	n := d.uvarint()
 	if n > uint64(len(d.rest)/entryBytes) {
-		d.failed, d.rest = true, nil
+		d.fail()
 		return 0
 	}
 	return int(n)
 }
 
+// IsRouterAddress reports whether a is the IPv4 address and the port of a single host.
+func IsRouterAddress(a netip.AddrPort) bool {
+	ip := a.Addr()
+	return ip.Is4() && a.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
+
 func (d *decoder) address() netip.AddrPort {
 	b := d.bytes(addressBytes)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+	d.check(IsRouterAddress(a))
+	return a
 }
 
 // decodeList reads a list. It returns nil for an empty one.
