A response keeps its signature if the endpoint lists that header in Connection

Callers got a success without its signature. Headers that Connection names were all removed; the signature and the request's identifier belong to the response and stay now.

--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -86,7 +86,8 @@
 // response.
 func (r *request) copyResponseHeader(from http.Header) {
 	h := from.Clone()
-	removeHopHeaders(h, nil)
+	d := &r.h.Dialect
+	removeHopHeaders(h, map[string]bool{d.Signature: true, d.RequestID: true})
 	delete(h, "Content-Length")
 	to := r.w.Header()
 	for name, values := range h {
