Pauses and limits outlast an entry that is away for over a minute

What callers saw: nothing yet; found by reading. An endpoint whose entry was away for more than a minute got requests again before the end of the pause that it had asked for, which may last five minutes, and more than its limit until its next response.

Cause: EvictIdle and expireLimits dropped what was known of an endpoint as soon as its departure was no longer remembered, although the pause went on and the entry of a running endpoint may come back.

Ruled out: shorter lapses (TestLapsedEntryKeepsLimitAndPause holds).

Change: an endpoint is evicted when its pause is over; a limit is kept for five minutes after the endpoint's latest response. A changed start time still discards both.

Evidence: TestLongLapseKeepsLimitAndPause failed before (0 limits instead of 1, and the endpoint accepted requests).

--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -121,11 +121,11 @@
 	return time.Time{}
 }
 
-// EvictIdle deletes the endpoints without requests in progress for which keep
-// returns false.
-func (t *Table) EvictIdle(keep func(id string) bool) {
+// EvictIdle deletes the endpoints without requests in progress and whose pause, if any, is over,
+// for which keep returns false. An endpoint whose entry was away for long still wants its pause.
+func (t *Table) EvictIdle(now time.Time, keep func(id string) bool) {
 	for id, e := range t.endpoints {
-		if e.running == 0 && !keep(id) {
+		if e.running == 0 && !now.Before(e.pausedUntil) && !keep(id) {
 			delete(t.endpoints, id)
 		}
 	}
--- a/coordination/requestlimit/table.go
+++ b/coordination/requestlimit/table.go
@@ -14,6 +14,9 @@
 	// endedFor is how long the end of a limit is remembered, so that older reports of
 	// peers don't bring it back.
 	endedFor = 30 * time.Second
+	// lapsedFor is how long after its latest response an endpoint without an entry keeps its limit.
+	// The entry of a running endpoint may be away for a while.
+	lapsedFor = 5 * time.Minute
 )
 
 // NoLimit is the Rate of an endpoint that names no limit.
@@ -140,11 +143,11 @@
 // Forget drops the limit of an endpoint that has restarted.
 func (t *Table) Forget(endpoint uint32) { delete(t.limits, endpoint) }
 
-// Expire drops limits that ended long ago and those of endpoints for which known returns
-// false.
+// Expire drops limits that ended long ago and, after lapsedFor, those of endpoints for which known
+// returns false.
 func (t *Table) Expire(now time.Time, known func(endpoint uint32) bool) {
 	for endpoint, s := range t.limits {
-		if !known(endpoint) || s.Rate < 0 && now.Sub(s.At) > endedFor {
+		if !known(endpoint) && now.Sub(s.At) > lapsedFor || s.Rate < 0 && now.Sub(s.At) > endedFor {
 			delete(t.limits, endpoint)
 		}
 	}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -616,7 +616,7 @@
 func (d *Dispatcher) EvictExpired(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loads.EvictIdle(d.registry.Remembers)
+	d.loads.EvictIdle(now, d.registry.Remembers)
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
 	d.expireLimits(now)
