What is known of an endpoint belongs to one incarnation

Cause: the version came from the entry in the store, which may be that of an earlier incarnation. Nothing noticed that connections had broken.

Ruled out: wrong origins of streams, and an entry read late.

Change: coordination/incarnation keeps the doubt about an endpoint from a broken connection until a newer entry, its own report, or a store that has answered long enough since it was reached. In doubt, it neither begins nor continues streams that may be resumed, which is checked again right before the request is written. direct/confirm requests reports, only while such a stream needs the endpoint. A report of another start discards the limit, pause, cached parts and failures. An older start that is passed on late is no restart.

--- /dev/null
+++ b/direct/confirm/confirm.go
@@ -0,0 +1,111 @@
+package confirm
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/acaciaspar/acaciaspar/direct/dispatch"
+	"github.com/acaciaspar/acaciaspar/protocol/dialect"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
+)
+
+const (
+	// interval is the interval at which due questions are sent.
+	interval = 50 * time.Millisecond
+	// answerTimeout bounds one question.
+	answerTimeout = time.Second
+	// maxReportBytes bounds the report of an endpoint.
+	maxReportBytes = 256 << 10
+)
+
+// Report describes how endpoints report their start time.
+type Report struct {
+	// Path is the URL path of an endpoint's report on itself.
+	Path string
+	// Started decodes the start time in a report.
+	Started func(body []byte) (time.Time, error)
+}
+
+// Confirmer asks endpoints whose incarnation is in doubt.
+type Confirmer struct {
+	Dispatcher *dispatch.Dispatcher
+	Pool       *endpointhttp.Pool
+	Dialect    dialect.Dialect
+	Report     Report
+	// SteadySince returns since when the store has answered, or the zero time while it doesn't.
+	SteadySince func(now time.Time) time.Time
+	Log         *slog.Logger
+	Metrics     metrics.Registry
+}
+
+// Run asks endpoints until ctx is done and returns its error.
+func (c *Confirmer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	asked := metrics.GetOrRegisterCounter("direct.endpoint_reports", c.Metrics)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			c.Dispatcher.SettleIncarnations(now, c.SteadySince(now))
+			for _, e := range c.Dispatcher.TakeQuestions(now) {
+				asked.Inc(1)
+				go c.ask(ctx, e)
+			}
+		}
+	}
+}
+
+// ask asks one endpoint and records what follows from its answer.
+func (c *Confirmer) ask(ctx context.Context, e registry.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	askedAt := time.Now()
+	started, reached, err := c.startTime(ctx, e)
+	now := time.Now()
+	switch {
+	case err == nil:
+		restarted := c.Dispatcher.Reported(now, askedAt, e.ID, started)
+		c.Log.Info("endpoint reported its start", "endpoint", e.ID, "started", started, "registered", e.Started, "restarted", restarted)
+	case reached:
+		c.Dispatcher.Reached(now, askedAt, e.ID)
+		c.Log.Info("endpoint reported no start", "endpoint", e.ID, "error", err.Error())
+	default:
+		c.Dispatcher.Unanswered(now, e.ID)
+		c.Log.Info("endpoint could not be asked for its start", "endpoint", e.ID, "error", err.Error())
+	}
+}
+
+// startTime asks an endpoint on a new connection. reached is set if it responded, though perhaps
+// not with a report.
+func (c *Confirmer) startTime(ctx context.Context, e registry.Endpoint) (started time.Time, reached bool, err error) {
+	target := endpointhttp.Target{Instance: e.ID, Address: e.Address}
+	response, err := c.Pool.DoNew(ctx, target, &endpointhttp.Request{
+		Method: http.MethodGet, URI: c.Report.Path, Host: e.Address,
+		Header: http.Header{c.Dialect.ExpectedInstance: {e.ID}}, IDHeader: c.Dialect.RequestID,
+	})
+	if err != nil {
+		return time.Time{}, false, err
+	}
+	defer response.Close()
+	if response.Status == http.StatusMisdirectedRequest {
+		return time.Time{}, false, eris.New("another endpoint has the address")
+	}
+	if response.Status != http.StatusOK {
+		return time.Time{}, true, eris.Errorf("status %d", response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return time.Time{}, true, eris.Wrap(err, "read report")
+	}
+	started, err = c.Report.Started(body)
+	return started, true, err
+}
--- a/direct/dispatch/crashes.go
+++ b/direct/dispatch/crashes.go
@@ -38,7 +38,7 @@
 		}
 		d := a.dispatcher
 		check = d.crashingParts.AddInterrupted(quarantine.Interrupted{
-			Crash: incarnation(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts, Request: a.fingerprint,
+			Crash: incarnationHash(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts, Request: a.fingerprint,
 		}, endpointload.Hash(a.Endpoint.ID), d.loads.Down(now, a.Endpoint.ID))
 		d.handleCrashes(now)
 	})
@@ -54,8 +54,8 @@
 	d.recordEndpointDown(now, endpointload.Hash(id))
 }
 
-// incarnation returns a hash of an endpoint's identifier and start time.
-func incarnation(e registry.Endpoint) uint32 {
+// incarnationHash returns a hash of an endpoint's identifier and start time.
+func incarnationHash(e registry.Endpoint) uint32 {
 	return uint32(xxhash.Sum64String(e.ID + "@" + strconv.FormatInt(e.Started.UnixMilli(), 10)))
 }
 
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
+	"github.com/acaciaspar/acaciaspar/coordination/incarnation"
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
 	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
@@ -80,6 +81,8 @@
 	// requestLimits is signaled through limitNews when peers should be told about it.
 	requestLimits *requestlimit.Table
 	limitNews     chan struct{}
+	// incarnations holds the endpoints that may have restarted since their entries were read.
+	incarnations *incarnation.Table
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -123,6 +126,7 @@
 		waiting:       map[*Assignment]struct{}{},
 		requestLimits: requestlimit.NewTable(),
 		limitNews:     make(chan struct{}, 1),
+		incarnations:  incarnation.NewTable(),
 	}
 }
 
@@ -136,16 +140,6 @@
 	}
 }
 
-// Accepting reports whether an endpoint still accepts requests.
-func (d *Dispatcher) Accepting(id string) bool {
-	if e, ok := d.registry.Lookup(id); !ok || e.State != registry.Ready {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.loads.PausedUntil(time.Now(), id).IsZero()
-}
-
 // HasUsable reports whether a service has a usable endpoint of a build that is not in
 // exclude.
 func (d *Dispatcher) HasUsable(now time.Time, service string, exclude []string, build streamorigin.Build) bool {
@@ -170,6 +164,9 @@
 	Exclude []string
 	// Build is the only build that can run the request, or streamorigin.AnyBuild.
 	Build streamorigin.Build
+	// Resumable is set if the request begins or continues a stream that another endpoint of the
+	// same build may continue.
+	Resumable bool
 	// Continued is set if the caller has the first events of the stream.
 	Continued bool
 	// Repeated is set if an endpoint may already have run the request, or the beginning of
@@ -401,6 +398,9 @@
 
 func (d *Dispatcher) readyEndpoints(request *Request) []registry.Endpoint {
 	ready := d.registry.Ready(request.Service)
+	if request.Resumable || request.Build != streamorigin.AnyBuild {
+		ready = d.confirmed(ready)
+	}
 	if len(request.Exclude) == 0 && request.Build == streamorigin.AnyBuild {
 		return ready
 	}
@@ -423,9 +423,11 @@
 	return streamorigin.BuildOf(e.Service, e.Version)
 }
 
-// HasReady reports whether a service has an endpoint of a build that accepts requests.
+// HasReady reports whether a service has an endpoint that accepts requests and is certainly of a
+// build.
 func (d *Dispatcher) HasReady(service string, build streamorigin.Build) bool {
-	return slices.ContainsFunc(d.registry.Ready(service), func(e registry.Endpoint) bool { return runs(e, build) })
+	ready := d.confirmed(d.registry.Ready(service))
+	return slices.ContainsFunc(ready, func(e registry.Endpoint) bool { return runs(e, build) })
 }
 
 // EntriesDue returns how long entries of live endpoints may still be missing.
@@ -600,17 +602,6 @@
 	}
 }
 
-// Restarted records the start time of an endpoint. A changed start time discards
-// the cache contents and failures recorded for the previous instance.
-func (d *Dispatcher) Restarted(id string, started time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.loads.SetStartTime(id, started) {
-		d.recordEndpointDown(time.Now(), endpointload.Hash(id))
-		d.requestLimits.Forget(endpointload.Hash(id))
-	}
-}
-
 // EvictExpired evicts the loads of endpoints that departed long ago, expired
 // reports of peers, and the usage of idle teams and inactive peers.
 func (d *Dispatcher) EvictExpired(now time.Time) {
@@ -620,6 +611,7 @@
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
 	d.expireLimits(now)
+	d.incarnations.Evict(d.registry.Remembers)
 	for name, t := range d.teams {
 		if now.Sub(t.lastRequest) > usageIdleTimeout {
 			delete(d.teams, name)
--- /dev/null
+++ b/direct/dispatch/incarnations.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+// Accepting reports whether an endpoint still accepts requests. resumable is set for a request that
+// begins or continues a stream which another endpoint of the same build may continue; such a request
+// must run at the incarnation that was chosen.
+func (d *Dispatcher) Accepting(chosen registry.Endpoint, resumable bool) bool {
+	e, ok := d.registry.Lookup(chosen.ID)
+	if !ok || e.State != registry.Ready {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if resumable && (!d.incarnations.Confirmed(e.ID) || !e.Started.Equal(chosen.Started) || e.Version != chosen.Version) {
+		return false
+	}
+	return d.loads.PausedUntil(time.Now(), e.ID).IsZero()
+}
+
+// Restarted records the start time in the entry of an endpoint. A changed start time discards what
+// is known of the previous incarnation.
+func (d *Dispatcher) Restarted(id string, started time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// A newer entry may have been read since the caller read this one.
+	if e, ok := d.registry.Lookup(id); ok {
+		started = e.Started
+	}
+	d.setIncarnation(id, d.incarnations.Register(id, started))
+}
+
+func (d *Dispatcher) setIncarnation(id string, started time.Time) {
+	if d.loads.SetStartTime(id, started) {
+		d.recordEndpointDown(time.Now(), endpointload.Hash(id))
+		d.requestLimits.Forget(endpointload.Hash(id))
+	}
+}
+
+// DoubtIncarnation records that a connection to an endpoint broke or could not be opened. What is
+// known of the endpoint may be that of an earlier incarnation. Until it is confirmed, the endpoint
+// gets no streams that may be resumed.
+func (d *Dispatcher) DoubtIncarnation(now time.Time, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.incarnations.Doubt(now, id)
+}
+
+// confirmed returns the endpoints whose incarnation is not in doubt.
+func (d *Dispatcher) confirmed(endpoints []registry.Endpoint) []registry.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.incarnations.Doubted() == 0 {
+		return endpoints
+	}
+	kept := make([]registry.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if d.incarnations.Confirmed(e.ID) {
+			kept = append(kept, e)
+		} else {
+			d.incarnations.Want(e.ID)
+		}
+	}
+	return kept
+}
+
+// TakeQuestions returns the endpoints that should be asked now which incarnation they are.
+// Reported, Reached or Unanswered must be called for each of them.
+func (d *Dispatcher) TakeQuestions(now time.Time) []registry.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var endpoints []registry.Endpoint
+	for _, id := range d.incarnations.TakeQuestions(now) {
+		if e, ok := d.registry.Lookup(id); ok {
+			endpoints = append(endpoints, e)
+		} else {
+			d.incarnations.Asked(now, id)
+		}
+	}
+	return endpoints
+}
+
+// Reported records the start time that an endpoint reported on a connection opened after askedAt.
+// It reports whether the endpoint is another incarnation than the registered one.
+func (d *Dispatcher) Reported(now, askedAt time.Time, id string, started time.Time) (restarted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.incarnations.Asked(now, id)
+	if !d.incarnations.Reported(askedAt, id, started) {
+		return false
+	}
+	d.setIncarnation(id, started)
+	return true
+}
+
+// Reached records that an endpoint accepted a connection opened after askedAt, but reported no
+// start time.
+func (d *Dispatcher) Reached(now, askedAt time.Time, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.incarnations.Asked(now, id)
+	d.incarnations.Reached(now, askedAt, id)
+}
+
+// Unanswered records that an endpoint could not be asked.
+func (d *Dispatcher) Unanswered(now time.Time, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.incarnations.Asked(now, id)
+}
+
+// SettleIncarnations ends the doubt about endpoints whose entries would show a restart, since the
+// store has answered from steadySince on; zero while it doesn't answer.
+func (d *Dispatcher) SettleIncarnations(now, steadySince time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.incarnations.Settle(now, steadySince)
+}
+
+// DoubtedEndpoints returns the number of endpoints whose incarnation is in doubt.
+func (d *Dispatcher) DoubtedEndpoints() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.incarnations.Doubted()
+}
--- /dev/null
+++ b/direct/dispatch/incarnations_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/prompt"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+)
+
+// Guards against streams of two versions: an endpoint that came back under its identifier while its
+// entry is still that of the incarnation before neither begins nor continues a stream that may be
+// resumed, and other requests don't wait for it.
+func TestDoubtedIncarnationGetsNoResumableStreams(t *testing.T) {
+	now := time.Now()
+	d := newBuilds()
+	e := registry.Endpoint{ID: "e1", Service: "s", Version: "v1", Slots: 8, Started: now}
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	v1 := streamorigin.BuildOf("s", "v1")
+	resumable := &Request{Service: "s", Target: time.Second, Resumable: true}
+	continued := &Request{Service: "s", Target: time.Second, Build: v1, Continued: true}
+	other := &Request{Service: "s", Target: time.Second}
+	usable := func(request *Request) bool {
+		a, refusal := d.PlaceEngine(now, request)
+		if refusal != nil {
+			return false
+		}
+		a.End(now, endpointload.NotSent)
+		return true
+	}
+	must.True(t, usable(resumable) && usable(continued) && usable(other) && d.HasReady("s", v1))
+	chosen := e
+
+	d.DoubtIncarnation(now, "e1")
+	must.False(t, usable(resumable))
+	must.False(t, usable(continued))
+	must.True(t, usable(other))
+	must.False(t, d.HasReady("s", v1))
+	must.False(t, d.HasUsable(now, "s", nil, v1))
+	must.False(t, d.Accepting(chosen, true), must.Sprint("chosen before the doubt"))
+	must.True(t, d.Accepting(chosen, false))
+
+	e.Version, e.Started = "v2", now.Add(time.Second)
+	d.registry.Put(e)
+	must.False(t, usable(resumable), must.Sprint("until the dispatcher knows of the restart"))
+	d.Restarted(e.ID, e.Started)
+	must.True(t, usable(resumable) && !usable(continued))
+	must.False(t, d.Accepting(chosen, true), must.Sprint("chosen as another incarnation"))
+	must.True(t, d.Accepting(e, true))
+}
+
+// Guards against what is known of an incarnation outliving it: after an endpoint has reported another
+// start, its pause, limit and cached parts are gone, and its stale entry doesn't bring them back.
+func TestReportedRestartDiscardsWhatWasKnown(t *testing.T) {
+	now := time.Now()
+	d := newBuilds()
+	e := registry.Endpoint{ID: "e1", Service: "s", Version: "v1", Slots: 8, Started: now}
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	shared := []prompt.Part{{Key: 1, Tokens: 500}}
+	a, refusal := d.PlaceEngine(now, &Request{Service: "s", Target: time.Second, Cost: prompt.Cost{SharedParts: shared}})
+	must.Nil(t, refusal)
+	a.RecordLimit(now, 2, now)
+	a.Pause(now, time.Minute)
+	a.End(now, endpointload.Succeeded)
+	must.Eq(t, 0, d.loads.View(now, "e1", shared).UncachedTokens)
+
+	d.DoubtIncarnation(now, "e1")
+	must.True(t, d.Reported(now, now.Add(1), "e1", now.Add(time.Second)))
+	for range 2 {
+		must.Eq(t, 500, d.loads.View(now, "e1", shared).UncachedTokens)
+		must.Eq(t, 0, d.LimitedEndpoints())
+		must.True(t, d.Accepting(e, false))
+		must.False(t, d.Accepting(e, true), must.Sprint("its version is unknown"))
+		d.Restarted(e.ID, e.Started)
+	}
+}
+
+// Guards against an older entry that is passed on late: it is not a restart.
+func TestLateCallWithOlderStartIsNoRestart(t *testing.T) {
+	now := time.Now()
+	d := newBuilds()
+	e := registry.Endpoint{ID: "e1", Service: "s", Version: "v1", Slots: 8, Started: now.Add(time.Second)}
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	a, refusal := d.PlaceEngine(now, &Request{Service: "s", Target: time.Second})
+	must.Nil(t, refusal)
+	a.Pause(now, time.Minute)
+	d.Restarted(e.ID, now)
+	must.False(t, d.Accepting(e, false))
+}
--- a/direct/dispatch/lapse_test.go
+++ b/direct/dispatch/lapse_test.go
@@ -29,7 +29,7 @@
 	d.registry.Put(e)
 	d.Restarted(e.ID, e.Started)
 	must.Eq(t, 1, d.LimitedEndpoints())
-	must.False(t, d.Accepting(e.ID))
+	must.False(t, d.Accepting(e, false))
 
 	d.registry.Remove(e.ID, now)
 	d.registry.Expire(now.Add(6 * time.Minute))
@@ -56,7 +56,7 @@
 	d.registry.Put(e)
 	d.Restarted(e.ID, e.Started)
 	must.Eq(t, 1, d.LimitedEndpoints())
-	must.False(t, d.Accepting(e.ID))
+	must.False(t, d.Accepting(e, false))
 
 	d.registry.Remove(e.ID, now)
 	d.EvictExpired(now)
@@ -64,7 +64,7 @@
 	d.registry.Put(e)
 	d.Restarted(e.ID, e.Started)
 	must.Eq(t, 0, d.LimitedEndpoints(), must.Sprint("another instance"))
-	must.True(t, d.Accepting(e.ID))
+	must.True(t, d.Accepting(e, false))
 
 	d.registry.Remove(e.ID, now)
 	d.registry.Expire(now.Add(2 * time.Minute))
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -156,6 +156,7 @@
 		Pool:       endpointhttp.NewPool(time.Second), Metrics: entry.NewMetrics(metrics.NewRegistry()),
 		MaxHeldBytes: 8 << 20, MaxInFlight: 100, Overload: &r.overload, Origins: &r.origins,
 	}
+	r.handler.Pool.OnBroken = func(id string, _ bool) { r.handler.Dispatcher.DoubtIncarnation(time.Now(), id) }
 	r.server = httptest.NewUnstartedServer(r.handler)
 	r.server.Config.ConnContext = entry.ConnContext
 	r.server.Start()
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
@@ -425,7 +426,7 @@
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
-		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Continued: r.build != streamorigin.AnyBuild,
+		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Resumable: r.isResumable(), Continued: r.build != streamorigin.AnyBuild,
 		Repeated: r.possibleExecutions > 0 || r.continues,
 	}
 }
@@ -453,8 +454,8 @@
 // recheck is called immediately before the request is sent to an endpoint. On a busy
 // host, much time may have passed since it was placed. It returns an error if the
 // caller has disconnected, the deadline has passed, or the endpoint is draining or
-// gone.
-func (r *request) recheck(instance string) error {
+// gone, or may have restarted.
+func (r *request) recheck(chosen registry.Endpoint) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
 		r.disconnected = true
 		return errConnectionClosed
@@ -462,7 +463,7 @@
 	if !time.Now().Before(r.deadline) {
 		return errDeadlinePassed
 	}
-	if !r.h.Dispatcher.Accepting(instance) {
+	if !r.h.Dispatcher.Accepting(chosen, r.isResumable()) {
 		return errEndpointGone
 	}
 	return nil
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -77,7 +77,7 @@
 		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
 		Recheck: func() error {
 			assignment.Sent(time.Now())
-			return r.recheck(instance)
+			return r.recheck(assignment.Endpoint)
 		},
 	}
 }
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -51,9 +51,12 @@
 
 // takesUpStream reports whether the caller has the first events of the stream.
 func (r *request) takesUpStream() bool {
-	return r.route.Semantics == routing.Stream && r.route.Resumable && r.in.Header.Get(r.h.Dialect.LastEventID) != ""
+	return r.isResumable() && r.in.Header.Get(r.h.Dialect.LastEventID) != ""
 }
 
+// isResumable reports whether the request is a stream that another endpoint may continue.
+func (r *request) isResumable() bool { return r.route.Semantics == routing.Stream && r.route.Resumable }
+
 // originBuild returns the build that began the stream whose first event an attempt brought.
 func (r *request) originBuild(attempt string) (streamorigin.Build, bool) {
 	var services []string
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -524,6 +524,19 @@
 	return reading < minActiveReaders && (readsStore || isProbeTurn(now, rank, len(fleet)))
 }
 
+// HasStoreReader reports whether a peer currently reads the store.
+func (m *Mesh) HasStoreReader() bool {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.readsStore && now.Sub(p.lastReport) <= readerTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // streamSavers is the number of routers that save the origins of streams for the fleet. With
 // two, one may fail.
 const streamSavers = 2
--- a/direct/process.go
+++ b/direct/process.go
@@ -18,6 +18,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/direct/confirm"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/entry"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
@@ -82,6 +83,8 @@
 	Output   io.Writer
 	// ReadyPath is the URL path of the readiness check.
 	ReadyPath string
+	// Report describes how endpoints report their start time.
+	Report confirm.Report
 	// Signals delivers SIGTERM and SIGINT, which drain the router, and SIGHUP.
 	Signals <-chan os.Signal
 	// Reload reads the settings again after SIGHUP; nil if there is nothing to
@@ -100,13 +103,16 @@
 	handler    *entry.Handler
 	follower   *follow.Follower
 	origins    *origins.Origins
-	mesh       *mesh.Mesh
-	listeners  listeners
-	monitor    overload.Monitor
-	admission  overload.Admission
-	pacer      overload.Pacer
-	rotation   *overload.Rotation
-	stopping   chan struct{}
+	confirmer  *confirm.Confirmer
+	// steadySince is the latest result of storeSteadySince.
+	steadySince time.Time
+	mesh        *mesh.Mesh
+	listeners   listeners
+	monitor     overload.Monitor
+	admission   overload.Admission
+	pacer       overload.Pacer
+	rotation    *overload.Rotation
+	stopping    chan struct{}
 }
 
 type listeners struct {
@@ -199,6 +205,32 @@
 		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
 	})
 	p.handler.Origins = p.origins
+	p.confirmer = &confirm.Confirmer{
+		Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect, Report: p.options.Report,
+		SteadySince: p.storeSteadySince, Log: p.log, Metrics: p.metrics,
+	}
+	p.pool.OnBroken = p.doubtIncarnation
+}
+
+// doubtIncarnation handles a broken connection to an endpoint. While the store answers, it tells of a
+// restart; endpoints also close idle connections while they run.
+func (p *process) doubtIncarnation(id string, idle bool) {
+	now := time.Now()
+	if !idle || p.endpoints.EntriesDue(now) > 0 {
+		p.dispatcher.DoubtIncarnation(now, id)
+	}
+}
+
+// storeSteadySince returns since when the store has answered this router or a peer, as far as this
+// router knows, or the zero time. Only the confirmer calls it.
+func (p *process) storeSteadySince(now time.Time) time.Time {
+	switch {
+	case !p.follower.ReadsStore() && !p.mesh.HasStoreReader():
+		p.steadySince = time.Time{}
+	case p.steadySince.IsZero():
+		p.steadySince = now
+	}
+	return p.steadySince
 }
 
 // longestStream returns the longest timeout of a route whose streams may be resumed.
@@ -261,6 +293,7 @@
 	group.Go(func() error { return p.mesh.SendLimits(ctx) })
 	group.Go(func() error { return p.keepCrashes(ctx) })
 	group.Go(func() error { return p.origins.Run(ctx) })
+	group.Go(func() error { return p.confirmer.Run(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
 	group.Go(func() error {
 		return p.follower.Announce(ctx, p.options.Settings.Name, p.listeners.fleet.Addr().String())
@@ -404,6 +437,7 @@
 			metrics.GetOrRegisterGauge("direct.lateness_ms", p.metrics).Update(p.monitor.SchedulingDelay().Milliseconds())
 			metrics.GetOrRegisterGauge("direct.quarantined_prompts", p.metrics).Update(int64(p.dispatcher.QuarantinedSets()))
 			metrics.GetOrRegisterGauge("direct.limited_endpoints", p.metrics).Update(int64(p.dispatcher.LimitedEndpoints()))
+			metrics.GetOrRegisterGauge("direct.doubted_endpoints", p.metrics).Update(int64(p.dispatcher.DoubtedEndpoints()))
 			metrics.GetOrRegisterGauge("direct.stream_origins", p.metrics).Update(int64(p.origins.Len()))
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -78,10 +78,14 @@
 	conn     *conn
 	pool     *Pool
 	instance string
+	// ctx is the context of Do.
+	ctx context.Context
 	// stop ends the watch on the context of Do. It returns false if the context
 	// has ended and the connection is being closed.
 	stop     func() bool
 	complete bool
+	// failed is set once the body could not be read.
+	failed bool
 	// early is set if the response arrived before the whole request was written.
 	early bool
 }
@@ -97,6 +101,19 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	return p.doOn(ctx, c, t, r)
+}
+
+// DoNew sends a request like Do, on a new connection.
+func (p *Pool) DoNew(ctx context.Context, t Target, r *Request) (*Response, error) {
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	return p.doOn(ctx, c, t, r)
+}
+
+func (p *Pool) doOn(ctx context.Context, c *conn, t Target, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.checkBeforeSend(ctx); err != nil {
 		stop()
@@ -105,14 +122,22 @@
 	}
 	response, err := c.exchange(r)
 	if err != nil {
+		p.noteBroken(ctx, t.Instance, err)
 		stop()
 		_ = c.Close()
 		return nil, err
 	}
-	response.pool, response.instance, response.stop = p, t.Instance, stop
+	response.pool, response.instance, response.ctx, response.stop = p, t.Instance, ctx, stop
 	return response, nil
 }
 
+// noteBroken calls OnBroken for an error of an exchange, unless this process closed the connection.
+func (p *Pool) noteBroken(ctx context.Context, instance string, err error) {
+	if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+		p.broken(instance, false)
+	}
+}
+
 // checkBeforeSend returns an error if ctx is done or the request must not be sent any
 // more.
 func (r *Request) checkBeforeSend(ctx context.Context) error {
@@ -233,8 +258,12 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.raw.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.response.complete = true
+	case err != nil && !b.response.failed:
+		b.response.failed = true
+		b.response.pool.noteBroken(b.response.ctx, b.response.instance, err)
 	}
 	return n, err
 }
--- a/transport/endpointhttp/pool.go
+++ b/transport/endpointhttp/pool.go
@@ -23,6 +23,10 @@
 type Pool struct {
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
+	// OnBroken, if not nil, is called when a connection to an instance could not be opened, or broke
+	// and this process didn't close it. idle is set if no exchange was in progress on it. It is set
+	// before the pool is used.
+	OnBroken func(instance string, idle bool)
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -45,14 +49,24 @@
 		if c.reusable() {
 			return c, nil
 		}
+		p.broken(t.Instance, true)
 		_ = c.Close()
 	}
 	return p.dial(ctx, t)
 }
 
+func (p *Pool) broken(instance string, idle bool) {
+	if p.OnBroken != nil {
+		p.OnBroken(instance, idle)
+	}
+}
+
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	c, err := dial(ctx, t.Address, p.DialTimeout)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.broken(t.Instance, false)
+		}
 		return nil, err
 	}
 	p.mu.Lock()
