A peer that doesn't respond delays no endpoint's removal

Cause: one loop expired endpoints, fetched configurations and fetched endpoint entries, one after the other. A peer that doesn't respond held each round up by its timeout of a second, and with it the removals that other peers had and the end of the grace period of 1.7 s.

Change: each topic has its own loop, and so has expiry. Right before a request is sent, the end of the grace period counts even if expiry is late.

--- a/direct/dispatch/incarnations.go
+++ b/direct/dispatch/incarnations.go
@@ -11,8 +11,9 @@
 // begins or continues a stream which another endpoint of the same build may continue; such a request
 // must run at the incarnation that was chosen.
 func (d *Dispatcher) Accepting(chosen registry.Endpoint, resumable bool) bool {
-	e, ok := d.registry.Lookup(chosen.ID)
-	if !ok || e.State != registry.Ready {
+	now := time.Now()
+	e, ok := d.registry.Accepting(chosen.ID, now)
+	if !ok {
 		return false
 	}
 	d.mu.Lock()
@@ -20,7 +21,7 @@
 	if resumable && (!d.incarnations.Confirmed(e.ID) || !e.Started.Equal(chosen.Started) || e.Version != chosen.Version) {
 		return false
 	}
-	return d.loads.PausedUntil(time.Now(), e.ID).IsZero()
+	return d.loads.PausedUntil(now, e.ID).IsZero()
 }
 
 // Restarted records the start time in the entry of an endpoint. A changed start time discards what
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -33,7 +33,7 @@
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
 	// peerFetchInterval is the interval at which missing records are fetched from
-	// peers.
+	// peers and endpoints expire.
 	peerFetchInterval = 200 * time.Millisecond
 	// readerCheckInterval is the interval at which a router that does not read the
 	// store, because its peers do, checks whether it must read it itself.
@@ -122,7 +122,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.followTopic(ctx, Configuration) })
 	group.Go(func() error { return f.followTopic(ctx, Endpoints) })
-	group.Go(func() error { return f.followPeers(ctx) })
+	group.Go(func() error { return f.followPeers(ctx, Configuration) })
+	group.Go(func() error { return f.followPeers(ctx, Endpoints) })
+	group.Go(func() error { return f.expireEndpoints(ctx) })
 	return group.Wait()
 }
 
@@ -364,9 +366,9 @@
 	}
 }
 
-// followPeers periodically expires endpoints and fetches missing records from
-// peers.
-func (f *Follower) followPeers(ctx context.Context) error {
+// followPeers periodically fetches missing records of a topic from peers. A peer that doesn't respond
+// delays only that topic.
+func (f *Follower) followPeers(ctx context.Context, topic Topic) error {
 	ticker := time.NewTicker(peerFetchInterval)
 	defer ticker.Stop()
 	for {
@@ -374,16 +376,27 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-		}
-		if f.endpoints.Expire(time.Now()) {
-			f.OnChange()
-		}
-		for _, topic := range []Topic{Configuration, Endpoints} {
 			f.fetchFromPeers(ctx, topic)
 		}
 	}
 }
 
+// expireEndpoints periodically removes the endpoints whose grace period has ended.
+func (f *Follower) expireEndpoints(ctx context.Context) error {
+	ticker := time.NewTicker(peerFetchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			if f.endpoints.Expire(time.Now()) {
+				f.OnChange()
+			}
+		}
+	}
+}
+
 // fetchFromPeers fetches and applies the records of a topic that a peer has and
 // that this router has not received from the store yet.
 func (f *Follower) fetchFromPeers(ctx context.Context, topic Topic) {
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -55,11 +55,15 @@
 }
 
 func runFollowerWithPeers(t *testing.T, peerStore *directtest.Store, peersReadStore bool, test func(f *fixture)) {
+	runFollowerWith(t, peers{store: peerStore, peersReadStore: peersReadStore}, test)
+}
+
+func runFollowerWith(t *testing.T, p follow.Peers, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{store: directtest.NewStore(), routes: &routing.Store{}, endpoints: registry.NewTable()}
 		f.follower = follow.New(follow.Options{
 			ReadWait: readWait,
-			Store:    f.store, Decoder: directtest.Decoder{}, Peers: peers{store: peerStore, peersReadStore: peersReadStore}, Routes: f.routes,
+			Store:    f.store, Decoder: directtest.Decoder{}, Peers: p, Routes: f.routes,
 			Endpoints: f.endpoints, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -320,6 +320,18 @@
 	return ids
 }
 
+// Accepting returns an endpoint by ID if it accepts requests at now. Unlike Ready, it regards the end
+// of a grace period before Expire does.
+func (t *Table) Accepting(id string, now time.Time) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || e.endpoint.State != Ready || !e.removeAt.IsZero() && now.After(e.removeAt) {
+		return Endpoint{}, false
+	}
+	return e.endpoint, true
+}
+
 // Lookup returns an endpoint by ID.
 func (t *Table) Lookup(id string) (Endpoint, bool) {
 	t.mu.Lock()
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -158,3 +158,18 @@
 	must.Eq(t, RecoveryTime, table.EntriesDue(now.Add(time.Hour)))
 	must.Eq(t, 0, table.EntriesDue(now.Add(2*time.Hour)))
 }
+
+// Guards against requests to an endpoint whose grace period has ended, in a process that is late to
+// remove it.
+func TestGracePeriodEndsBeforeExpire(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	table.StoreUnavailable()
+	table.Remove("a", start)
+	_, ok := table.Accepting("a", start.Add(ExpiryGracePeriod))
+	must.True(t, ok)
+	_, ok = table.Accepting("a", start.Add(ExpiryGracePeriod+1))
+	must.False(t, ok)
+	_, ok = table.Accepting("b", start)
+	must.False(t, ok)
+}
