An outage of the store ends for routers that don't read it themselves

What callers saw (DRAIN): requests at endpoints that had left.

Cause: in a large fleet, few routers read the store for all others. A router that tried the store during an outage, and whose peers read it afterwards, never learned that the outage had ended. For as long as it ran, it kept each endpoint whose entry was removed for the grace period of 1.7 s, which is meant for entries that expire in an outage, after the time that the removal took to reach it from a peer.

Change: the outage ends for it when a peer reads the store. The time in which entries may be missing begins then, as for a reader.

--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -138,6 +138,9 @@
 	for ctx.Err() == nil {
 		if f.listed[topic].Load() && !f.peers.ShouldReadStore() {
 			f.reading[topic].Store(false)
+			if f.unreachable[topic].Load() && f.peers.HasStoreReader() {
+				f.markOutageEnded(topic)
+			}
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
@@ -357,10 +360,15 @@
 }
 
 func (f *Follower) markStoreReachable(topic Topic) {
+	f.reading[topic].Store(true)
+	f.markOutageEnded(topic)
+}
+
+// markOutageEnded records that the store answers this router or a peer that reads it.
+func (f *Follower) markOutageEnded(topic Topic) {
 	if topic == Endpoints {
 		f.endpoints.StoreRecovered(time.Now())
 	}
-	f.reading[topic].Store(true)
 	if f.unreachable[topic].Swap(false) {
 		f.log.Info("the store answers again", "topic", topic.String())
 	}
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -38,6 +38,7 @@
 }
 
 func (p peers) ShouldReadStore() bool { return !p.peersReadStore }
+func (p peers) HasStoreReader() bool  { return p.peersReadStore }
 
 const readWait = 1200 * time.Millisecond
 
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -70,4 +70,6 @@
 	Records(ctx context.Context, topic Topic, known mirror.Position) (batch mirror.Batch, found bool, err error)
 	// ShouldReadStore reports whether this router should read the store itself.
 	ShouldReadStore() bool
+	// HasStoreReader reports whether a peer currently reads the store.
+	HasStoreReader() bool
 }
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -28,6 +28,7 @@
 	return mirror.Batch{}, false, nil
 }
 func (noPeers) ShouldReadStore() bool { return true }
+func (noPeers) HasStoreReader() bool  { return false }
 
 // builds holds the builds of the endpoints of the service "engines".
 type builds struct {
