A router that is late to learn of its endpoints doesn't trust what it knows

Cause: right before a request is written, the router checks that the endpoint still accepts requests, by the entries that it has applied. A router without processor time, one that was stopped for a while, or one whose fetches from peers time out applies them late, and the check holds for an endpoint that left long ago.

Change: the table of endpoints records when this router last held all entries that its peers had told it of. In an outage of the store no peer has newer entries, and routers go on.

--- a/direct/dispatch/incarnations.go
+++ b/direct/dispatch/incarnations.go
@@ -24,6 +24,9 @@
 	return d.loads.PausedUntil(now, e.ID).IsZero()
 }
 
+// EntriesOutdated reports whether the known entries may be those of long ago.
+func (d *Dispatcher) EntriesOutdated(now time.Time) bool { return d.registry.Outdated(now) }
+
 // Restarted records the start time in the entry of an endpoint. A changed start time discards what
 // is known of the previous incarnation.
 func (d *Dispatcher) Restarted(id string, started time.Time) {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -449,20 +450,26 @@
 var (
 	errDeadlinePassed = errors.New("the deadline has passed")
 	errEndpointGone   = errors.New("the endpoint stopped accepting requests")
+	// errOutdatedEntries is an errEndpointGone: the endpoint may have left.
+	errOutdatedEntries = fmt.Errorf("%w, or this router is late to learn it", errEndpointGone)
 )
 
 // recheck is called immediately before the request is sent to an endpoint. On a busy
 // host, much time may have passed since it was placed. It returns an error if the
 // caller has disconnected, the deadline has passed, or the endpoint is draining or
-// gone, or may have restarted.
+// gone, or may have restarted, or if this router doesn't know its present entry.
 func (r *request) recheck(chosen registry.Endpoint) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
 		r.disconnected = true
 		return errConnectionClosed
 	}
-	if !time.Now().Before(r.deadline) {
+	now := time.Now()
+	if !now.Before(r.deadline) {
 		return errDeadlinePassed
 	}
+	if r.h.Dispatcher.EntriesOutdated(now) {
+		return errOutdatedEntries
+	}
 	if !r.h.Dispatcher.Accepting(chosen, r.isResumable()) {
 		return errEndpointGone
 	}
--- a/direct/entry/leaving_test.go
+++ b/direct/entry/leaving_test.go
@@ -51,3 +51,20 @@
 		})
 	}
 }
+
+// Guards against a request that is sent long after its endpoint left, by a router that is late to
+// learn it: between the placement and the write, the process gets no processor time.
+func TestLateRouterDoesNotTrustItsEntries(t *testing.T) {
+	const maxAge = 100 * time.Millisecond
+	r := newRouter(t)
+	e := r.add("e1", "plain", ok)
+	r.endpoints.SetMaxAge(maxAge)
+	r.endpoints.Checked(time.Now())
+	must.Eq(t, http.StatusOK, r.post("/lookup/x").status)
+	time.Sleep(maxAge + 10*time.Millisecond)
+	got := r.post("/lookup/x")
+	must.Eq(t, http.StatusServiceUnavailable, got.status, must.Sprint("a promise that it wasn't run"))
+	must.Eq(t, 1, len(e.Calls()))
+	r.endpoints.Checked(time.Now())
+	must.Eq(t, http.StatusOK, r.post("/lookup/x").status, must.Sprint("lateness is no evidence against the endpoint"))
+}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -408,6 +408,7 @@
 // fetchFromPeers fetches and applies the records of a topic that a peer has and
 // that this router has not received from the store yet.
 func (f *Follower) fetchFromPeers(ctx context.Context, topic Topic) {
+	began := time.Now()
 	batch, found, err := f.peers.Records(ctx, topic, f.mirrors[topic].Position())
 	if err != nil {
 		if f.limiter.Allow(time.Now(), topic.String(), "peer") {
@@ -416,6 +417,7 @@
 		return
 	}
 	if !found {
+		f.markChecked(topic, began)
 		return
 	}
 	if len(batch.Records) > 0 {
@@ -426,11 +428,19 @@
 		f.log.Warn("apply records from peer failed", "topic", topic.String(), "error", err.Error())
 		return
 	}
+	f.markChecked(topic, began)
 	if len(batch.Records) > 0 {
 		f.loaded[topic].Store(true)
 	}
 }
 
+// markChecked records that this router had the records of a topic, at a time, that its peers had.
+func (f *Follower) markChecked(topic Topic, at time.Time) {
+	if topic == Endpoints {
+		f.endpoints.Checked(at)
+	}
+}
+
 // Era returns the latest era of the store that is known here. Records written in an
 // earlier one may be lost.
 func (f *Follower) Era() int64 {
--- a/direct/process.go
+++ b/direct/process.go
@@ -181,6 +181,9 @@
 	s := &p.options.Settings
 	p.routes = &routing.Store{}
 	p.endpoints = registry.NewTable()
+	// Entries that this router reads or fetches later than that would leave too little of the bound on
+	// draining for the way of a record to it and of a request to the endpoint.
+	p.endpoints.SetMaxAge(s.StoreWait)
 	limits := retry.Limits{Floor: s.RetryFloor, Fraction: s.RetryFraction}
 	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
 	p.pool = endpointhttp.NewPool(dialTimeout)
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -75,6 +75,10 @@
 	suspended map[string]suspension
 	// leaving holds the start times of the instances that said that they leave, by ID.
 	leaving map[string]time.Time
+	// maxAge is the age from which the table counts as outdated; 0 if it never does.
+	maxAge time.Duration
+	// checkedAt is the latest time at which the table held all that was known to have been written.
+	checkedAt time.Time
 }
 
 type departure struct {
@@ -320,6 +324,31 @@
 	return ids
 }
 
+// SetMaxAge sets the time without a check after which the table counts as outdated.
+func (t *Table) SetMaxAge(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxAge = d
+}
+
+// Checked records that the table held at a time all entries that this router knew to have been
+// written.
+func (t *Table) Checked(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.checkedAt) {
+		t.checkedAt = at
+	}
+}
+
+// Outdated reports whether entries that were written long ago may be missing, because this router is
+// late to read them or to check whether there are any.
+func (t *Table) Outdated(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maxAge > 0 && !t.checkedAt.IsZero() && now.Sub(t.checkedAt) > t.maxAge
+}
+
 // Accepting returns an endpoint by ID if it accepts requests at now. Unlike Ready, it regards the end
 // of a grace period before Expire does.
 func (t *Table) Accepting(id string, now time.Time) (Endpoint, bool) {
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -173,3 +173,21 @@
 	_, ok = table.Accepting("b", start)
 	must.False(t, ok)
 }
+
+// Guards against a table that counts as outdated before its first check or without a bound, and
+// against one that doesn't although it was not checked in time.
+func TestTableIsOutdatedWithoutChecks(t *testing.T) {
+	const maxAge = time.Second
+	table := NewTable()
+	table.Checked(start)
+	must.False(t, table.Outdated(start.Add(time.Hour)))
+	table = NewTable()
+	table.SetMaxAge(maxAge)
+	must.False(t, table.Outdated(start))
+	table.Checked(start)
+	must.False(t, table.Outdated(start.Add(maxAge)))
+	must.True(t, table.Outdated(start.Add(maxAge+1)))
+	table.Checked(start.Add(2 * maxAge))
+	table.Checked(start)
+	must.False(t, table.Outdated(start.Add(3*maxAge)))
+}
