The beginning of a request is written right after the check of its endpoint

Cause: the check was followed by the encoding of the headers and, for a body of more than 96 KiB, by the start of another goroutine that wrote the whole request. In a process without processor time, that goroutine waits behind all others, and what was checked may no longer hold.

Ruled out: requests with shorter bodies, which the checking goroutine wrote itself.

Change: the headers are encoded first; the goroutine that checks writes the headers and the first 96 KiB, and only the rest of a longer body is written concurrently. A connection on which nothing was sent because the check failed is kept, with the time since which it has been idle.

Evidence: TestRequestIsWrittenRightAfterItsCheck failed before with 96 KiB + 1 (the response was read before anything was written), and so did TestConnectionIsKeptIfTheCheckFails (the connection was closed). TestLongBodyArrivesWhole checks the seam.

--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -115,12 +115,11 @@
 
 func (p *Pool) doOn(ctx context.Context, c *conn, t Target, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := r.checkBeforeSend(ctx); err != nil {
-		stop()
-		_ = c.Close()
-		return nil, &NotSentError{Err: err}
+	response, err := c.exchange(ctx, r)
+	if NotSent(err) && stop() {
+		p.putUnused(t.Instance, c)
+		return nil, err
 	}
-	response, err := c.exchange(r)
 	if err != nil {
 		p.noteBroken(ctx, t.Instance, err)
 		stop()
@@ -133,7 +132,7 @@
 
 // noteBroken calls OnBroken for an error of an exchange, unless this process closed the connection.
 func (p *Pool) noteBroken(ctx context.Context, instance string, err error) {
-	if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+	if ctx.Err() == nil && !NotSent(err) && !errors.Is(err, net.ErrClosed) {
 		p.broken(instance, false)
 	}
 }
@@ -150,18 +149,29 @@
 	return nil
 }
 
-// exchange writes the request and reads the response headers. A long body is
-// written concurrently with the reading, since an endpoint may respond before
-// it has read the whole request.
-func (c *conn) exchange(r *Request) (*Response, error) {
+// exchange writes the request and reads the response headers. It returns a *NotSentError if the check
+// before the write failed. The beginning of the request is written right after the check, by the same
+// goroutine; the rest of a long body is written concurrently with the reading, since an endpoint may
+// respond before it has read the whole request.
+func (c *conn) exchange(ctx context.Context, r *Request) (*Response, error) {
+	head := head(r)
+	first, rest := r.Body, []byte(nil)
+	if len(r.Body) > MaxSyncBodySize {
+		first, rest = r.Body[:MaxSyncBodySize], r.Body[MaxSyncBodySize:]
+	}
+	if err := r.checkBeforeSend(ctx); err != nil {
+		return nil, &NotSentError{Err: err}
+	}
 	reused := c.requestsSent > 0
 	c.requestsSent++
 	written := make(chan error, 1)
-	head := head(r)
-	if len(r.Body) <= MaxSyncBodySize {
-		written <- c.write(head, r.Body)
+	if err := c.write(head, first); err != nil || len(rest) == 0 {
+		written <- err
 	} else {
-		go func() { written <- c.write(head, r.Body) }()
+		go func() {
+			_, err := c.Conn.Write(rest)
+			written <- err
+		}()
 	}
 	response, err := c.readResponse(r, reused)
 	early := false
@@ -182,9 +192,9 @@
 	return resp, nil
 }
 
-// MaxSyncBodySize is the maximum size in bytes of a body that fits into the socket's
-// send buffer and is therefore written synchronously. A longer body is written
-// by a separate goroutine and may still be in use after Do has returned.
+// MaxSyncBodySize is the maximum size in bytes of the part of a body that fits into the
+// socket's send buffer and is therefore written synchronously. The rest of a longer body is
+// written by a separate goroutine and may still be in use after Do has returned.
 const MaxSyncBodySize = 96 << 10
 
 func (c *conn) write(head, rest []byte) error {
--- a/transport/endpointhttp/pool.go
+++ b/transport/endpointhttp/pool.go
@@ -115,6 +115,19 @@
 // put adds c to the pool, or closes it if the pool of the instance is full.
 func (p *Pool) put(instance string, c *conn) {
 	c.idleSince = time.Now()
+	p.add(instance, c)
+}
+
+// putUnused returns c to the pool, or adds it, after nothing was sent on it. The endpoint counts it as
+// idle since its latest response.
+func (p *Pool) putUnused(instance string, c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	p.add(instance, c)
+}
+
+func (p *Pool) add(instance string, c *conn) {
 	p.mu.Lock()
 	list := p.idle[instance]
 	if len(list) < maxIdleConnsPerInstance {
