--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
@@ -430,7 +432,7 @@
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
-		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Continued: r.build != streamorigin.AnyBuild,
+		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Resumable: r.isResumable(), Continued: r.build != streamorigin.AnyBuild,
 		Repeated: r.possibleExecutions > 0 || r.continues, Begun: r.responseBegun,
 	}
 }
@@ -453,21 +455,27 @@
 var (
 	errDeadlinePassed = errors.New("the deadline has passed")
 	errEndpointGone   = errors.New("the endpoint stopped accepting requests")
+	// errOutdatedEntries is an errEndpointGone: the endpoint may have left.
+	errOutdatedEntries = fmt.Errorf("%w, or this router is late to learn it", errEndpointGone)
 )
 
 // recheck is called immediately before the request is sent to an endpoint. On a busy
 // host, much time may have passed since it was placed. It returns an error if the
 // caller has disconnected, the deadline has passed, or the endpoint is draining or
-// gone.
-func (r *request) recheck(instance string) error {
+// gone, or may have restarted, or if this router doesn't know its present entry.
+func (r *request) recheck(chosen registry.Endpoint) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
 		r.disconnected.Store(true)
 		return errConnectionClosed
 	}
-	if !time.Now().Before(r.deadline) {
+	now := time.Now()
+	if !now.Before(r.deadline) {
 		return errDeadlinePassed
 	}
-	if !r.h.Dispatcher.Accepting(instance) {
+	if r.h.Dispatcher.EntriesOutdated(now) {
+		return errOutdatedEntries
+	}
+	if !r.h.Dispatcher.Accepting(chosen, r.isResumable()) {
 		return errEndpointGone
 	}
 	return nil
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -77,7 +77,7 @@
 		Recheck: func(unread func() bool) error {
 			a.unread.Store(&unread)
 			a.assignment.Sent(time.Now())
-			return r.recheck(instance)
+			return r.recheck(a.assignment.Endpoint)
 		},
 	}
 }
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -38,6 +38,7 @@
 }
 
 func (p peers) ShouldReadStore() bool { return !p.peersReadStore }
+func (p peers) HasStoreReader() bool  { return p.peersReadStore }
 
 const readWait = 1200 * time.Millisecond
 
@@ -55,11 +56,15 @@
 }
 
 func runFollowerWithPeers(t *testing.T, peerStore *directtest.Store, peersReadStore bool, test func(f *fixture)) {
+	runFollowerWith(t, peers{store: peerStore, peersReadStore: peersReadStore}, test)
+}
+
+func runFollowerWith(t *testing.T, p follow.Peers, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{store: directtest.NewStore(), routes: &routing.Store{}, endpoints: registry.NewTable()}
 		f.follower = follow.New(follow.Options{
 			ReadWait: readWait,
-			Store:    f.store, Decoder: directtest.Decoder{}, Peers: peers{store: peerStore, peersReadStore: peersReadStore}, Routes: f.routes,
+			Store:    f.store, Decoder: directtest.Decoder{}, Peers: p, Routes: f.routes,
 			Endpoints: f.endpoints, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -158,3 +158,36 @@
 	must.Eq(t, RecoveryTime, table.EntriesDue(now.Add(time.Hour)))
 	must.Eq(t, 0, table.EntriesDue(now.Add(2*time.Hour)))
 }
+
+// Guards against requests to an endpoint whose grace period has ended, in a process that is late to
+// remove it.
+func TestGracePeriodEndsBeforeExpire(t *testing.T) {
+	table := NewTable()
+	table.Put(ready("a"))
+	table.StoreUnavailable()
+	table.Remove("a", start)
+	_, ok := table.Accepting("a", start.Add(ExpiryGracePeriod))
+	must.True(t, ok)
+	_, ok = table.Accepting("a", start.Add(ExpiryGracePeriod+1))
+	must.False(t, ok)
+	_, ok = table.Accepting("b", start)
+	must.False(t, ok)
+}
+
+// Guards against a table that counts as outdated before its first check or without a bound, and
+// against one that doesn't although it was not checked in time.
+func TestTableIsOutdatedWithoutChecks(t *testing.T) {
+	const maxAge = time.Second
+	table := NewTable()
+	table.Checked(start)
+	must.False(t, table.Outdated(start.Add(time.Hour)))
+	table = NewTable()
+	table.SetMaxAge(maxAge)
+	must.False(t, table.Outdated(start))
+	table.Checked(start)
+	must.False(t, table.Outdated(start.Add(maxAge)))
+	must.True(t, table.Outdated(start.Add(maxAge+1)))
+	table.Checked(start.Add(2 * maxAge))
+	table.Checked(start)
+	must.False(t, table.Outdated(start.Add(3*maxAge)))
+}
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -83,10 +83,14 @@
 	conn     *conn
 	pool     *Pool
 	instance string
+	// ctx is the context of Do.
+	ctx context.Context
 	// stop ends the watch on the context of Do. It returns false if the context
 	// has ended and the connection is being closed.
 	stop     func() bool
 	complete bool
+	// failed is set once the body could not be read.
+	failed bool
 	// early is set if the response arrived before the whole request was written.
 	early bool
 }
@@ -102,22 +106,42 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := r.checkBeforeSend(ctx, c); err != nil {
-		stop()
-		_ = c.Close()
+	return p.doOn(ctx, c, t, r)
+}
+
+// DoNew sends a request like Do, on a new connection.
+func (p *Pool) DoNew(ctx context.Context, t Target, r *Request) (*Response, error) {
+	c, err := p.dial(ctx, t)
+	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	response, err := c.exchange(r)
+	return p.doOn(ctx, c, t, r)
+}
+
+func (p *Pool) doOn(ctx context.Context, c *conn, t Target, r *Request) (*Response, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	response, err := c.exchange(ctx, r)
+	if NotSent(err) && stop() {
+		p.putUnused(t.Instance, c)
+		return nil, err
+	}
 	if err != nil {
+		p.noteBroken(ctx, t.Instance, err)
 		stop()
 		_ = c.Close()
 		return nil, err
 	}
-	response.pool, response.instance, response.stop = p, t.Instance, stop
+	response.pool, response.instance, response.ctx, response.stop = p, t.Instance, ctx, stop
 	return response, nil
 }
 
+// noteBroken calls OnBroken for an error of an exchange, unless this process closed the connection.
+func (p *Pool) noteBroken(ctx context.Context, instance string, err error) {
+	if ctx.Err() == nil && !NotSent(err) && !errors.Is(err, net.ErrClosed) {
+		p.broken(instance, false)
+	}
+}
+
 // checkBeforeSend returns an error if ctx is done or the request must not be sent any
 // more.
 func (r *Request) checkBeforeSend(ctx context.Context, c *conn) error {
@@ -130,18 +154,29 @@
 	return nil
 }
 
-// exchange writes the request and reads the response headers. A long body is
-// written concurrently with the reading, since an endpoint may respond before
-// it has read the whole request.
-func (c *conn) exchange(r *Request) (*Response, error) {
+// exchange writes the request and reads the response headers. It returns a *NotSentError if the check
+// before the write failed. The beginning of the request is written right after the check, by the same
+// goroutine; the rest of a long body is written concurrently with the reading, since an endpoint may
+// respond before it has read the whole request.
+func (c *conn) exchange(ctx context.Context, r *Request) (*Response, error) {
+	head := head(r)
+	first, rest := r.Body, []byte(nil)
+	if len(r.Body) > MaxSyncBodySize {
+		first, rest = r.Body[:MaxSyncBodySize], r.Body[MaxSyncBodySize:]
+	}
+	if err := r.checkBeforeSend(ctx, c); err != nil {
+		return nil, &NotSentError{Err: err}
+	}
 	reused := c.requestsSent > 0
 	c.requestsSent++
 	written := make(chan error, 1)
-	head := head(r)
-	if len(r.Body) <= MaxSyncBodySize {
-		written <- c.write(head, r.Body)
+	if err := c.write(head, first); err != nil || len(rest) == 0 {
+		written <- err
 	} else {
-		go func() { written <- c.write(head, r.Body) }()
+		go func() {
+			_, err := c.Conn.Write(rest)
+			written <- err
+		}()
 	}
 	response, err := c.readResponse(r, reused)
 	early := false
@@ -162,9 +197,9 @@
 	return resp, nil
 }
 
-// MaxSyncBodySize is the maximum size in bytes of a body that fits into the socket's
-// send buffer and is therefore written synchronously. A longer body is written
-// by a separate goroutine and may still be in use after Do has returned.
+// MaxSyncBodySize is the maximum size in bytes of the part of a body that fits into the
+// socket's send buffer and is therefore written synchronously. The rest of a longer body is
+// written by a separate goroutine and may still be in use after Do has returned.
 const MaxSyncBodySize = 96 << 10
 
 func (c *conn) write(head, rest []byte) error {
@@ -241,8 +276,12 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.raw.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.response.complete = true
+	case err != nil && !b.response.failed:
+		b.response.failed = true
+		b.response.pool.noteBroken(b.response.ctx, b.response.instance, err)
 	}
 	return n, err
 }
