Judging crashes no longer stops a router for seconds

Callers: with 128 interrupted attempts that have 60 parts each, every further crash, and every report of a peer with something new, kept the dispatcher's lock for 3 s; no request was placed meanwhile.

Cause: the common parts of each pair of attempts were compared with all attempts, part by part: 8,128 pairs x 128 attempts x 60 x 60 comparisons. In addition, the sets were derived once for each attempt of a crash instead of once a crash.

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -106,7 +106,9 @@
 		return false
 	}
 	if down {
-		t.add(i)
+		if t.add(i) {
+			t.update()
+		}
 		return false
 	}
 	t.pending = slices.DeleteFunc(t.pending, func(p pending) bool { return i.At.Sub(p.At) > confirmTimeout })
@@ -123,27 +125,31 @@
 	if len(t.pending) == 0 {
 		return
 	}
-	kept := t.pending[:0]
+	kept, changed := t.pending[:0], false
 	for _, p := range t.pending {
 		switch {
 		case now.Sub(p.At) > confirmTimeout:
 		case p.endpoint == endpoint:
-			t.add(p.Interrupted)
+			changed = t.add(p.Interrupted) || changed
 		default:
 			kept = append(kept, p)
 		}
 	}
 	t.pending = kept
+	if changed {
+		t.update()
+	}
 }
 
-func (t *Table) add(i Interrupted) {
+// add adds an interrupted attempt and reports whether that may change the sets.
+func (t *Table) add(i Interrupted) (changed bool) {
 	if !t.merge(i) {
-		return
+		return false
 	}
 	if len(t.news.Interrupted) < maxInterrupted {
 		t.news.Interrupted = append(t.news.Interrupted, i)
 	}
-	t.update()
+	return true
 }
 
 // merge adds an interrupted attempt that has suspects and reports whether that may change
@@ -264,8 +270,16 @@
 
 // cleared reports whether a part counts as sound for a crash at this time.
 func (t *Table) cleared(part uint64, crash time.Time) bool {
+	return crash.Before(t.soundUntil(part))
+}
+
+// soundUntil returns the time before which crashes don't make a part a suspect.
+func (t *Table) soundUntil(part uint64) time.Time {
 	at, ok := t.servedAt(part)
-	return ok && at.After(crash.Add(-clearedFor))
+	if !ok {
+		return time.Time{}
+	}
+	return at.Add(clearedFor)
 }
 
 // servedAt returns the time of the latest served request with a part, or of the latest
