Records written between the pages of a listing are read

Callers: with more endpoints than a page of the store holds, a router could miss that an endpoint was draining, gone or new until its entry changed again.

Cause: a listing ends at the end offset of its first page, so that the reads after it find what was written meanwhile. But the mirror moved its position behind each record that it stored: a record on a later page with an offset after that end moved it over those before, of keys on earlier pages. A tombstone that is derived from a listing could move it over one record, too.

Change: only the end of a batch moves the position. Records beyond it are read again, which changes nothing.

Ruled out: the pages themselves; the store's listing returns the end of the first one (TestReadContinuesAfterPagedList). Records of peers are contiguous with the position.

Evidence: TestRecordsWrittenDuringAListingAreRead (first listing, same era, restored store) and TestDerivedTombstonesLeaveThePosition failed before: positions 12 instead of 10, and 11 instead of 10.

--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -48,7 +48,8 @@
 	Records []Record
 	// End is the position after the records.
 	End Position
-	// Complete is set if the newest record of each key below End is included.
+	// Complete is set if the newest record of each key below End is included. Records at or
+	// after End may be, too.
 	Complete bool
 }
 
@@ -108,7 +109,8 @@
 	return Change{Applied: applied}, nil
 }
 
-// store stores the records that replace the stored ones and returns them.
+// store stores the records that replace the stored ones and returns them. It leaves the
+// position: a complete batch may hold records after its end, and lack others there.
 func (t *Topic) store(records []Record) []Record {
 	var stored []Record
 	for _, r := range records {
@@ -117,7 +119,6 @@
 		}
 		t.set(r)
 		stored = append(stored, r)
-		t.position.Next = max(t.position.Next, r.Offset+1)
 	}
 	if t.tombstones > maxTombstones {
 		t.deleteTombstones()
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -60,6 +60,43 @@
 	must.True(t, change.Applied[1].IsTombstone())
 }
 
+// Guards against records that are never read because a listing holds a later one: its pages are
+// not a snapshot, so that a record written between two of them may be missing before one that
+// is included.
+func TestRecordsWrittenDuringAListingAreRead(t *testing.T) {
+	for name, known := range map[string]Position{"first listing": {Era: noEra}, "same era": {Era: 1, Next: 4}, "restored store": {Era: 0, Next: 30}} {
+		t.Run(name, func(t *testing.T) {
+			topic := NewTopic()
+			if known.Era != noEra {
+				apply(t, topic, Batch{Records: []Record{{Key: "z", Value: []byte("x"), Offset: known.Next - 1}}, End: known, Complete: true})
+			}
+			// The first page ends with "a". "a" is written again at 10, and "z" at 11, before the
+			// second page is read.
+			apply(t, topic, Batch{
+				Records: []Record{{Key: "a", Value: []byte("ready"), Offset: 8}, {Key: "z", Value: []byte("new"), Offset: 11}},
+				End:     Position{Era: 1, Next: 10}, Complete: true,
+			})
+			must.Eq(t, Position{Era: 1, Next: 10}, topic.Position())
+			change := apply(t, topic, Batch{
+				Records: []Record{{Key: "a", Value: []byte("draining"), Offset: 10}, {Key: "z", Value: []byte("new"), Offset: 11}},
+				End:     Position{Era: 1, Next: 12},
+			})
+			must.Eq(t, []Record{{Key: "a", Value: []byte("draining"), Offset: 10}}, change.Applied)
+			must.Eq(t, Position{Era: 1, Next: 12}, topic.Position())
+		})
+	}
+}
+
+// Guards against a removed key whose tombstone, derived from a listing, moves the position over
+// the record that follows.
+func TestDerivedTombstonesLeaveThePosition(t *testing.T) {
+	topic := NewTopic()
+	apply(t, topic, Batch{Records: []Record{{Key: "removed", Value: []byte("x"), Offset: 9}}, End: Position{Era: 1, Next: 10}, Complete: true})
+	change := apply(t, topic, Batch{Records: []Record{{Key: "kept", Value: []byte("x"), Offset: 5}}, End: Position{Era: 1, Next: 10}, Complete: true})
+	must.Eq(t, "removed", change.Applied[1].Key)
+	must.Eq(t, Position{Era: 1, Next: 10}, topic.Position())
+}
+
 type testingT interface {
 	Helper()
 	Fatalf(format string, args ...any)
