A step of the time of day no longer resets the retry budget and the teams' usage

Callers: after a step of a router's clock, it could send up to twice the retries that the budget allows in its window, or fewer than its requests allow; a team's usage and the demand on limited endpoints were forgotten, so that a router admitted above a share or used none of a limit until the window had filled again.

Cause: coordination/retry numbered the buckets of its window by the time of day. The same was found in coordination/fairshare and coordination/requestlimit, the only other windows that do so.

Change: timebucket.Origin numbers the intervals since the first time that is counted, by the monotonic clock. A time before it, which another goroutine may have taken, belongs to the interval 0.

Ruled out: direct/mesh isProbeTurn also follows the time of day; routers take turns by it, so that it must be the one that they share, and a step only moves the turns.

Evidence: TestStepOfTheTimeOfDayKeepsTheCounts, -TheUsage and -TheDemand failed before (6 of 8, 4 of 4 and 4 of 4 cases: steps of an hour and of 3 s, back and ahead) and pass.

--- a/coordination/fairshare/fairshare.go
+++ b/coordination/fairshare/fairshare.go
@@ -10,6 +10,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket"
 )
 
 const (
@@ -39,6 +41,7 @@
 // Window counts one team's tokens in a sliding window. It is not safe for
 // concurrent use.
 type Window struct {
+	origin  timebucket.Origin
 	buckets [bucketCount]bucket
 }
 
@@ -59,14 +62,14 @@
 // Refund subtracts the tokens of a request that was counted as started but that no
 // engine processed. It has no effect if the tokens have left the window.
 func (w *Window) Refund(started time.Time, tokens int64) {
-	index := started.UnixNano() / int64(bucketWidth)
+	index := w.origin.Index(started, bucketWidth)
 	if b := &w.buckets[index%bucketCount]; b.index == index {
 		b.usage.Started -= tokens
 	}
 }
 
 func (w *Window) usageAt(now time.Time) *Usage {
-	index := now.UnixNano() / int64(bucketWidth)
+	index := w.origin.Index(now, bucketWidth)
 	b := &w.buckets[index%bucketCount]
 	if b.index != index {
 		*b = bucket{index: index}
@@ -76,7 +79,7 @@
 
 // Sum returns the counts within the window that ends at now.
 func (w *Window) Sum(now time.Time) Usage {
-	index := now.UnixNano() / int64(bucketWidth)
+	index := w.origin.Index(now, bucketWidth)
 	var total Usage
 	for _, b := range w.buckets {
 		if index-b.index < bucketCount && b.index <= index {
--- a/coordination/fairshare/fairshare_test.go
+++ b/coordination/fairshare/fairshare_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket/clocktest"
 )
 
 // Guards against a level above the capacity and against a level that leaves
@@ -64,3 +66,23 @@
 	w.Refund(now, 3)
 	must.Eq(t, 7, w.Sum(later).Started)
 }
+
+// Guards against a team whose usage is forgotten after a step of the time of day: it would get
+// more than its share, or be refused for what it no longer asks.
+func TestStepOfTheTimeOfDayKeepsTheUsage(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			var w Window
+			now := time.Now()
+			w.AddRequested(now, 5)
+			w.AddStarted(now, 3)
+			w.AddBegun(now, 2)
+			later := clocktest.Step(now.Add(time.Second), step)
+			must.Eq(t, Usage{Requested: 5, Started: 3, Begun: 2}, w.Sum(later))
+			w.AddRequested(later, 7)
+			w.Refund(clocktest.Step(now, step), 3)
+			must.Eq(t, Usage{Requested: 12, Begun: 2}, w.Sum(later))
+			must.Eq(t, Usage{}, w.Sum(clocktest.Step(now.Add(time.Second+WindowLength), step)))
+		})
+	}
+}
--- a/coordination/requestlimit/demand.go
+++ b/coordination/requestlimit/demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/rendezvous"
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket"
 )
 
 const (
@@ -30,6 +31,7 @@
 type demand struct {
 	// self is the instance of this router.
 	self    string
+	origin  timebucket.Origin
 	buckets [demandBuckets]struct{ index, requests int64 }
 	peers   map[string]peerDemand
 	// routers is the number of routers in the fleet.
@@ -52,7 +54,7 @@
 
 // CountRequest counts a request that this router has to send.
 func (t *Table) CountRequest(now time.Time) {
-	index := now.UnixNano() / int64(bucketWidth)
+	index := t.demand.origin.Index(now, bucketWidth)
 	b := &t.demand.buckets[index%demandBuckets]
 	if b.index != index {
 		b.index, b.requests = index, 0
@@ -64,7 +66,7 @@
 func (t *Table) Requests(now time.Time) int64 { return t.demand.own(now) }
 
 func (d *demand) own(now time.Time) int64 {
-	index := now.UnixNano() / int64(bucketWidth)
+	index := d.origin.Index(now, bucketWidth)
 	var sum int64
 	for _, b := range d.buckets {
 		if age := index - b.index; age >= 0 && age < demandBuckets {
--- a/coordination/requestlimit/table_test.go
+++ b/coordination/requestlimit/table_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket/clocktest"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -22,3 +24,18 @@
 	must.True(t, table.Observe(start.Add(5*time.Second), 1, NoLimit, start.Add(4*time.Second)))
 	must.Eq(t, 0, table.Limited())
 }
+
+// Guards against a router that, after a step of the time of day, reports none of its requests and
+// loses its part of the endpoints' limits.
+func TestStepOfTheTimeOfDayKeepsTheDemand(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			table := NewTable()
+			now := time.Now()
+			table.CountRequest(now)
+			table.CountRequest(now)
+			must.Eq(t, 2, table.Requests(clocktest.Step(now.Add(time.Second), step)))
+			must.Eq(t, 0, table.Requests(clocktest.Step(now.Add(demandWindow), step)))
+		})
+	}
+}
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket"
+)
 
 const (
 	// Window is the interval over which requests and retries are counted.
@@ -22,8 +26,7 @@
 	retryBuckets = requestBuckets + 1
 )
 
-// bucket holds the counts of one interval of bucketWidth. index is the number of
-// that interval since the Unix epoch.
+// bucket holds the counts of the interval of bucketWidth with the number index.
 type bucket struct {
 	index    int64
 	requests int64
@@ -52,6 +55,7 @@
 // It is not safe for concurrent use.
 type Budget struct {
 	limits  *Limits
+	origin  timebucket.Origin
 	buckets [retryBuckets]bucket
 }
 
@@ -99,7 +103,7 @@
 
 // bucketAt returns the bucket for now, cleared if it held an earlier interval.
 func (b *Budget) bucketAt(now time.Time) *bucket {
-	index := now.UnixNano() / int64(bucketWidth)
+	index := b.origin.Index(now, bucketWidth)
 	bk := &b.buckets[index%retryBuckets]
 	if bk.index != index {
 		*bk = bucket{index: index}
--- a/coordination/retry/budget_test.go
+++ b/coordination/retry/budget_test.go
@@ -1,11 +1,14 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket/clocktest"
 )
 
 // Guards against more retries than the budget allows in any interval of Window,
@@ -55,3 +58,29 @@
 	must.False(t, b.Take(now))
 	must.True(t, b.Take(now.Add(Window+bucketWidth)))
 }
+
+// Guards against retries above the budget after a step of the time of day, which made the budget
+// forget those before it, and against a budget that forgets its requests.
+func TestStepOfTheTimeOfDayKeepsTheCounts(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		for _, requests := range []int{0, 400} {
+			t.Run(fmt.Sprint(step, requests), func(t *testing.T) {
+				var b Budget
+				now := time.Now()
+				for range requests {
+					b.CountRequest(now)
+				}
+				for range Floor {
+					must.True(t, b.Take(now))
+				}
+				now = now.Add(2 * time.Second)
+				taken := 0
+				for b.Take(clocktest.Step(now, step)) {
+					taken++
+				}
+				must.Eq(t, int(Fraction*float64(requests)), taken)
+				must.True(t, b.Take(clocktest.Step(now.Add(Window+bucketWidth), step)))
+			})
+		}
+	}
+}
