A part that crashes endpoints of a plain service is quarantined if its requests name it

Callers: requests to a plain service that named a crashing part in X-Acaciaspar-Prompt-Prefix went on to endpoints without end, as no two were alike; each ended an endpoint with the requests beside it.

Cause: the handler read the prompt's parts only on routes with prompt affinity and for services with engines, and the placement at plain services dropped them on the former, too. So an interrupted attempt had no parts, and the quarantine could neither find nor refuse them.

Change: the parts are read for all requests. For plain services they are only names (ParseParts): they cost nothing, give no affinity and are no demand of the team.

--- a/coordination/prompt/prompt.go
+++ b/coordination/prompt/prompt.go
@@ -3,6 +3,7 @@
 package prompt
 
 import (
+	"iter"
 	"strconv"
 	"strings"
 
@@ -75,13 +76,8 @@
 	var c Cost
 	var key xxhash.Digest
 	key.Reset()
-	for i, entry := range strings.SplitN(parts, ",", maxParts) {
-		id, size, ok := strings.Cut(strings.TrimSpace(entry), ":")
-		tokens, err := strconv.ParseInt(size, 10, 32)
-		if !ok || err != nil || tokens < 0 {
-			break
-		}
-		if i > 0 {
+	for id, tokens := range entries(parts) {
+		if len(c.SharedParts) > 0 {
 			_, _ = key.WriteString(",")
 		}
 		_, _ = key.WriteString(id)
@@ -99,6 +95,32 @@
 	return c
 }
 
+// ParseParts returns a cost of nothing that names the shared parts of a prompt, for services
+// that run no prompts. The parts have only IDs, so the request has no affinity.
+func ParseParts(parts string) Cost {
+	var c Cost
+	for id := range entries(parts) {
+		c.SharedParts = append(c.SharedParts, Part{ID: xxhash.Sum64String(id)})
+	}
+	if n := len(c.SharedParts); n > 0 {
+		c.SharedParts = c.SharedParts[:n-1]
+	}
+	return c
+}
+
+// entries returns the IDs and sizes of a prompt's parts, up to the first invalid entry.
+func entries(parts string) iter.Seq2[string, int64] {
+	return func(yield func(string, int64) bool) {
+		for _, entry := range strings.SplitN(parts, ",", maxParts) {
+			id, size, ok := strings.Cut(strings.TrimSpace(entry), ":")
+			tokens, err := strconv.ParseInt(size, 10, 32)
+			if !ok || err != nil || tokens < 0 || !yield(id, tokens) {
+				return
+			}
+		}
+	}
+}
+
 func expectedGeneratedTokens(maximum, hint string) int64 {
 	limit, limitErr := strconv.ParseInt(strings.TrimSpace(maximum), 10, 32)
 	n, err := strconv.ParseInt(strings.TrimSpace(hint), 10, 32)
--- a/coordination/prompt/prompt_test.go
+++ b/coordination/prompt/prompt_test.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -34,6 +35,18 @@
 	must.Eq(t, 0, Parse("nonsense", "x,y", "-4").Units())
 }
 
+// Guards against charging a request to a service that runs no prompts for the parts that it
+// names, or placing it by them, and against other IDs than those of the same parts elsewhere.
+func TestPartsAloneCostNothing(t *testing.T) {
+	c := ParseParts("5c:800, 91:410,e4:250")
+	must.Eq(t, 0, c.Units())
+	must.Eq(t, 0, c.Affinity())
+	must.Eq(t, Parse("5c:800, 91:410,e4:250", "1460,80", "30").SharedIDs(), c.SharedIDs())
+	must.Len(t, 0, ParseParts("").SharedIDs())
+	must.Len(t, 0, ParseParts("5c:800").SharedIDs())
+	must.Len(t, 0, ParseParts("nonsense").SharedIDs())
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add("5c:800,91:410,e4:250", "1460,80", "30")
 	f.Add(":,:", ",", "-1")
@@ -42,5 +55,8 @@
 		if c.PromptTokens() < 0 || c.GeneratedTokens < 0 || c.UnsharedTokens < 0 {
 			t.Fatalf("negative cost %+v", c)
 		}
+		if alone := ParseParts(parts); alone.Units() != 0 || !slices.Equal(alone.SharedIDs(), c.SharedIDs()) {
+			t.Fatalf("parts %+v, want those of %+v and no cost", alone, c)
+		}
 	})
 }
--- a/coordination/quarantine/doc.go
+++ b/coordination/quarantine/doc.go
@@ -6,6 +6,7 @@
 // been served lately. A set of suspects that recurs in several crashes is quarantined:
 // requests that contain the whole set are refused. Any request that is served clears its
 // parts, so sound parts drop out of the sets and the part that crashes engines remains.
+// Requests to endpoints that run no prompts are judged by the parts that they name, too.
 //
 // The whole request is a suspect, too, by its fingerprint, also at endpoints that know no
 // prompts. It is quarantined if it was interrupted by several crashes that no other request
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -481,7 +481,10 @@
 	}
 	d.requestLimits.Take(now, endpointload.Hash(endpoints[best].ID))
 	attempt := d.loads.StartAttempt(now, endpoints[best].ID, prompt.Cost{}, 0)
-	return &Assignment{Endpoint: endpoints[best], dispatcher: d, attempt: attempt, fingerprint: request.Fingerprint}, nil
+	return &Assignment{
+		Endpoint: endpoints[best], dispatcher: d, attempt: attempt,
+		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint,
+	}, nil
 }
 
 const (
--- a/direct/entry/crashing_part_test.go
+++ b/direct/entry/crashing_part_test.go
@@ -130,3 +130,88 @@
 	<-closed
 	must.Eq(t, http.StatusBadGateway, (<-answer).status, must.Sprint("it was sent, and may have run"))
 }
+
+// crashingPlainFleet is a router in front of endpoints of a plain service that crash when they
+// begin, or are about to begin, a response to a request that names the part "dead". A crashed
+// endpoint is replaced at once by one with another identifier.
+type crashingPlainFleet struct {
+	*router
+	beginsResponse bool
+	mu             sync.Mutex
+	endpoints      int
+	received       int
+}
+
+func (f *crashingPlainFleet) addEndpoint() {
+	f.mu.Lock()
+	f.endpoints++
+	id := fmt.Sprintf("plain-%d", f.endpoints)
+	f.mu.Unlock()
+	var e *directtest.Endpoint
+	ready := make(chan struct{})
+	e = f.add(id, "plain", func(c net.Conn, call *directtest.Call) bool {
+		<-ready
+		if !strings.Contains(call.Header.Get(headers.PromptParts), "dead:") {
+			return ok(c, call)
+		}
+		f.mu.Lock()
+		f.received++
+		f.mu.Unlock()
+		if f.beginsResponse {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 9\r\n\r\nhalf", headers.RequestID, call.ID(), headers.Signature)
+		}
+		e.Crash()
+		f.addEndpoint()
+		return false
+	})
+	close(ready)
+}
+
+func (f *crashingPlainFleet) send(path, body, parts string) result {
+	in := f.request(http.MethodPost, path, body)
+	if parts != "" {
+		in.Header.Set(headers.PromptParts, parts)
+	}
+	return f.do(in)
+}
+
+func (f *crashingPlainFleet) numReceived() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received
+}
+
+// Guards against a prompt part that crashes one endpoint of a plain service after the other:
+// most requests of the route name no parts, and no two requests with the part are alike.
+func TestPartThatCrashesPlainEndpointsIsQuarantined(t *testing.T) {
+	for _, c := range []struct {
+		name, path     string
+		beginsResponse bool
+		// interval is the interval between two requests with the part. Five crashes before a
+		// response are evidence only if they are not simultaneous.
+		interval time.Duration
+	}{
+		{"idempotent, response begun", "/lookup/x", true, crashInterval},
+		{"not idempotent, response begun", "/order/x", true, crashInterval},
+		{"not idempotent, no response", "/order/x", false, 5 * crashInterval},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &crashingPlainFleet{router: newRouter(t), beginsResponse: c.beginsResponse}
+			for range 4 {
+				f.addEndpoint()
+			}
+			for i := range 14 {
+				time.Sleep(c.interval)
+				f.send(c.path, fmt.Sprint("bad", i), fmt.Sprintf("topic%d:50,dead:70,own%d:9", i%3, i))
+				must.Eq(t, http.StatusOK, f.send(c.path, fmt.Sprint("sound", i), "").status, must.Sprintf("request %d without parts", i))
+				sound := f.send(c.path, fmt.Sprint("sound", i), fmt.Sprintf("topic%d:50,own-sound%d:9", i%3, i))
+				must.Eq(t, http.StatusOK, sound.status, must.Sprintf("sound request %d with parts", i))
+			}
+			// Five crashes and three more.
+			must.LessEq(t, 8, f.numReceived(), must.Sprint("requests with the part"))
+			refused := f.send(c.path, "last", "topic0:50,dead:70,last:9")
+			must.Eq(t, http.StatusServiceUnavailable, refused.status)
+			must.NotEq(t, "", refused.header.Get("Retry-After"))
+		})
+	}
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -218,12 +218,16 @@
 	return true
 }
 
-// parseCost parses the cost of a request to a model engine.
+// parseCost parses the cost of a request to a model engine. Requests to other services cost
+// nothing, but the parts that they name may crash endpoints, too.
 func (r *request) parseCost() {
+	d := &r.h.Dialect
+	parts := r.in.Header.Get(d.PromptParts)
 	if r.route.PromptAffinity || r.service.Engine != nil {
-		d := &r.h.Dialect
-		r.cost = prompt.Parse(r.in.Header.Get(d.PromptParts), r.in.Header.Get(d.TokenCounts), r.in.Header.Get(d.LengthHint))
+		r.cost = prompt.Parse(parts, r.in.Header.Get(d.TokenCounts), r.in.Header.Get(d.LengthHint))
+		return
 	}
+	r.cost = prompt.ParseParts(parts)
 }
 
 // resolve determines the route, team, deadline and service. If it returns false, it has
