Streams begin again where no saved origin is needed also while saves are merely late

Seen in tests only: while each save of the store succeeds but takes almost as long as first events wait, first events give up, and the router still counts saves as working. The stream begins again at any build, waits in vain again, and is forwarded without a saved origin.

Cause: only a failed save, or one in progress for 250 ms, restricted new streams; a caller that waited in vain did not, and the reading that precedes a router's first save didn't count as part of the save.

Change: for a second after a first event waited in vain, saves count as failing; the time of a save includes the reading before it.

--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -460,3 +460,39 @@
 		})
 	}
 }
+
+// slowStore is a store whose writes take almost as long as a router waits for one.
+type slowStore struct{ *directtest.Store }
+
+func (s slowStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte) (int64, error) {
+	time.Sleep(390 * time.Millisecond)
+	return s.Store.Write(ctx, topic, key, value)
+}
+
+// Guards against streams that begin again at a build that needs a saved origin, because each save
+// succeeds although first events wait too long for it.
+func TestRestrictionHoldsAfterALateSave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.startOn("r1", slowStore{f.store})
+		time.Sleep(2 * time.Second)
+		var late, unrestricted atomic.Int32
+		var streams sync.WaitGroup
+		for i := range 200 {
+			streams.Go(func() {
+				if o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild) {
+					return
+				}
+				late.Add(1)
+				if o.Restriction(service) != build {
+					unrestricted.Add(1)
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		streams.Wait()
+		must.Positive(t, late.Load())
+		must.Zero(t, unrestricted.Load())
+		f.kill()
+	})
+}
--- a/direct/origins/saver.go
+++ b/direct/origins/saver.go
@@ -26,6 +26,8 @@
 	saveMargin = 600 * time.Millisecond
 	// slowSave is the duration of a save from which on saves count as failing.
 	slowSave = 250 * time.Millisecond
+	// lateSaveMemory is how long saves count as failing after a first event waited in vain.
+	lateSaveMemory = time.Second
 	// saveRetryDelay is the delay after a failed save while callers wait for it, probeInterval the
 	// delay while none does.
 	saveRetryDelay = 100 * time.Millisecond
@@ -50,7 +52,9 @@
 	failing bool
 	// began is the beginning of the save in progress; zero if there is none.
 	began time.Time
-	slots slots
+	// lateAt is when a first event last waited in vain.
+	lateAt time.Time
+	slots  slots
 }
 
 type pendingSave struct {
@@ -71,7 +75,7 @@
 func (s *saver) working(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.failing && (s.began.IsZero() || now.Sub(s.began) < slowSave)
+	return !s.failing && (s.began.IsZero() || now.Sub(s.began) < slowSave) && now.Sub(s.lateAt) >= lateSaveMemory
 }
 
 // save waits until an origin is saved, and returns false if it isn't in time.
@@ -99,6 +103,9 @@
 		return true
 	case <-ctx.Done():
 	case <-timer.C:
+		s.mu.Lock()
+		s.lateAt = time.Now()
+		s.mu.Unlock()
 	}
 	s.mu.Lock()
 	s.pending = slices.DeleteFunc(s.pending, func(q *pendingSave) bool { return q == p })
@@ -195,13 +202,15 @@
 
 // write saves origins as one record.
 func (s *saver) write(ctx context.Context, origins []streamorigin.SavedOrigin) error {
+	s.mu.Lock()
+	s.began = time.Now()
+	s.mu.Unlock()
 	// Before the first load, the slots of an earlier process aren't known.
 	if !s.origins.loadFirst(ctx) {
 		return errNotLoaded
 	}
 	now := time.Now()
 	s.mu.Lock()
-	s.began = now
 	slot := s.slots.next(now, s.origins.retention())
 	s.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, saveTimeout)
