First events of a stream whose origin isn't saved are withheld

Cause: a stream without a saved origin counts as of the implied build, but a router forwarded first events without one when the request had no second attempt left, or when saves didn't count as failing. A router whose saves have been idle learns of an outage only with the first stream of another build, and such a stream is often the second attempt of its request already.

Change: without a saved origin, the caller gets no event, unless the build is implied or the implied build has no endpoint left: none registered, no entry that may have lapsed, and all entries known when the outage began. Otherwise the stream begins again at the implied build, or the request fails with 502 and the caller begins a new stream. A line names how the origin of a stream that is taken up is known.

--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -431,6 +431,10 @@
 // EntriesDue returns how long entries of live endpoints may still be missing.
 func (d *Dispatcher) EntriesDue(now time.Time) time.Duration { return d.registry.EntriesDue(now) }
 
+// KnowsAllEndpoints reports whether all live endpoints are registered, or were when the present
+// outage of the store began.
+func (d *Dispatcher) KnowsAllEndpoints(now time.Time) bool { return d.registry.Complete(now) }
+
 // Builds returns, by service, the number of registered endpoints of each build, in any state.
 func (d *Dispatcher) Builds() map[string]map[streamorigin.Build]int {
 	builds := map[string]map[streamorigin.Build]int{}
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -78,24 +78,39 @@
 }
 
 // recordOrigin records the build of the first endpoint whose events are forwarded to the
-// caller. It returns false if the origin can't be saved and the request, for which it took a
-// retry, can begin again at a build that needs no saved origin.
+// caller. It returns false if the origin isn't safe, and the caller must not get the events: after
+// a restart of all routers, the stream could go on at another build.
 func (r *request) recordOrigin(a *attempt) bool {
 	if r.build != streamorigin.AnyBuild || !r.route.Resumable {
 		return true
 	}
 	build := dispatch.BuildOf(a.assignment.Endpoint)
 	if !r.h.Origins.Begin(r.ctx, r.id, build) {
-		if other := r.placedBuild(); other != streamorigin.AnyBuild && other != build && r.takeRetry(a) {
-			r.h.Log.Info("origin of a stream not saved; beginning again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+		if !r.impliedBuildIsGone() {
 			return false
 		}
-		if r.callerDisconnected() {
-			return true
-		}
 		r.h.Log.Warn("stream goes on although its origin isn't saved", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 		r.h.Origins.Record(r.id, build)
 	}
 	r.build = build
 	return true
 }
+
+// impliedBuildIsGone reports whether no endpoint of the service's implied build is left, at which a
+// stream without a saved origin could go on.
+func (r *request) impliedBuildIsGone() bool {
+	implied := r.h.Origins.Restriction(r.service.Name)
+	return implied != streamorigin.AnyBuild && !r.h.Dispatcher.HasReady(r.service.Name, implied) && r.h.Dispatcher.KnowsAllEndpoints(time.Now())
+}
+
+// beginAgain decides what follows an attempt whose events were withheld because the origin of the
+// stream isn't saved: another attempt at the implied build, or the request fails and the caller
+// begins a new stream.
+func (r *request) beginAgain(a *attempt) relayResult {
+	if build := r.placedBuild(); build != streamorigin.AnyBuild && build != dispatch.BuildOf(a.assignment.Endpoint) && r.takeRetry(a) {
+		r.h.Log.Info("origin of a stream not saved; beginning again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+		return retryRequest
+	}
+	r.failWithoutResponse("the origin of the stream isn't saved")
+	return done
+}
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -91,7 +91,7 @@
 			if errors.Is(writeErr, errUnsavedOrigin) {
 				r.endAttempt(a, endpointload.Abandoned)
 				s.splitter = eventstream.Splitter{}
-				return retryRequest
+				return r.beginAgain(a)
 			}
 			if writeErr != nil {
 				r.endAttempt(a, endpointload.Abandoned)
@@ -122,7 +122,7 @@
 // forwardEvents writes the events that are complete with data, or data itself if
 // the response is not an event stream. Only complete events count as received: an
 // endpoint that sends single bytes and no events is stalled. It returns errUnsavedOrigin if the
-// request should begin again at another endpoint.
+// caller must not get the first events.
 func (r *request) forwardEvents(a *attempt, s *streamState, data []byte, eventStream bool, now time.Time) error {
 	if eventStream {
 		data = s.splitter.Feed(data)
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -346,7 +346,7 @@
 
 func (f *Follower) markStoreUnreachable(topic Topic, err error) {
 	if topic == Endpoints {
-		f.endpoints.StoreUnavailable()
+		f.endpoints.StoreUnavailable(time.Now())
 	}
 	f.reading[topic].Store(false)
 	if !f.unreachable[topic].Swap(true) {
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -181,6 +181,7 @@
 		b, ok := o.table.LookupRecorded(stream)
 		o.mu.Unlock()
 		if ok {
+			o.logFound(attempt, b, sourceRouter)
 			return b, true
 		}
 	}
@@ -192,7 +193,8 @@
 			}
 		}
 		fresh := o.loadSince(ctx, began)
-		if b, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+		if b, from, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+			o.logFound(attempt, b, from)
 			return b, true
 		}
 	}
@@ -201,24 +203,37 @@
 	return streamorigin.AnyBuild, false
 }
 
+// source says how the origin of a stream is known.
+type source string
+
+const (
+	sourceRouter  source = "a router"
+	sourceStore   source = "the store"
+	sourceImplied source = "the implied build"
+)
+
+func (o *Origins) logFound(attempt string, build streamorigin.Build, from source) {
+	o.options.Log.Info("origin of a stream found", "attempt", attempt, "build", build, "source", string(from))
+}
+
 // lookup returns the build of a stream as far as it follows from what is known. fresh is set if
 // all origins that were saved before the caller came back have been read.
-func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, bool) {
+func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, source, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if named {
 		if b, ok := o.table.Lookup(stream); ok {
-			return b, true
+			return b, sourceStore, true
 		}
 	}
 	if !fresh || len(services) != 1 {
-		return streamorigin.AnyBuild, false
+		return streamorigin.AnyBuild, "", false
 	}
 	b, ok := o.impliedBuild(services[0])
 	if !ok || !named && !o.table.OnlyOf(o.isImplied) {
-		return streamorigin.AnyBuild, false
+		return streamorigin.AnyBuild, "", false
 	}
-	return b, true
+	return b, sourceImplied, true
 }
 
 // CountTakeUp counts that a caller takes up the stream whose first event this attempt brought,
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -64,6 +64,8 @@
 	// recovered is the end of the latest outage of the store.
 	recovered time.Time
 	outage    bool
+	// wasComplete is set if all live endpoints were known when the present outage began.
+	wasComplete bool
 	// reached is the first time at which the store responded.
 	reached time.Time
 	// ready caches the lists that Ready returns. It is cleared on each change.
@@ -80,6 +82,8 @@
 type departure struct {
 	// started is the start of the instance that departed.
 	started, at time.Time
+	// lapsed is set if the entry may have expired while the instance lives.
+	lapsed bool
 }
 
 type suspension struct {
@@ -160,11 +164,11 @@
 		}
 		return
 	}
-	t.remove(id, now)
+	t.remove(id, now, false)
 }
 
-func (t *Table) remove(id string, now time.Time) {
-	t.departed[id] = departure{started: t.endpoints[id].endpoint.Started, at: now}
+func (t *Table) remove(id string, now time.Time, lapsed bool) {
+	t.departed[id] = departure{started: t.endpoints[id].endpoint.Started, at: now, lapsed: lapsed}
 	t.ready = nil
 	delete(t.endpoints, id)
 }
@@ -201,10 +205,13 @@
 	}
 }
 
-// StoreUnavailable records that the store does not respond.
-func (t *Table) StoreUnavailable() {
+// StoreUnavailable records that the store does not respond at now.
+func (t *Table) StoreUnavailable(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.outage {
+		t.wasComplete = t.entriesDue(now) == 0
+	}
 	t.outage = true
 }
 
@@ -227,6 +234,10 @@
 func (t *Table) EntriesDue(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.entriesDue(now)
+}
+
+func (t *Table) entriesDue(now time.Time) time.Duration {
 	if t.outage || t.reached.IsZero() {
 		return RecoveryTime
 	}
@@ -237,6 +248,22 @@
 	return max(latest.Add(RecoveryTime).Sub(now), 0)
 }
 
+// Complete reports whether all live endpoints are registered here, or were when the present outage
+// of the store began. No entry was removed lately that may have expired.
+func (t *Table) Complete(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range t.departed {
+		if d.lapsed {
+			return false
+		}
+	}
+	if t.outage {
+		return t.wasComplete
+	}
+	return t.entriesDue(now) == 0
+}
+
 func (t *Table) recovering(now time.Time) bool {
 	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryTime)))
 }
@@ -257,7 +284,7 @@
 	changed := false
 	for id, e := range t.endpoints {
 		if !e.removeAt.IsZero() && now.After(e.removeAt) {
-			t.remove(id, now)
+			t.remove(id, now, true)
 			changed = true
 		}
 	}
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -35,7 +35,7 @@
 	table := NewTable()
 	table.Put(ready("a"))
 	table.Put(ready("b"))
-	table.StoreUnavailable()
+	table.StoreUnavailable(start)
 	table.StoreRecovered(start)
 	table.Remove("a", start.Add(100*time.Millisecond))
 	table.Remove("b", start.Add(100*time.Millisecond))
@@ -50,7 +50,7 @@
 func TestNoGracePeriodAfterRecoveryTime(t *testing.T) {
 	table := NewTable()
 	table.Put(ready("a"))
-	table.StoreUnavailable()
+	table.StoreUnavailable(start)
 	table.StoreRecovered(start)
 	table.Remove("a", start.Add(RecoveryTime+time.Second))
 	must.Eq(t, []string{}, ids(table.Ready("s")))
@@ -63,7 +63,7 @@
 	draining := ready("a")
 	draining.State = Draining
 	table.Put(draining)
-	table.StoreUnavailable()
+	table.StoreUnavailable(start)
 	table.Remove("a", start)
 	_, ok := table.Lookup("a")
 	must.False(t, ok)
@@ -75,7 +75,7 @@
 	const drainLimit = 2 * time.Second
 	table := NewTable()
 	table.Put(ready("a"))
-	table.StoreUnavailable()
+	table.StoreUnavailable(start)
 	table.Remove("a", start)
 	table.StoreRecovered(start.Add(time.Second))
 	must.Eq(t, []string{"a"}, ids(table.Ready("s")))
@@ -152,9 +152,40 @@
 	table.StoreRecovered(now.Add(time.Second))
 	must.Eq(t, RecoveryTime-time.Second, table.EntriesDue(now.Add(time.Second)))
 	must.Eq(t, 0, table.EntriesDue(now.Add(time.Minute)))
-	table.StoreUnavailable()
+	table.StoreUnavailable(now.Add(time.Minute))
 	must.Eq(t, RecoveryTime, table.EntriesDue(now.Add(time.Minute)))
 	table.StoreRecovered(now.Add(time.Hour))
 	must.Eq(t, RecoveryTime, table.EntriesDue(now.Add(time.Hour)))
 	must.Eq(t, 0, table.EntriesDue(now.Add(2*time.Hour)))
 }
+
+// Guards against an endpoint that is taken for gone although only its entry lapsed, or isn't back,
+// or can't be read.
+func TestTableIsCompleteUnlessEntriesMayBeMissing(t *testing.T) {
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	table := NewTable()
+	must.False(t, table.Complete(at(0)), must.Sprint("the store was never reached"))
+	table.StoreUnavailable(at(0))
+	must.False(t, table.Complete(at(100)), must.Sprint("nothing was known when the outage began"))
+	table.StoreRecovered(at(100))
+	must.False(t, table.Complete(at(101)), must.Sprint("entries may still come back"))
+	must.True(t, table.Complete(at(103)))
+	table.StoreUnavailable(at(110))
+	table.StoreUnavailable(at(111))
+	must.True(t, table.Complete(at(112)), must.Sprint("all were known when the outage began"))
+
+	table.Put(ready("a"))
+	table.StoreRecovered(at(120))
+	table.Remove("a", at(121))
+	table.Expire(at(124))
+	must.False(t, table.Complete(at(125)), must.Sprint("the entry may have expired in the outage"))
+	table.Put(ready("a"))
+	must.True(t, table.Complete(at(125)))
+	table.Remove("a", at(126))
+	must.True(t, table.Complete(at(126)), must.Sprint("the endpoint left while the store was in order"))
+	table.StoreUnavailable(at(126))
+	must.True(t, table.Complete(at(127)))
+	table.StoreRecovered(at(128))
+	table.StoreUnavailable(at(129))
+	must.False(t, table.Complete(at(135)), must.Sprint("entries were due when the outage began"))
+}
