A router that starts in an outage of the store learns the implied builds from peers

A router that starts while the store is away and takes the configuration from a peer didn't know the implied build. Its streams began at any build and weren't saved; since their first events are withheld, it could begin none at all until the store was back.

Cause: only the store told the implied builds.

Change: the load reports that name teams (every 250 ms) also name the implied builds that their sender has read from the store, 9 bytes or more a service. They count at a router until it has read the store itself; what is told isn't passed on, and an origin is never concluded from it, only from the store.

Evidence: TestRouterThatStartsInAnOutageBeginsAtTheImpliedBuild fails if what peers tell is ignored; TestImpliedBuildsReachPeers; FuzzDecode and the round trip cover the new field.

--- a/coordination/streamorigin/implied.go
+++ b/coordination/streamorigin/implied.go
@@ -1,6 +1,10 @@
 package streamorigin
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Implied is the build of the streams of a service that have no saved origin. As long as it is in
 // force, the origin of a stream of any other build is saved before the caller gets its first
@@ -12,6 +16,18 @@
 	Era int64
 }
 
+// Service identifies a service by a hash of its name.
+type Service uint32
+
+// ServiceOf returns the service with a name.
+func ServiceOf(name string) Service { return Service(xxhash.Sum64String(name)) }
+
+// ServiceImplied is the implied build of a service, as a router tells it to its peers.
+type ServiceImplied struct {
+	Service Service
+	Implied
+}
+
 // ImpliedPolicy decides when a router may save another implied build of a service. A change is
 // safe only once no stream can be left that began under the earlier one without a saved origin:
 // its endpoints must have been gone for as long as streams last, in a time in which this router
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -118,6 +118,10 @@
 	TakeNews(limit int) []streamorigin.Origin
 	// MergePeer adds the origins that a peer reports.
 	MergePeer(now time.Time, origins []streamorigin.Origin)
+	// ImpliedBuilds returns the builds of streams without a saved origin.
+	ImpliedBuilds() []streamorigin.ServiceImplied
+	// MergeImplied adds the implied builds that a peer reports.
+	MergeImplied(list []streamorigin.ServiceImplied)
 }
 
 type peer struct {
@@ -331,6 +335,9 @@
 				BegunTokens: wireCount(usage.Begun),
 			})
 		}
+		for _, i := range m.local.Streams().ImpliedBuilds() {
+			message.Implied = append(message.Implied, loadreport.ImpliedBuild{Service: uint32(i.Service), Build: uint32(i.Build), Era: i.Era})
+		}
 	}
 	for _, p := range report.Placed {
 		message.Placed = append(message.Placed, loadreport.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
@@ -408,6 +415,9 @@
 	if len(report.Streams) > 0 {
 		m.local.Streams().MergePeer(now, decodeStreams(report.Streams))
 	}
+	if len(report.Implied) > 0 {
+		m.local.Streams().MergeImplied(decodeImplied(report.Implied))
+	}
 }
 
 func decodeStreams(streams []loadreport.StreamOrigin) []streamorigin.Origin {
@@ -418,6 +428,16 @@
 	return origins
 }
 
+func decodeImplied(implied []loadreport.ImpliedBuild) []streamorigin.ServiceImplied {
+	list := make([]streamorigin.ServiceImplied, len(implied))
+	for i, b := range implied {
+		list[i] = streamorigin.ServiceImplied{
+			Service: streamorigin.Service(b.Service), Implied: streamorigin.Implied{Build: streamorigin.Build(b.Build), Era: b.Era},
+		}
+	}
+	return list
+}
+
 func decodeReport(report *loadreport.Report) dispatch.PeerReport {
 	r := dispatch.PeerReport{
 		Instance: report.Instance, Sequence: report.Sequence, HasTeams: report.HasTeams,
--- a/direct/mesh/streams_test.go
+++ b/direct/mesh/streams_test.go
@@ -17,6 +17,20 @@
 type streams struct {
 	mu           sync.Mutex
 	news, merged []streamorigin.Origin
+	// implied holds what this router knows, told what peers report.
+	implied, told []streamorigin.ServiceImplied
+}
+
+func (s *streams) ImpliedBuilds() []streamorigin.ServiceImplied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.implied
+}
+
+func (s *streams) MergeImplied(list []streamorigin.ServiceImplied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = append(s.told, list...)
 }
 
 func (s *streams) TakeNews(limit int) []streamorigin.Origin {
@@ -53,6 +67,24 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return b.streams.has(origin) }), wait.Timeout(20*time.Second)))
 }
 
+// Guards against a router that starts while the store is away and can begin no stream, because only
+// the store could tell it the builds that need no saved origin.
+func TestImpliedBuildsReachPeers(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	implied := streamorigin.ServiceImplied{
+		Service: streamorigin.ServiceOf("engines"), Implied: streamorigin.Implied{Build: streamorigin.BuildOf("engines", "v1"), Era: 3},
+	}
+	a.streams.mu.Lock()
+	a.streams.implied = append(a.streams.implied, implied)
+	a.streams.mu.Unlock()
+	a.Add(b.address)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		b.streams.mu.Lock()
+		defer b.streams.mu.Unlock()
+		return slices.Contains(b.streams.told, implied)
+	}), wait.Timeout(20*time.Second)))
+}
+
 // Guards against origins that nobody saves, or that all routers of a fleet save: two of those
 // that read the store do, and another one takes over.
 func TestTwoRoutersSaveOriginsOfStreams(t *testing.T) {
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -92,7 +92,9 @@
 	era int64
 	// implied holds the implied builds of services in the store.
 	implied map[string]streamorigin.Implied
-	policy  streamorigin.ImpliedPolicy
+	// told holds the implied builds that peers told, which count until the store was read here.
+	told   map[streamorigin.Service]streamorigin.Implied
+	policy streamorigin.ImpliedPolicy
 	// refreshedAt is the time of the latest read for the implied builds. Only the upkeep uses it.
 	refreshedAt time.Time
 }
@@ -101,6 +103,7 @@
 func New(o Options) *Origins {
 	origins := &Origins{
 		options: o, table: streamorigin.NewTable(), implied: map[string]streamorigin.Implied{},
+		told:    map[streamorigin.Service]streamorigin.Implied{},
 		policy:  streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
 		unknown: metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
 	}
@@ -148,6 +151,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.hasLoaded {
+		return o.told[streamorigin.ServiceOf(service)].Build
+	}
 	build, _ := o.impliedBuild(service)
 	return build
 }
@@ -162,6 +168,13 @@
 }
 
 func (o *Origins) isImplied(build streamorigin.Build) bool {
+	if !o.hasLoaded {
+		for _, i := range o.told {
+			if i.Build == build {
+				return true
+			}
+		}
+	}
 	for service := range o.implied {
 		if b, ok := o.impliedBuild(service); ok && b == build {
 			return true
@@ -265,6 +278,34 @@
 	o.table.MergePeer(now, origins)
 }
 
+// ImpliedBuilds returns the implied builds that were read from the store and are in force.
+func (o *Origins) ImpliedBuilds() []streamorigin.ServiceImplied {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []streamorigin.ServiceImplied
+	for service, i := range o.implied {
+		if i.Era == o.era {
+			list = append(list, streamorigin.ServiceImplied{Service: streamorigin.ServiceOf(service), Implied: i})
+		}
+	}
+	return list
+}
+
+// MergeImplied adds the implied builds that a peer has read from the store. They matter to a router
+// that starts while the store is away: without them, its streams could begin nowhere.
+func (o *Origins) MergeImplied(list []streamorigin.ServiceImplied) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.hasLoaded {
+		return
+	}
+	for _, i := range list {
+		if known, ok := o.told[i.Service]; i.Build != streamorigin.AnyBuild && (!ok || i.Era >= known.Era) {
+			o.told[i.Service] = i.Implied
+		}
+	}
+}
+
 // Run saves and expires origins until ctx is done and returns its error.
 func (o *Origins) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -436,6 +477,7 @@
 		clear(o.implied)
 	}
 	o.loaded, o.hasLoaded = batch.End, true
+	clear(o.told)
 	for _, r := range batch.Records {
 		if r.IsTombstone() {
 			continue
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -496,3 +496,29 @@
 		f.kill()
 	})
 }
+
+// Guards against a router that starts while the store is away and begins streams whose origin is
+// lost with it, or none: its peers tell it the implied build.
+func TestRouterThatStartsInAnOutageBeginsAtTheImpliedBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		a := f.start("r1")
+		time.Sleep(2 * time.Second)
+		f.store.SetUnreachable(true)
+		b := f.start("r2")
+		must.False(t, b.Begin(t.Context(), "early", build), must.Sprint("the implied build is unknown"))
+		told := a.ImpliedBuilds()
+		must.Len(t, 1, told)
+		b.MergeImplied(told)
+		must.Eq(t, build, b.Restriction(service))
+		must.True(t, b.Begin(t.Context(), "implied", build))
+		must.False(t, b.Begin(t.Context(), "other", otherBuild))
+		must.Len(t, 0, b.ImpliedBuilds(), must.Sprint("only what was read from the store is passed on"))
+		f.store.SetUnreachable(false)
+		time.Sleep(2 * time.Second)
+		b.MergeImplied([]streamorigin.ServiceImplied{{Service: told[0].Service, Implied: streamorigin.Implied{Build: otherBuild, Era: 9}}})
+		f.store.SetUnreachable(true)
+		must.False(t, b.Begin(t.Context(), "next", otherBuild), must.Sprint("the store was read"))
+		f.kill()
+	})
+}
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -9,12 +9,12 @@
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
 // refused.
-const formatVersion = 0xA6
+const formatVersion = 0xA7
 
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
 
-// ID identifies an endpoint, a team or a build by a hash of its name. If two names have the same
+// ID identifies an endpoint, a team, a service or a build by a hash of its name. If two names have the same
 // hash, their loads are added up, which only makes routers more careful.
 type ID = uint32
 
@@ -47,6 +47,8 @@
 	Placed    []PlacedPart
 	// Streams lists the streams that began at the sender since the previous report.
 	Streams []StreamOrigin
+	// Implied lists the builds of streams without a saved origin. Most reports have none.
+	Implied []ImpliedBuild
 }
 
 // Position is the offset after the newest record of a topic, in an era of the store.
@@ -83,6 +85,13 @@
 	Build  ID
 }
 
+// ImpliedBuild names the build of a service's streams that have no saved origin, in an era of the
+// store.
+type ImpliedBuild struct {
+	Service, Build ID
+	Era            int64
+}
+
 // flags of a report.
 const (
 	flagLeaving = 1 << iota
@@ -147,6 +156,12 @@
 		b = binary.LittleEndian.AppendUint64(b, s.Stream)
 		b = binary.LittleEndian.AppendUint32(b, s.Build)
 	}
+	b = binary.AppendUvarint(b, uint64(len(r.Implied)))
+	for _, i := range r.Implied {
+		b = binary.LittleEndian.AppendUint32(b, i.Service)
+		b = binary.LittleEndian.AppendUint32(b, i.Build)
+		b = binary.AppendVarint(b, i.Era)
+	}
 	return b
 }
 
@@ -164,6 +179,7 @@
 	minTeamBytes     = 7
 	placedBytes      = 12
 	streamBytes      = 12
+	minImpliedBytes  = 9
 )
 
 var errInvalid = eris.New("invalid load report")
@@ -195,6 +211,7 @@
 	})
 	r.Placed = decodeList(&d, placedBytes, func() PlacedPart { return PlacedPart{Endpoint: d.uint32(), Part: d.uint64()} })
 	r.Streams = decodeList(&d, streamBytes, func() StreamOrigin { return StreamOrigin{Stream: d.uint64(), Build: d.uint32()} })
+	r.Implied = decodeList(&d, minImpliedBytes, func() ImpliedBuild { return ImpliedBuild{Service: d.uint32(), Build: d.uint32(), Era: d.varint()} })
 	if d.failed || len(d.rest) > 0 || flags&^knownFlags != 0 || r.Instance == "" || len(r.Instance) > maxInstanceBytes {
 		return nil, errInvalid
 	}
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -42,6 +42,7 @@
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "streams") {
 		r.Streams = append(r.Streams, StreamOrigin{rapid.Uint64().Draw(t, "s"), id.Draw(t, "build")})
+		r.Implied = append(r.Implied, ImpliedBuild{id.Draw(t, "service"), id.Draw(t, "implied"), rapid.Int64().Draw(t, "era")})
 	}
 	return r
 }
