--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -91,7 +91,7 @@
 				return
 			}
 		case responded, indeterminate:
-			if !d.canContinue() || !r.takeRetry(a) {
+			if !d.canContinue() || a.withheld && !r.canBeginElsewhere(a) || !r.takeRetry(a) {
 				d.failWithoutResponse(a.failureReason())
 				return
 			}
@@ -155,6 +155,9 @@
 	// duration is the time until the response headers were read or the attempt
 	// failed. dialTimeout is the timeout of a connection to the endpoint.
 	duration, dialTimeout time.Duration
+	// withheld is set if the caller must not get the first events, since the origin of the stream
+	// isn't saved.
+	withheld bool
 	// unread reports whether bytes of the response wait in the socket; nil before there is a
 	// connection.
 	unread atomic.Pointer[func() bool]
@@ -179,7 +182,10 @@
 
 // failureReason describes a failed attempt in the final response.
 func (a *attempt) failureReason() string {
-	if a.outcome == responded {
+	switch {
+	case a.withheld:
+		return "the origin of the stream isn't saved"
+	case a.outcome == responded:
 		return "the answer was cut off"
 	}
 	return "the answer was lost"
--- a/direct/entry/fuzz_answers_test.go
+++ b/direct/entry/fuzz_answers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -44,8 +45,10 @@
 	maxKeptBody = 1 << 20
 	maxAnswer   = 64 << 10
 	// maxPeakGrowth bounds the memory during one answer, in bytes. It includes garbage that isn't
-	// collected yet, which may be as much as the memory in use.
+	// collected yet.
 	maxPeakGrowth = 2 * maxHeapGrowth
+	// gcPercent bounds that garbage, in percent of the memory in use.
+	gcPercent = 10
 )
 
 var (
@@ -189,6 +192,9 @@
 // request counted or its body held, that fill the memory, or that a caller takes for a complete
 // answer although they are none.
 func FuzzEndpointAnswers(f *testing.F) {
+	// Tests that ran before leave much memory in use, of which garbage may be a multiple.
+	previous := debug.SetGCPercent(gcPercent)
+	f.Cleanup(func() { debug.SetGCPercent(previous) })
 	const (
 		head   = "Request-Id: {id}\r\nSignature: sig\r\n"
 		events = head + "Content-Type: text/event-stream\r\n"
--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
-	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 )
@@ -368,29 +367,6 @@
 	}
 }
 
-// beginAt runs a second attempt at the beginning of the response, at an endpoint of a build, and
-// reports whether it has something to forward within timeout. The first attempt goes on if not.
-func (h *hedge) beginAt(build streamorigin.Build, timeout time.Duration) bool {
-	if h == nil {
-		return false
-	}
-	h.mu.Lock()
-	next, claims, allowed := h.next, h.claims, h.executions < h.r.route.Attempts
-	h.mu.Unlock()
-	if !allowed {
-		return false
-	}
-	next.Build = build
-	second := h.start(time.Now(), &next, claims)
-	if second == nil {
-		return false
-	}
-	limit := time.AfterFunc(timeout, func() { second.cancel(errSuperseded) })
-	defer limit.Stop()
-	h.run(second)
-	return second.usable()
-}
-
 // endSuperseded ends an attempt that the second one replaces.
 func (r *request) endSuperseded(a *attempt) {
 	a.err = errSuperseded
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -135,6 +135,7 @@
 				return failed
 			case errors.Is(writeErr, errUnsavedOrigin):
 				r.endAttempt(a, endpointload.Abandoned)
+				a.withheld = true
 				return failed
 			case writeErr != nil:
 				r.endAttempt(a, endpointload.Abandoned)
@@ -170,8 +171,8 @@
 // forwardEvents writes the events that are complete with data, or data itself if
 // the response is not an event stream. Only complete events count as received: an
 // endpoint that sends single bytes and no events is stalled. It returns errUnsavedOrigin if the
-// request should begin again at another endpoint, and errOutpaced if the second attempt goes on
-// with the stream.
+// caller must not get the first events, and errOutpaced if the second attempt goes on with the
+// stream.
 func (r *request) forwardEvents(a *attempt, s *streamState, data []byte, eventStream bool, now time.Time) error {
 	if eventStream {
 		data = s.splitter.Feed(data)
--- a/direct/mesh/invalid_reports_test.go
+++ b/direct/mesh/invalid_reports_test.go
@@ -22,6 +22,10 @@
 
 func (noStreams) TakeNews(int) []streamorigin.Origin { return nil }
 
+func (noStreams) ImpliedBuilds() []streamorigin.ServiceImplied { return nil }
+
+func (noStreams) MergeImplied([]streamorigin.ServiceImplied) {}
+
 func (s noStreams) MergePeer(_ time.Time, origins []streamorigin.Origin) {
 	for _, o := range origins {
 		must.NotEq(s.t, streamorigin.AnyBuild, o.Build)
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -96,7 +96,9 @@
 	era int64
 	// implied holds the implied builds of services in the store.
 	implied map[string]streamorigin.Implied
-	policy  streamorigin.ImpliedPolicy
+	// told holds the implied builds that peers told, which count until the store was read here.
+	told   map[streamorigin.Service]streamorigin.Implied
+	policy streamorigin.ImpliedPolicy
 	// refreshedAt is the time of the latest read for the implied builds. Only the upkeep uses it.
 	refreshedAt time.Time
 }
@@ -105,6 +107,7 @@
 func New(o Options) *Origins {
 	origins := &Origins{
 		options: o, table: streamorigin.NewTable(), implied: map[string]streamorigin.Implied{},
+		told:    map[streamorigin.Service]streamorigin.Implied{},
 		policy:  streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
 		unknown: metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
 	}
@@ -152,6 +155,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.hasLoaded {
+		return o.told[streamorigin.ServiceOf(service)].Build
+	}
 	build, _ := o.impliedBuild(service)
 	return build
 }
@@ -166,6 +172,13 @@
 }
 
 func (o *Origins) isImplied(build streamorigin.Build) bool {
+	if !o.hasLoaded {
+		for _, i := range o.told {
+			if i.Build == build {
+				return true
+			}
+		}
+	}
 	for service := range o.implied {
 		if b, ok := o.impliedBuild(service); ok && b == build {
 			return true
@@ -185,6 +198,7 @@
 		b, ok := o.table.LookupRecorded(stream)
 		o.mu.Unlock()
 		if ok {
+			o.logFound(attempt, b, sourceRouter)
 			return b, true
 		}
 	}
@@ -196,7 +210,8 @@
 			}
 		}
 		fresh := o.loadSince(ctx, began)
-		if b, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+		if b, from, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+			o.logFound(attempt, b, from)
 			return b, true
 		}
 	}
@@ -205,24 +220,37 @@
 	return streamorigin.AnyBuild, false
 }
 
+// source says how the origin of a stream is known.
+type source string
+
+const (
+	sourceRouter  source = "a router"
+	sourceStore   source = "the store"
+	sourceImplied source = "the implied build"
+)
+
+func (o *Origins) logFound(attempt string, build streamorigin.Build, from source) {
+	o.options.Log.Info("origin of a stream found", "attempt", attempt, "build", build, "source", string(from))
+}
+
 // lookup returns the build of a stream as far as it follows from what is known. fresh is set if
 // all origins that were saved before the caller came back have been read.
-func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, bool) {
+func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, source, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if named {
 		if b, ok := o.table.Lookup(stream); ok {
-			return b, true
+			return b, sourceStore, true
 		}
 	}
 	if !fresh || len(services) != 1 {
-		return streamorigin.AnyBuild, false
+		return streamorigin.AnyBuild, "", false
 	}
 	b, ok := o.impliedBuild(services[0])
 	if !ok || !named && !o.table.OnlyOf(o.isImplied) {
-		return streamorigin.AnyBuild, false
+		return streamorigin.AnyBuild, "", false
 	}
-	return b, true
+	return b, sourceImplied, true
 }
 
 // CountTakeUp counts that a caller takes up the stream whose first event this attempt brought,
@@ -254,6 +282,34 @@
 	o.table.MergePeer(now, origins)
 }
 
+// ImpliedBuilds returns the implied builds that were read from the store and are in force.
+func (o *Origins) ImpliedBuilds() []streamorigin.ServiceImplied {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []streamorigin.ServiceImplied
+	for service, i := range o.implied {
+		if i.Era == o.era {
+			list = append(list, streamorigin.ServiceImplied{Service: streamorigin.ServiceOf(service), Implied: i})
+		}
+	}
+	return list
+}
+
+// MergeImplied adds the implied builds that a peer has read from the store. They matter to a router
+// that starts while the store is away: without them, its streams could begin nowhere.
+func (o *Origins) MergeImplied(list []streamorigin.ServiceImplied) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.hasLoaded {
+		return
+	}
+	for _, i := range list {
+		if known, ok := o.told[i.Service]; i.Build != streamorigin.AnyBuild && (!ok || i.Era >= known.Era) {
+			o.told[i.Service] = i.Implied
+		}
+	}
+}
+
 // Run saves and expires origins until ctx is done and returns its error.
 func (o *Origins) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -425,6 +481,7 @@
 		clear(o.implied)
 	}
 	o.loaded, o.hasLoaded = batch.End, true
+	clear(o.told)
 	for _, r := range batch.Records {
 		if r.IsTombstone() {
 			continue
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -512,3 +512,65 @@
 		})
 	}
 }
+
+// slowStore is a store whose writes take almost as long as a router waits for one.
+type slowStore struct{ *directtest.Store }
+
+func (s slowStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte) (int64, error) {
+	time.Sleep(390 * time.Millisecond)
+	return s.Store.Write(ctx, topic, key, value)
+}
+
+// Guards against streams that begin again at a build that needs a saved origin, because each save
+// succeeds although first events wait too long for it.
+func TestRestrictionHoldsAfterALateSave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.startOn("r1", slowStore{f.store})
+		time.Sleep(2 * time.Second)
+		var late, unrestricted atomic.Int32
+		var streams sync.WaitGroup
+		for i := range 200 {
+			streams.Go(func() {
+				if o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild) {
+					return
+				}
+				late.Add(1)
+				if o.Restriction(service) != build {
+					unrestricted.Add(1)
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		streams.Wait()
+		must.Positive(t, late.Load())
+		must.Zero(t, unrestricted.Load())
+		f.kill()
+	})
+}
+
+// Guards against a router that starts while the store is away and begins streams whose origin is
+// lost with it, or none: its peers tell it the implied build.
+func TestRouterThatStartsInAnOutageBeginsAtTheImpliedBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		a := f.start("r1")
+		time.Sleep(2 * time.Second)
+		f.store.SetUnreachable(true)
+		b := f.start("r2")
+		must.False(t, b.Begin(t.Context(), "early", build), must.Sprint("the implied build is unknown"))
+		told := a.ImpliedBuilds()
+		must.Len(t, 1, told)
+		b.MergeImplied(told)
+		must.Eq(t, build, b.Restriction(service))
+		must.True(t, b.Begin(t.Context(), "implied", build))
+		must.False(t, b.Begin(t.Context(), "other", otherBuild))
+		must.Len(t, 0, b.ImpliedBuilds(), must.Sprint("only what was read from the store is passed on"))
+		f.store.SetUnreachable(false)
+		time.Sleep(2 * time.Second)
+		b.MergeImplied([]streamorigin.ServiceImplied{{Service: told[0].Service, Implied: streamorigin.Implied{Build: otherBuild, Era: 9}}})
+		f.store.SetUnreachable(true)
+		must.False(t, b.Begin(t.Context(), "next", otherBuild), must.Sprint("the store was read"))
+		f.kill()
+	})
+}
