--- a/coordination/endpointload/state.go
+++ b/coordination/endpointload/state.go
@@ -137,8 +137,9 @@
 	return e.running > 0 && now.Sub(e.lastActivity) > stallTimeout
 }
 
-func (e *endpoint) usable(now time.Time) bool {
-	return !e.stalled(now) && !now.Before(e.unreachableUntil) && !now.Before(e.pausedUntil)
+// takesRequests reports whether the endpoint is neither in backoff nor paused.
+func (e *endpoint) takesRequests(now time.Time) bool {
+	return !now.Before(e.unreachableUntil) && !now.Before(e.pausedUntil)
 }
 
 // markUnreachable records a failed connection and starts the next backoff.
--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -147,6 +147,8 @@
 	// Usable is false while the endpoint is stalled, in backoff after a failed
 	// connection from this router, or wants no requests.
 	Usable bool
+	// Stalled is set if the endpoint isn't usable only because it is stalled.
+	Stalled bool
 	// UnreachableFromPeers is set while several peers report the endpoint as unreachable and
 	// this router has received nothing recently from it.
 	UnreachableFromPeers bool
@@ -162,7 +164,8 @@
 		UncachedTokens:       e.uncachedTokens(now, shared),
 		Rate:                 e.rate,
 		FailureRate:          e.failureRate(now),
-		Usable:               e.usable(now),
+		Usable:               e.takesRequests(now) && !e.stalled(now),
+		Stalled:              e.takesRequests(now) && e.stalled(now),
 		UnreachableFromPeers: peerLoad.unreachable >= minUnreachableReports && !e.respondedRecently(now),
 	}
 	if v.Rate == 0 {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -96,6 +96,8 @@
 	// Allowance scales the limits. It is below 1 for a team above its fair share, and above 1
 	// for a stream that few engines can continue.
 	Allowance float64
+	// Unlimited is set if the request must be placed although all engines are above the limits.
+	Unlimited bool
 }
 
 // Choose returns the index of the engine to use. If no engine is within the limits,
@@ -112,7 +114,7 @@
 		if c.Running >= maxRunning {
 			excess = max(excess, time.Duration(c.Running-maxRunning+1)*slotReleaseTime)
 		}
-		if excess > 0 {
+		if excess > 0 && !r.Unlimited {
 			if shortest < 0 || excess < shortest {
 				shortest = excess
 			}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -176,6 +176,9 @@
 	// the stream that it continues. Its team's share was checked and charged before the first
 	// attempt and does not limit it again: the interrupted response would be lost.
 	Repeated bool
+	// Begun is set if the caller has the first events of the present response, which is cut
+	// off if no endpoint continues it. Limits on new requests don't apply.
+	Begun bool
 }
 
 // Refusal explains why a request was not placed.
@@ -276,7 +279,10 @@
 	}
 	d.countRequest(now, request)
 	home := homeEndpoint(request.Cost.Affinity(), endpoints)
-	candidates, usable, limited := d.candidates(now, endpoints, request.Cost.SharedParts, home)
+	candidates, usable, limited := d.candidates(now, endpoints, request.Cost.SharedParts, home, false)
+	if len(candidates) == 0 && limited == 0 && request.Begun {
+		candidates, usable, limited = d.candidates(now, endpoints, request.Cost.SharedParts, home, true)
+	}
 	switch {
 	case len(candidates) == 0 && limited > 0:
 		return nil, refuse(request, 1, 0, limited)
@@ -286,7 +292,7 @@
 	if allowance == 0 {
 		return nil, refuse(request, allowance, 0, len(candidates))
 	}
-	demand := placement.Request{Cost: request.Cost, Target: request.Target, Allowance: allowance}
+	demand := placement.Request{Cost: request.Cost, Target: request.Target, Allowance: allowance, Unlimited: request.Begun}
 	if request.Continued {
 		demand.Allowance *= continuedStreamFactor
 	}
@@ -330,13 +336,14 @@
 
 // candidates returns the usable engines and their indexes in endpoints. Engines
 // that peers report as unreachable are omitted while there are others. limited is the
-// number of engines that would be usable without their request limit.
-func (d *Dispatcher) candidates(now time.Time, endpoints []registry.Endpoint, shared []prompt.Part, home string) (_ []placement.Candidate, _ []int, limited int) {
+// number of engines that would be usable without their request limit. With stalled, stalled
+// engines count as usable.
+func (d *Dispatcher) candidates(now time.Time, endpoints []registry.Endpoint, shared []prompt.Part, home string, stalled bool) (_ []placement.Candidate, _ []int, limited int) {
 	candidates, usable := d.candidateBuffer[:0], d.usableBuffer[:0]
 	for _, unreachable := range []bool{false, true} {
 		for i, e := range endpoints {
 			v := d.loads.View(now, e.ID, shared)
-			if !v.Usable || v.UnreachableFromPeers != unreachable {
+			if !v.Usable && !(stalled && v.Stalled) || v.UnreachableFromPeers != unreachable {
 				continue
 			}
 			if !d.allowed(now, e.ID) {
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
@@ -36,16 +37,24 @@
 type relayResult int
 
 const (
+	// done: the caller has the final response.
 	done relayResult = iota
-	retryRequest
+	// failed: the response can't be used, and its attempt was ended.
+	failed
 )
 
 // delivery defines how the response to a request reaches its caller.
 type delivery interface {
 	// send sends the request to the assigned endpoint.
 	send(assignment *dispatch.Assignment) *attempt
-	// relay forwards the endpoint's response, or decides to retry the request.
+	// prefetch reads from the response of a second attempt until a part of it can be forwarded.
+	// It changes the attempt's outcome if nothing can. begun is set if the caller has a part of
+	// the response. It must not use the state of the delivery.
+	prefetch(a *attempt, begun bool)
+	// relay forwards the endpoint's response and ends the attempt.
 	relay(a *attempt) relayResult
+	// canContinue reports whether another attempt can complete the response.
+	canContinue() bool
 	// failWithoutResponse sends the final response if no endpoint gave a usable
 	// one.
 	failWithoutResponse(reason string)
@@ -56,7 +65,6 @@
 // deliver sends the request to one endpoint after another until the caller has
 // the final response.
 func (r *request) deliver(d delivery) {
-	defer r.releaseReplacement()
 	defer r.endUnfinished()
 	notSentCount, refusedCount := 0, 0
 	for {
@@ -65,15 +73,11 @@
 			d.rejectUnplaced(refusal)
 			return
 		}
-		a := d.send(assignment)
-		if a.outcome != responded {
-			r.endAttempt(a, r.resultOf(a))
+		a, result := r.run(d, assignment)
+		if result == done {
+			return
 		}
 		switch a.outcome {
-		case responded:
-			if d.relay(a) == done {
-				return
-			}
 		case notSent:
 			notSentCount++
 			if r.callerDisconnected() || notSentCount >= maxNotSent || !time.Now().Before(r.deadline) {
@@ -86,32 +90,59 @@
 				d.failWithoutResponse("the endpoints refused the request")
 				return
 			}
-		case indeterminate:
-			if !r.takeRetry(a) {
-				d.failWithoutResponse("the answer was lost")
+		case responded, indeterminate:
+			if !d.canContinue() || !r.takeRetry(a) {
+				d.failWithoutResponse(a.failureReason())
 				return
 			}
 		}
-		r.exclude = append(r.exclude, assignment.Endpoint.ID)
 	}
 }
 
-// endUnfinished ends the attempt that a panic left unfinished, so that its endpoint doesn't count
-// as busy for as long as the process runs.
+// run sends the request to the assigned endpoint and forwards the response. A second attempt
+// that runs beside it goes on if the first one fails. If both fail, run returns the one that
+// was used last.
+func (r *request) run(d delivery, assignment *dispatch.Assignment) (*attempt, relayResult) {
+	a := d.send(assignment)
+	for {
+		result := failed
+		if a.outcome == responded {
+			result = d.relay(a)
+		} else {
+			r.endAttempt(a, r.resultOf(a))
+		}
+		if result == done {
+			return a, done
+		}
+		second := r.hedge.await()
+		if second == nil {
+			return a, failed
+		}
+		a = second
+	}
+}
+
+// account adds an attempt to the counts of the request.
+func (r *request) account(a *attempt) {
+	r.exclude = append(r.exclude, a.assignment.Endpoint.ID)
+	if a.outcome != notSent {
+		r.sentAttempts++
+	}
+	if a.mayHaveExecuted() {
+		r.possibleExecutions++
+	}
+}
+
+// endUnfinished ends the attempts that a panic left unfinished, so that their endpoints don't
+// count as busy for as long as the process runs, and the second attempt that isn't needed.
 func (r *request) endUnfinished() {
+	r.hedge.stop()
 	if a := r.unfinished; a != nil {
 		r.h.Log.Warn("attempt ended without a result", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 		r.endAttempt(a, endpointload.Failed)
 	}
 }
 
-// releaseReplacement gives up the place that the request didn't need because it has ended.
-func (r *request) releaseReplacement() {
-	if replacement := r.stall.end(); replacement != nil {
-		replacement.End(time.Now(), endpointload.NotSent)
-	}
-}
-
 // attempt is one attempt to run the request at an endpoint.
 type attempt struct {
 	assignment *dispatch.Assignment
@@ -119,13 +150,39 @@
 	response   *endpointhttp.Response
 	err        error
 	ctx        context.Context
-	cancel     context.CancelFunc
+	cancel     context.CancelCauseFunc
 	startedAt  time.Time
 	// duration is the time until the response headers were read or the attempt
 	// failed. dialTimeout is the timeout of a connection to the endpoint.
 	duration, dialTimeout time.Duration
-	// stall is nil if the attempt is not watched for stalls.
-	stall *stallWatch
+	// unread reports whether bytes of the response wait in the socket; nil before there is a
+	// connection.
+	unread atomic.Pointer[func() bool]
+}
+
+// newAttempt returns an attempt that ends with the request.
+func (r *request) newAttempt(assignment *dispatch.Assignment) *attempt {
+	a := &attempt{assignment: assignment, outcome: notSent, startedAt: time.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(r.ctx)
+	return a
+}
+
+// mayHaveExecuted reports whether the endpoint may have executed the request.
+func (a *attempt) mayHaveExecuted() bool { return a.outcome == responded || a.outcome == indeterminate }
+
+// hasUnread reports whether bytes of the response wait to be read: then this process is late,
+// and the endpoint isn't silent.
+func (a *attempt) hasUnread() bool {
+	unread := a.unread.Load()
+	return unread != nil && (*unread)()
+}
+
+// failureReason describes a failed attempt in the final response.
+func (a *attempt) failureReason() string {
+	if a.outcome == responded {
+		return "the answer was cut off"
+	}
+	return "the answer was lost"
 }
 
 const (
@@ -136,39 +193,29 @@
 	maxRefused = 2
 )
 
-// send sends the request to one endpoint and classifies the response. The
-// attempt owns cancel, which cancels ctx.
-func (r *request) send(ctx context.Context, cancel context.CancelFunc, assignment *dispatch.Assignment, extra http.Header) *attempt {
-	now := time.Now()
-	a := &attempt{assignment: assignment, ctx: ctx, cancel: cancel, startedAt: now}
-	r.unfinished = a
-	out := r.endpointRequest(assignment, now)
+// send sends the request to the attempt's endpoint and classifies the response. It doesn't
+// change the request, so that two attempts can run at the same time.
+func (r *request) send(a *attempt, extra http.Header) {
+	out := r.endpointRequest(a, a.startedAt)
 	for name, values := range extra {
 		out.Header[name] = values
 	}
-	assignment.CancelIfQuarantined(cancel)
-	target := endpointhttp.Target{Instance: assignment.Endpoint.ID, Address: assignment.Endpoint.Address}
-	a.response, a.err = r.h.Pool.Do(ctx, target, out)
-	a.duration, a.dialTimeout = time.Since(now), r.h.Pool.DialTimeout
+	a.assignment.CancelIfQuarantined(func() { a.cancel(nil) })
+	target := endpointhttp.Target{Instance: a.assignment.Endpoint.ID, Address: a.assignment.Endpoint.Address}
+	a.response, a.err = r.h.Pool.Do(a.ctx, target, out)
+	a.duration, a.dialTimeout = time.Since(a.startedAt), r.h.Pool.DialTimeout
 	switch {
 	case endpointhttp.NotSent(a.err):
 		a.outcome = notSent
 	case a.err != nil:
-		r.sentAttempts++
-		r.possibleExecutions++
 		a.outcome = indeterminate
 	default:
-		r.sentAttempts++
 		r.recordLimit(a)
 		r.recordLeaving(a)
-		a.outcome = r.classify(a.response)
-		if a.outcome != refused {
-			r.possibleExecutions++
-		} else {
+		if a.outcome = r.classify(a.response); a.outcome == refused {
 			r.recordPause(a)
 		}
 	}
-	return a
 }
 
 // recordLeaving records that the endpoint says in its response that it is leaving.
@@ -262,14 +309,16 @@
 
 // endAttempt releases the attempt's connection and records its result.
 func (r *request) endAttempt(a *attempt, result endpointload.Result) {
-	r.unfinished = nil
+	if r.unfinished == a {
+		r.unfinished = nil
+	}
 	if a.response != nil {
 		a.response.Close()
 	}
 	cause := context.Cause(a.ctx)
-	a.cancel()
+	a.cancel(nil)
 	now := time.Now()
-	if result == endpointload.Failed && a.err != nil && a.assignment.Interrupted(now, a.response != nil) {
+	if result == endpointload.Failed && a.err != nil && !errors.Is(cause, errSuperseded) && a.assignment.Interrupted(now, a.response != nil) {
 		go r.h.checkEndpoint(a.assignment.Endpoint)
 	}
 	if a.outcome == responded && a.err == nil && result != endpointload.Abandoned {
@@ -323,8 +372,9 @@
 // resultOf returns the result of an attempt without a usable response.
 func (r *request) resultOf(a *attempt) endpointload.Result {
 	interrupted := r.callerDisconnected() || a.assignment.Quarantined()
+	superseded := errors.Is(context.Cause(a.ctx), errSuperseded)
 	switch {
-	case a.outcome == notSent && !interrupted && a.provesUnreachable():
+	case a.outcome == notSent && !interrupted && !superseded && a.provesUnreachable():
 		return endpointload.ConnectFailed
 	case a.outcome == notSent:
 		return endpointload.NotSent
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -148,10 +148,15 @@
 	continues bool
 	// unfinished is the attempt in progress, or nil.
 	unfinished *attempt
-	// stall watches the present attempt, if it may be moved to another endpoint.
-	stall *stallWatch
+	// hedge watches the attempt in progress, if a second one may run beside it.
+	hedge *hedge
+	// failure is the latest complete response with a server error. The caller gets it if no
+	// endpoint gives a better one.
+	failure *bufferedResponse
+	// responseBegun is set once the caller has a part of the response.
+	responseBegun bool
 	// disconnected is set once the caller's connection was found closed.
-	disconnected bool
+	disconnected atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -426,7 +431,7 @@
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
 		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Continued: r.build != streamorigin.AnyBuild,
-		Repeated: r.possibleExecutions > 0 || r.continues,
+		Repeated: r.possibleExecutions > 0 || r.continues, Begun: r.responseBegun,
 	}
 }
 
@@ -456,7 +461,7 @@
 // gone.
 func (r *request) recheck(instance string) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
-		r.disconnected = true
+		r.disconnected.Store(true)
 		return errConnectionClosed
 	}
 	if !time.Now().Before(r.deadline) {
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
 
@@ -65,8 +64,8 @@
 	singleExecutionMaxIdle = 500 * time.Millisecond
 )
 
-func (r *request) endpointRequest(assignment *dispatch.Assignment, now time.Time) *endpointhttp.Request {
-	instance := assignment.Endpoint.ID
+func (r *request) endpointRequest(a *attempt, now time.Time) *endpointhttp.Request {
+	instance := a.assignment.Endpoint.ID
 	idle := repeatableMaxIdle
 	if !r.route.Repeatable() {
 		idle = singleExecutionMaxIdle
@@ -75,8 +74,9 @@
 		Method: r.in.Method, URI: r.uri(), Host: r.in.Host,
 		Header: r.endpointHeader(instance, now), Body: r.body,
 		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
-		Recheck: func() error {
-			assignment.Sent(time.Now())
+		Recheck: func(unread func() bool) error {
+			a.unread.Store(&unread)
+			a.assignment.Sent(time.Now())
 			return r.recheck(instance)
 		},
 	}
--- a/direct/entry/log.go
+++ b/direct/entry/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
@@ -25,11 +26,11 @@
 
 // logResumption logs an attempt that goes on after some event of a stream, of this response
 // or of an earlier attempt of the caller.
-func (r *request) logResumption(assignment *dispatch.Assignment, s *streamState) {
+func (r *request) logResumption(assignment *dispatch.Assignment, resume http.Header) {
 	d := &r.h.Dialect
 	after, resumes := r.in.Header.Get(d.LastEventID), r.in.Header.Get(d.Resumes)
-	if header := r.resumeHeader(s); header != nil {
-		after = header.Get(d.LastEventID)
+	if resume != nil {
+		after = resume.Get(d.LastEventID)
 	}
 	if after == "" {
 		return
--- a/direct/entry/metrics.go
+++ b/direct/entry/metrics.go
@@ -13,7 +13,10 @@
 	Refused            metrics.Counter
 	Failed             metrics.Counter
 	CallerDisconnected metrics.Counter
-	Resumed            metrics.Counter
+	// Hedges counts the second attempts that began beside a silent one, HedgesWon those that
+	// replaced it.
+	Hedges    metrics.Counter
+	HedgesWon metrics.Counter
 	// Shed counts the requests refused because the router was overloaded or had
 	// too many requests in progress.
 	Shed metrics.Counter
@@ -33,7 +36,8 @@
 		Refused:            counter("refused"),
 		Failed:             counter("failed"),
 		CallerDisconnected: counter("caller_gone"),
-		Resumed:            counter("resumed"),
+		Hedges:             counter("hedges"),
+		HedgesWon:          counter("hedges_won"),
 		Shed:               counter("shed"),
 		Latency:            metrics.GetOrRegisterTimer("direct.latency", registry),
 		FirstEvent:         metrics.GetOrRegisterTimer("direct.first_event", registry),
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -78,16 +78,17 @@
 }
 
 // recordOrigin records the build of the first endpoint whose events are forwarded to the
-// caller. It returns false if the origin can't be saved and the request, for which it took a
-// retry, can begin again at a build that needs no saved origin.
+// caller. It returns false if the origin can't be saved and a second attempt, at a build that
+// needs no saved origin, goes on with the request.
 func (r *request) recordOrigin(a *attempt) bool {
 	if r.build != streamorigin.AnyBuild || !r.route.Resumable {
 		return true
 	}
 	build := dispatch.BuildOf(a.assignment.Endpoint)
 	if !r.h.Origins.Begin(r.ctx, r.id, build) {
-		if other := r.placedBuild(); other != streamorigin.AnyBuild && other != build && r.takeRetry(a) {
-			r.h.Log.Info("origin of a stream not saved; beginning again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+		if other := r.placedBuild(); other != streamorigin.AnyBuild && other != build && !r.callerDisconnected() &&
+			r.hedge.beginAt(other, r.latencyTarget(time.Now())) {
+			r.h.Log.Info("origin of a stream not saved; begun again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 			return false
 		}
 		if r.callerDisconnected() {
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,7 +10,6 @@
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
-	"github.com/acaciaspar/acaciaspar/state/routing"
 )
 
 const (
@@ -21,39 +18,49 @@
 	maxBufferedResponse = 256 << 10
 	// maxResponse bounds a response, in bytes. It ends one without end early.
 	maxResponse = 16 << 20
-	// retryTimeoutFraction is the fraction of the latency target after which an
-	// idempotent request is sent to another endpoint.
-	retryTimeoutFraction = 0.6
 	// minRetryTime is the minimum time until the deadline for a retry.
 	minRetryTime = 20 * time.Millisecond
 )
 
-var errRetryTimeout = errors.New("endpoint did not respond within the retry timeout")
-
 // plainDelivery buffers a response that is not streamed until it is complete.
 type plainDelivery struct{ r *request }
 
 func (d plainDelivery) send(assignment *dispatch.Assignment) *attempt {
-	return d.r.sendWithRetryTimeout(assignment)
+	return d.r.sendHedged(d, assignment, nil)
 }
 func (d plainDelivery) relay(a *attempt) relayResult             { return d.r.relayBuffered(a) }
+func (d plainDelivery) canContinue() bool                        { return true }
 func (d plainDelivery) failWithoutResponse(reason string)        { d.r.failWithoutResponse(reason) }
 func (d plainDelivery) rejectUnplaced(refusal *dispatch.Refusal) { d.r.rejectUnplaced(refusal) }
 
-func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
-	if replacement := r.stall.end(); replacement != nil {
-		return replacement, nil
+// prefetch reads the response, or as much of it as is buffered.
+func (d plainDelivery) prefetch(a *attempt, _ bool) { a.prefetchBuffered() }
+
+// prefetchBuffered reads the response up to the size that relayBuffered buffers.
+func (a *attempt) prefetchBuffered() {
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
+	if err != nil {
+		a.outcome, a.err = indeterminate, err
+		return
 	}
-	r.stall = nil
+	a.response.Body = io.MultiReader(bytes.NewReader(body), a.response.Body)
+}
+
+func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
 	if r.sentAttempts > 0 {
 		if refusal := r.h.Dispatcher.Quarantine(now, r.cost, r.fingerprint()); refusal != nil {
 			return nil, refusal
 		}
 	}
+	return r.placeAt(now, r.dispatchRequest(now))
+}
+
+// placeAt places the request at an endpoint of its service.
+func (r *request) placeAt(now time.Time, next *dispatch.Request) (*dispatch.Assignment, *dispatch.Refusal) {
 	if r.service.Engine != nil {
-		return r.h.Dispatcher.PlaceEngine(now, r.dispatchRequest(now))
+		return r.h.Dispatcher.PlaceEngine(now, next)
 	}
-	return r.h.Dispatcher.PlacePlain(now, r.dispatchRequest(now))
+	return r.h.Dispatcher.PlacePlain(now, next)
 }
 
 // rejectUnplaced sends the final response to a request that no endpoint takes.
@@ -69,62 +76,59 @@
 	r.refuse(status, string(refusal.Reason), refusal.RetryAfter, r.refusalAttrs(refusal)...)
 }
 
-// sendWithRetryTimeout limits the time of an attempt if the request may be retried
-// at another endpoint, so that one slow endpoint uses up only a part of the
-// latency target.
-func (r *request) sendWithRetryTimeout(assignment *dispatch.Assignment) *attempt {
-	if r.route.Semantics != routing.Idempotent || r.possibleExecutions+1 >= r.route.Attempts || r.route.LatencyTarget <= 0 {
-		ctx, cancel := context.WithCancel(r.ctx)
-		return r.send(ctx, cancel, assignment, nil)
-	}
-	timeout := time.Duration(float64(r.route.LatencyTarget) * retryTimeoutFraction)
-	ctx, cancel := context.WithTimeoutCause(r.ctx, timeout, errRetryTimeout)
-	return r.send(ctx, cancel, assignment, nil)
+// bufferedResponse is a complete response of an endpoint.
+type bufferedResponse struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
 // relayBuffered reads the whole response and forwards it, unless it is incomplete
-// or an error and the request can be retried.
+// or a server error.
 func (r *request) relayBuffered(a *attempt) relayResult {
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
-	if err == nil && len(body) > maxBufferedResponse {
-		return r.relayLarge(a, body)
-	}
 	if err != nil {
 		a.err = err
 		r.endAttempt(a, r.resultOf(a))
-		if r.takeRetry(a) {
-			return retryRequest
-		}
-		r.failWithoutResponse("the answer was cut off")
-		return done
+		return failed
 	}
-	now := time.Now()
-	if a.response.Status >= 500 {
+	if len(body) <= maxBufferedResponse && a.response.Status >= 500 {
+		r.failure = &bufferedResponse{a.response.Status, a.response.Header, body}
 		r.endAttempt(a, endpointload.Failed)
-		if r.takeRetry(a) {
-			return retryRequest
-		}
-	} else {
-		a.assignment.Begin(now)
-		if a.response.Status < 300 {
-			a.assignment.Served(now)
-		}
-		r.endAttempt(a, endpointload.Succeeded)
+		return failed
+	}
+	if !r.hedge.claim(0, false) {
+		r.endSuperseded(a)
+		return failed
+	}
+	if len(body) > maxBufferedResponse {
+		return r.relayLarge(a, body)
+	}
+	now := time.Now()
+	a.assignment.Begin(now)
+	if a.response.Status < 300 {
+		a.assignment.Served(now)
 	}
+	r.endAttempt(a, endpointload.Succeeded)
+	r.sendBuffered(&bufferedResponse{a.response.Status, a.response.Header, body})
+	return done
+}
+
+// sendBuffered sends an endpoint's response to the caller.
+func (r *request) sendBuffered(b *bufferedResponse) {
 	r.h.Metrics.Answered.Inc(1)
-	r.h.Metrics.Latency.Update(now.Sub(r.receivedAt))
-	r.logRequestEnd(a.response.Status, "answered")
-	r.copyResponseHeader(a.response.Header)
+	r.h.Metrics.Latency.Update(time.Since(r.receivedAt))
+	r.logRequestEnd(b.status, "answered")
+	r.copyResponseHeader(b.header)
 	if r.in.Method == http.MethodHead {
-		r.w.Header()["Content-Length"] = a.response.Header["Content-Length"]
+		r.w.Header()["Content-Length"] = b.header["Content-Length"]
 	} else {
-		r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		r.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	}
-	r.w.WriteHeader(a.response.Status)
-	if _, err := r.w.Write(body); err != nil {
+	r.w.WriteHeader(b.status)
+	if _, err := r.w.Write(b.body); err != nil {
 		r.h.Log.Debug("caller disconnected before the end of the response", "request", r.id, "error", err.Error())
 	}
-	return done
 }
 
 // relayLarge forwards a response of which start was read and that is too large to be
@@ -177,17 +181,18 @@
 }
 
 // takeRetry reports whether the request may be sent again after attempt a although it
-// may have been executed, and if so consumes one retry of the service's retry budget,
-// unless a's stall watch has taken it.
+// may have been executed, and if so consumes one retry of the service's retry budget.
 func (r *request) takeRetry(a *attempt) bool {
 	return r.route.Repeatable() && r.possibleExecutions < r.route.Attempts && !r.callerDisconnected() && !a.assignment.Quarantined() &&
-		time.Until(r.deadline) > minRetryTime && (a.stall.hasTakenRetry() || r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name))
+		time.Until(r.deadline) > minRetryTime && r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name)
 }
 
-func (r *request) callerDisconnected() bool { return r.disconnected || r.in.Context().Err() != nil }
+func (r *request) callerDisconnected() bool {
+	return r.disconnected.Load() || r.in.Context().Err() != nil
+}
 
 // failWithoutResponse sends the final response to a request for which no endpoint
-// gave a usable one. If the caller has disconnected, it panics with
+// gave a usable one: the server error of one, if there is any. If the caller has disconnected, it panics with
 // http.ErrAbortHandler.
 func (r *request) failWithoutResponse(reason string) {
 	switch {
@@ -195,6 +200,8 @@
 		r.h.Metrics.CallerDisconnected.Inc(1)
 		r.logRequestEnd(0, "caller left")
 		panic(http.ErrAbortHandler)
+	case r.failure != nil:
+		r.sendBuffered(r.failure)
 	case r.possibleExecutions == 0:
 		r.refuse(http.StatusServiceUnavailable, reason, noResponseRetryAfter)
 	case r.ctx.Err() != nil:
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"mime"
@@ -23,20 +24,21 @@
 	// after the first event, so that several events need only one read and one
 	// write. It is below the 120 ms within which callers expect an event.
 	coalesceDelay = 80 * time.Millisecond
-	// stallCheckInterval is the interval at which the endpoint of a stream is
-	// checked for a stall.
-	stallCheckInterval = 250 * time.Millisecond
 )
 
 var (
-	errStalled       = errors.New("endpoint stalled")
 	errUnsavedOrigin = errors.New("the origin of the stream can't be saved")
 	errEventTooLong  = errors.New("event in the endpoint's stream is too long")
+	errOutpaced      = errors.New("the second attempt had an event first")
 )
 
 // streamState is the state of a streamed response across attempts.
 type streamState struct {
+	// splitter holds the incomplete event of the attempt in progress.
 	splitter eventstream.Splitter
+	// lastID is the identifier of the last forwarded event, if hasID is set.
+	lastID int64
+	hasID  bool
 	// headersSent is set once the response headers were sent to the caller.
 	headersSent bool
 	flusher     *http.ResponseController
@@ -52,10 +54,12 @@
 }
 
 func (d streamDelivery) send(assignment *dispatch.Assignment) *attempt {
-	d.r.logResumption(assignment, d.s)
-	return d.r.sendWithStallDetection(assignment, d.s)
+	extra := d.r.resumeHeader(d.s.lastID, d.s.hasID)
+	d.r.logResumption(assignment, extra)
+	return d.r.sendHedged(d, assignment, extra)
 }
 func (d streamDelivery) relay(a *attempt) relayResult      { return d.r.relayStream(a, d.s) }
+func (d streamDelivery) canContinue() bool                 { return !d.s.headersSent || d.s.hasID }
 func (d streamDelivery) failWithoutResponse(reason string) { d.r.failStream(d.s, reason) }
 
 func (d streamDelivery) rejectUnplaced(refusal *dispatch.Refusal) {
@@ -65,14 +69,46 @@
 	d.r.rejectUnplaced(refusal)
 }
 
-// resumeHeader returns the header with which an endpoint resumes after the last
-// forwarded event, or nil if nothing was forwarded or the events have no IDs.
-func (r *request) resumeHeader(s *streamState) http.Header {
-	id, ok := s.splitter.LastID()
-	if !s.headersSent || !ok {
+// prefetch reads until the first complete event or the end of the response.
+func (d streamDelivery) prefetch(a *attempt, begun bool) {
+	eventStream := isEventStream(a.response.Header)
+	switch {
+	case begun && (a.response.Status >= 300 || !eventStream):
+		a.outcome = indeterminate
+		return
+	case !eventStream || a.response.Status >= 300:
+		a.prefetchBuffered()
+		return
+	}
+	var read []byte
+	var splitter eventstream.Splitter
+	buffer := streamBuffers.get(streamBuffer)
+	defer streamBuffers.put(buffer)
+	for {
+		n, err := a.response.Body.Read(buffer)
+		read = append(read, buffer[:n]...)
+		complete := len(splitter.Feed(buffer[:n])) > 0
+		switch {
+		case complete || errors.Is(err, io.EOF):
+			a.response.Body = io.MultiReader(bytes.NewReader(read), a.response.Body)
+			return
+		case splitter.Overflowed():
+			a.outcome, a.err = indeterminate, errEventTooLong
+			return
+		case err != nil:
+			a.outcome, a.err = indeterminate, err
+			return
+		}
+	}
+}
+
+// resumeHeader returns the header with which an endpoint resumes after the event with this
+// identifier, or nil if there is none.
+func (r *request) resumeHeader(lastID int64, hasID bool) http.Header {
+	if !hasID {
 		return nil
 	}
-	return http.Header{r.h.Dialect.LastEventID: {strconv.FormatInt(id, 10)}}
+	return http.Header{r.h.Dialect.LastEventID: {strconv.FormatInt(lastID, 10)}}
 }
 
 // relayStream forwards the events of one endpoint.
@@ -81,32 +117,34 @@
 	if a.response.Status >= 300 || s.headersSent && !eventStream {
 		return r.relayErrorResponse(a, s)
 	}
+	s.splitter = eventstream.Splitter{}
 	buffer := streamBuffers.get(streamBuffer)
 	defer streamBuffers.put(buffer)
 	for {
+		r.hedge.reading()
 		n, err := a.response.Body.Read(buffer)
 		now := time.Now()
 		if n > 0 {
 			writeErr := r.forwardEvents(a, s, buffer[:n], eventStream, now)
-			if errors.Is(writeErr, errUnsavedOrigin) {
+			switch {
+			case errors.Is(writeErr, errOutpaced):
+				r.endSuperseded(a)
+				return failed
+			case errors.Is(writeErr, errUnsavedOrigin):
 				r.endAttempt(a, endpointload.Abandoned)
-				s.splitter = eventstream.Splitter{}
-				return retryRequest
-			}
-			if writeErr != nil {
+				return failed
+			case writeErr != nil:
 				r.endAttempt(a, endpointload.Abandoned)
 				r.abortDisconnected(writeErr)
 			}
 		}
 		switch {
 		case s.splitter.Overflowed():
-			a.err = errEventTooLong
-			return r.handleStreamError(a, s)
+			return r.endBroken(a, errEventTooLong)
 		case errors.Is(err, io.EOF):
 			return r.finishStream(a, s, eventStream)
 		case err != nil:
-			a.err = err
-			return r.handleStreamError(a, s)
+			return r.endBroken(a, err)
 		}
 		if s.headersSent && r.h.Overload.PreferBatching() {
 			time.Sleep(coalesceDelay)
@@ -114,6 +152,13 @@
 	}
 }
 
+// endBroken ends an attempt whose response broke off.
+func (r *request) endBroken(a *attempt, err error) relayResult {
+	a.err = err
+	r.endAttempt(a, r.resultOf(a))
+	return failed
+}
+
 func isEventStream(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
@@ -122,7 +167,8 @@
 // forwardEvents writes the events that are complete with data, or data itself if
 // the response is not an event stream. Only complete events count as received: an
 // endpoint that sends single bytes and no events is stalled. It returns errUnsavedOrigin if the
-// request should begin again at another endpoint.
+// request should begin again at another endpoint, and errOutpaced if the second attempt goes on
+// with the stream.
 func (r *request) forwardEvents(a *attempt, s *streamState, data []byte, eventStream bool, now time.Time) error {
 	if eventStream {
 		data = s.splitter.Feed(data)
@@ -131,6 +177,13 @@
 		return nil
 	}
 	a.assignment.Receive(now)
+	lastID, hasID := s.splitter.LastID()
+	if !hasID {
+		lastID, hasID = s.lastID, s.hasID
+	}
+	if !r.hedge.claim(lastID, hasID) {
+		return errOutpaced
+	}
 	a.assignment.Begin(now)
 	if eventStream {
 		a.assignment.Served(now)
@@ -139,11 +192,12 @@
 		if eventStream && !r.recordOrigin(a) {
 			return errUnsavedOrigin
 		}
-		s.headersSent = true
+		s.headersSent, r.responseBegun = true, true
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
 		r.copyResponseHeader(a.response.Header)
 		r.w.WriteHeader(a.response.Status)
 	}
+	s.lastID, s.hasID = lastID, hasID
 	n, err := r.w.Write(data)
 	s.written += int64(n)
 	if err != nil {
@@ -158,11 +212,12 @@
 func (r *request) finishStream(a *attempt, s *streamState, eventStream bool) relayResult {
 	switch {
 	case eventStream && s.splitter.HasPartial():
-		a.err = eris.New("stream ended inside an event")
-		return r.handleStreamError(a, s)
+		return r.endBroken(a, eris.New("stream ended inside an event"))
 	case eventStream && !a.response.Framed() && !a.assignment.Begun():
-		a.err = eris.New("stream ended before its first event")
-		return r.handleStreamError(a, s)
+		return r.endBroken(a, eris.New("stream ended before its first event"))
+	case !r.hedge.claim(s.lastID, s.hasID):
+		r.endSuperseded(a)
+		return failed
 	}
 	a.assignment.Served(time.Now())
 	if !s.headersSent {
@@ -177,33 +232,15 @@
 	return done
 }
 
-// handleStreamError retries or resumes an interrupted stream at another endpoint
-// if possible, and otherwise fails it.
-func (r *request) handleStreamError(a *attempt, s *streamState) relayResult {
-	r.endAttempt(a, r.resultOf(a))
-	s.splitter.DropPartial()
-	_, hasID := s.splitter.LastID()
-	if (!s.headersSent || hasID) && r.takeRetry(a) {
-		r.h.Metrics.Resumed.Inc(1)
-		return retryRequest
-	}
-	r.failStream(s, "the stream was cut off")
-	return done
-}
-
 // relayErrorResponse forwards a response with a status of 300 or above if nothing
 // was sent to the caller yet. Otherwise the response, whatever its status, does not continue
-// the stream, which is retried or aborted.
+// the stream.
 func (r *request) relayErrorResponse(a *attempt, s *streamState) relayResult {
 	if !s.headersSent {
 		return r.relayBuffered(a)
 	}
 	r.endAttempt(a, endpointload.Failed)
-	if r.takeRetry(a) {
-		return retryRequest
-	}
-	r.abortStream(s, "the resumed stream failed")
-	return done
+	return failed
 }
 
 func (r *request) failStream(s *streamState, reason string) {
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -102,6 +102,9 @@
 	return c.reader.Buffered() == 0 && sockpeek.Peek(c.Conn) == sockpeek.Idle
 }
 
+// hasUnread reports whether bytes that the endpoint sent wait in the socket.
+func (c *conn) hasUnread() bool { return sockpeek.Peek(c.Conn) == sockpeek.Readable }
+
 // keepAliveTimeout returns the timeout of a Keep-Alive header, or 0 if it has none.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -31,8 +31,9 @@
 	ID       string
 	IDHeader string
 	// Recheck is called immediately before the request is written. If it returns an
-	// error, the request is not sent. nil skips this check.
-	Recheck func() error
+	// error, the request is not sent. nil skips this check. unread reports whether bytes that
+	// the endpoint sent wait in the socket; it may be called until the response is closed.
+	Recheck func(unread func() bool) error
 	// MaxIdleTime is the maximum idle time of a pooled connection used for the request.
 	MaxIdleTime time.Duration
 }
@@ -98,7 +99,7 @@
 		return nil, &NotSentError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := r.checkBeforeSend(ctx); err != nil {
+	if err := r.checkBeforeSend(ctx, c); err != nil {
 		stop()
 		_ = c.Close()
 		return nil, &NotSentError{Err: err}
@@ -115,12 +116,12 @@
 
 // checkBeforeSend returns an error if ctx is done or the request must not be sent any
 // more.
-func (r *Request) checkBeforeSend(ctx context.Context) error {
+func (r *Request) checkBeforeSend(ctx context.Context, c *conn) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	if r.Recheck != nil {
-		return r.Recheck()
+		return r.Recheck(c.hasUnread)
 	}
 	return nil
 }
