Sequences of failures with silent endpoints, and a stricter check of server errors

A response with status 500 was accepted only from the last attempt. That is no longer right: the complete server error of any attempt is delivered if nothing better comes, instead of a 502. The check now names the one outcome that each sequence allows: status 200 if any attempt gave a complete answer; a response that breaks off if events were forwarded and no attempt completed it; otherwise 500, with the endpoint's body and signature, if and only if any attempt gave the complete failure; otherwise 502 if any attempt may have executed the request (504 if an endpoint was silent for good); otherwise 503 or 429. The old check allowed 502 after a complete answer or failure, and a cut response in any case.

New: sequences with endpoints that are silent for 0.3 s, for 1.6 s before or inside their answer, and for good, on all four routes, with one and with five endpoints, each sequence with a router and endpoints of its own.

--- a/direct/entry/failure_sequences_test.go
+++ b/direct/entry/failure_sequences_test.go
@@ -2,26 +2,55 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
+// effect is what a router can make of an endpoint's reaction to one attempt.
+type effect int
+
+const (
+	// notRun: the endpoint states that it didn't execute the request.
+	notRun effect = iota
+	// lost: the endpoint may have executed the request, and there is nothing to forward.
+	lost
+	// begun: events can be forwarded, but the response breaks off after them.
+	begun
+	// serverError: the response is complete and a server error.
+	serverError
+	// complete: the response is complete.
+	complete
+)
+
 // behaviour is how an endpoint reacts to one attempt.
 type behaviour struct {
-	name string
-	// executes is set if the endpoint may have executed the request.
-	executes bool
-	script   directtest.Script
+	name   string
+	effect effect
+	script directtest.Script
+	// silence is how long the endpoint sends nothing although its response isn't complete.
+	silence time.Duration
+}
+
+// executes reports whether the endpoint may have executed the request.
+func (b *behaviour) executes() bool { return b.effect != notRun }
+
+// hasEffect reports whether one of the behaviours has this effect.
+func hasEffect(list []behaviour, wanted effect) bool {
+	return slices.ContainsFunc(list, func(b behaviour) bool { return b.effect == wanted })
 }
 
 // streamEvents is the number of events in a complete stream.
@@ -63,45 +92,45 @@
 // common returns the behaviours that any endpoint can have.
 func common() []behaviour {
 	return []behaviour{
-		{"full", false, status(503, headers.NotExecuted+": 1")},
-		{"misdirected", false, status(421)},
-		{"bare 503", true, status(503)},
-		{"bare 429", true, status(429)},
-		{"failure", true, status(500)},
-		{"reset", true, reset},
-		{"closed", true, func(net.Conn, *directtest.Call) bool { return false }},
-		{"unsigned", true, raw("HTTP/1.1 200 OK\n%s: %s\nContent-Length: 2\n\nok%.0s")},
-		{"encoded", true, status(200, "Content-Encoding: gzip")},
-		{"response to another request", true, raw("HTTP/1.1 200 OK\n%s: not-%s\n%s: sig\nContent-Length: 2\n\nok")},
-		{"invalid response", true, raw("%.0s%.0s%.0snonsense\n\n")},
+		{"full", notRun, status(503, headers.NotExecuted+": 1"), 0},
+		{"misdirected", notRun, status(421), 0},
+		{"bare 503", lost, status(503), 0},
+		{"bare 429", lost, status(429), 0},
+		{"failure", serverError, status(500), 0},
+		{"reset", lost, reset, 0},
+		{"closed", lost, func(net.Conn, *directtest.Call) bool { return false }, 0},
+		{"unsigned", lost, raw("HTTP/1.1 200 OK\n%s: %s\nContent-Length: 2\n\nok%.0s"), 0},
+		{"encoded", lost, status(200, "Content-Encoding: gzip"), 0},
+		{"response to another request", lost, raw("HTTP/1.1 200 OK\n%s: not-%s\n%s: sig\nContent-Length: 2\n\nok"), 0},
+		{"invalid response", lost, raw("%.0s%.0s%.0snonsense\n\n"), 0},
 	}
 }
 
 func plainBehaviours() []behaviour {
 	return append(common(),
-		behaviour{"complete response", true, ok},
-		behaviour{"truncated", true, raw("HTTP/1.1 200 OK\n%s: %s\n%s: sig\nContent-Length: 5\n\nok")},
+		behaviour{"complete response", complete, ok, 0},
+		behaviour{"truncated", lost, raw("HTTP/1.1 200 OK\n%s: %s\n%s: sig\nContent-Length: 5\n\nok"), 0},
 	)
 }
 
 func streamBehaviours() []behaviour {
-	stream := func(name string, send func(c net.Conn, first int)) behaviour {
-		return behaviour{name, true, func(c net.Conn, call *directtest.Call) bool {
+	stream := func(name string, effect effect, send func(c net.Conn, first int)) behaviour {
+		return behaviour{name, effect, func(c net.Conn, call *directtest.Call) bool {
 			directtest.BeginStream(c, call)
 			send(c, firstEvent(call))
 			return false
-		}}
+		}, 0}
 	}
 	return append(common(),
-		stream("complete stream", func(c net.Conn, first int) {
+		stream("complete stream", complete, func(c net.Conn, first int) {
 			directtest.Chunk(c, eventsFrom(first, streamEvents))
 			directtest.Chunk(c, "")
 		}),
-		stream("cut before an event", func(net.Conn, int) {}),
-		stream("cut inside an event", func(c net.Conn, first int) {
+		stream("cut before an event", lost, func(net.Conn, int) {}),
+		stream("cut inside an event", begun, func(c net.Conn, first int) {
 			directtest.Chunk(c, directtest.Event(first)+"id: "+strconv.Itoa(first+1)+"\nda")
 		}),
-		stream("ended inside an event", func(c net.Conn, first int) {
+		stream("ended inside an event", begun, func(c net.Conn, first int) {
 			directtest.Chunk(c, directtest.Event(first)+"id: "+strconv.Itoa(first+1)+"\nda")
 			directtest.Chunk(c, "")
 		}),
@@ -121,7 +150,7 @@
 	s.mu.Lock()
 	b := s.behaviours[min(s.attempts, len(s.behaviours)-1)]
 	s.attempts++
-	if b.executes {
+	if b.executes() {
 		s.executions++
 	}
 	s.mu.Unlock()
@@ -132,6 +161,7 @@
 type explorer struct {
 	t          *testing.T
 	path       string
+	service    string
 	complete   string
 	repeatable bool
 	behaviours []behaviour
@@ -194,55 +224,241 @@
 	got := r.post(e.path)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e.check(s, got, list[min(s.attempts, len(list))-1])
+	e.check(e.t, s, got)
 	return s.attempts
 }
 
 // check verifies the invariants of a finished request for any behaviour of the
 // endpoints.
-func (e *explorer) check(s *endpointScript, got result, last behaviour) {
-	note := must.Sprintf("%s after %s", e.path, names(s.behaviours))
+func (e *explorer) check(t *testing.T, s *endpointScript, got result) {
+	t.Helper()
+	note := must.Sprintf("%s after %s, status %d", e.path, names(s.behaviours), got.status)
+	made := s.behaviours[:min(s.attempts, len(s.behaviours))]
 	if !e.repeatable {
-		must.LessEq(e.t, 1, s.executions, note)
-	}
-	must.LessEq(e.t, 2, s.executions, note)
-	if got.err != nil {
-		must.StrHasPrefix(e.t, got.body, e.complete, note)
-		return
+		must.LessEq(t, 1, s.executions, note)
 	}
-	switch got.status {
-	case http.StatusOK:
-		must.Eq(e.t, e.complete, got.body, note)
-		must.Eq(e.t, "sig", got.header.Get(headers.Signature), note)
-	case http.StatusInternalServerError:
-		must.Eq(e.t, "failure", last.name, note)
-		must.Eq(e.t, "sig", got.header.Get(headers.Signature), note)
-		must.Eq(e.t, "from the endpoint", got.body, note)
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		must.Zero(e.t, s.executions, note)
-		must.Eq(e.t, "", got.header.Get(headers.Signature), note)
-	case http.StatusBadGateway:
-		must.Positive(e.t, s.executions, note)
-		must.Eq(e.t, "", got.header.Get(headers.Signature), note)
+	must.LessEq(t, 2, s.executions, note)
+	switch {
+	case hasEffect(made, complete):
+		must.NoError(t, got.err, note)
+		must.Eq(t, http.StatusOK, got.status, note)
+		must.Eq(t, e.complete, got.body, note)
+		must.Eq(t, "sig", got.header.Get(headers.Signature), note)
+	case hasEffect(made, begun):
+		must.Error(t, got.err, note)
+		must.NotEq(t, "", got.body, note)
+		must.NotEq(t, e.complete, got.body, note)
+		must.StrHasPrefix(t, got.body, e.complete, note)
+	case hasEffect(made, serverError):
+		must.NoError(t, got.err, note)
+		must.Eq(t, http.StatusInternalServerError, got.status, note)
+		must.Eq(t, "from the endpoint", got.body, note)
+		must.Eq(t, "sig", got.header.Get(headers.Signature), note)
+	case s.executions > 0:
+		must.NoError(t, got.err, note)
+		if slices.ContainsFunc(made, func(b behaviour) bool { return b.silence >= silentForGood }) {
+			must.SliceContains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, got.status, note)
+		} else {
+			must.Eq(t, http.StatusBadGateway, got.status, note)
+		}
+		must.Eq(t, "", got.header.Get(headers.Signature), note)
 	default:
-		e.t.Fatalf("%s after %s: status %d", e.path, names(s.behaviours), got.status)
+		must.NoError(t, got.err, note)
+		must.SliceContains(t, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, got.status, note)
+		must.Eq(t, "", got.header.Get(headers.Signature), note)
+	}
+}
+
+const (
+	// briefSilence is too short for a second attempt, watchedSilence longer than the time after
+	// which one begins.
+	briefSilence   = 300 * time.Millisecond
+	watchedSilence = 1600 * time.Millisecond
+	// silentForGood is longer than any request lasts.
+	silentForGood = time.Hour
+)
+
+// silentBehaviours returns the behaviours of an endpoint that is silent for a while or for good.
+func (e *explorer) silentBehaviours() []behaviour {
+	// answer sends the complete response, with a silence in it.
+	answer := func(silence time.Duration, inside bool) directtest.Script {
+		if e.service == "engines" {
+			if inside {
+				return silentAfter(1)(func() { time.Sleep(silence) })
+			}
+			return silentAfter(0)(func() { time.Sleep(silence) })
+		}
+		return func(c net.Conn, call *directtest.Call) bool {
+			sent := 0
+			if inside {
+				sent = 1
+				beginBody(c, call, e.complete, sent)
+			}
+			time.Sleep(silence)
+			if !inside {
+				beginBody(c, call, e.complete, sent)
+			}
+			_, _ = io.WriteString(c, e.complete[sent:])
+			return true
+		}
+	}
+	hang := func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) }
+	list := []behaviour{
+		{"brief silence", complete, answer(briefSilence, false), briefSilence},
+		{"long silence", complete, answer(watchedSilence, false), watchedSilence},
+		{"long silence inside", complete, answer(watchedSilence, true), watchedSilence},
+		{"silent for good", lost, func(c net.Conn, _ *directtest.Call) bool { hang(c); return false }, silentForGood},
+	}
+	if e.service == "engines" {
+		list = append(list, behaviour{"silent for good inside", begun, func(c net.Conn, call *directtest.Call) bool {
+			directtest.BeginStream(c, call)
+			directtest.Chunk(c, directtest.Event(firstEvent(call)))
+			hang(c)
+			return false
+		}, silentForGood})
+	}
+	return list
+}
+
+// parallelSequences bounds the sequences that are tested at the same time; with a silence, they
+// mostly wait.
+const parallelSequences = 64
+
+// beside are the behaviours that are combined with silent ones.
+var beside = []string{"full", "bare 503", "failure", "reset", "truncated", "cut inside an event", "complete response", "complete stream"}
+
+// exploreSilence tests the sequences with at least one silent behaviour that selected accepts,
+// with a number of endpoints: those of each length at the same time, and then all that extend
+// those after which the router made another attempt.
+func (e *explorer) exploreSilence(t *testing.T, endpoints int, selected func([]behaviour) bool) {
+	all := e.silentBehaviours()
+	for _, b := range e.behaviours {
+		if slices.Contains(beside, b.name) {
+			all = append(all, b)
+		}
+	}
+	tested := 0
+	for level := [][]behaviour{nil}; len(level) > 0; {
+		must.LessEq(t, maxAttempts, len(level[0]))
+		var mu sync.Mutex
+		var next [][]behaviour
+		var group errgroup.Group
+		group.SetLimit(parallelSequences)
+		for _, prefix := range level {
+			for _, b := range all {
+				list := append(prefix[:len(prefix):len(prefix)], b)
+				if !selected(list) {
+					mu.Lock()
+					next = append(next, list)
+					mu.Unlock()
+					continue
+				}
+				tested++
+				group.Go(func() error {
+					t.Run(names(list), func(t *testing.T) {
+						if e.trySilence(t, list, endpoints) > len(list) {
+							mu.Lock()
+							next = append(next, list)
+							mu.Unlock()
+						}
+					})
+					return nil
+				})
+			}
+		}
+		must.NoError(t, group.Wait())
+		level = e.extensible(next)
 	}
+	t.Logf("tested %d sequences", tested)
 }
 
+// extensible returns the lists after which another attempt is possible.
+func (e *explorer) extensible(lists [][]behaviour) [][]behaviour {
+	return slices.DeleteFunc(lists, func(list []behaviour) bool {
+		executions := 0
+		for _, b := range list {
+			if b.executes() {
+				executions++
+			}
+		}
+		return len(list) >= maxAttempts || executions > 1 || executions > 0 && !e.repeatable || len(list)-executions > 1
+	})
+}
+
+// trySilence sends one request to a router with its own endpoints and returns the number of
+// attempts that reached one.
+func (e *explorer) trySilence(t *testing.T, list []behaviour, endpoints int) int {
+	s := &endpointScript{behaviours: list}
+	r := newRouter(t)
+	logOnFailure(t, r)
+	for i := range endpoints {
+		r.add(fmt.Sprintf("e%d", i), e.service, s.script)
+	}
+	got := r.post(e.path)
+	mustBeIdle(t, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.check(t, s, got)
+	return s.attempts
+}
+
+// hasSilence reports whether one of the behaviours is silent for a while.
+func hasSilence(list []behaviour) bool {
+	return slices.ContainsFunc(list, func(b behaviour) bool { return b.silence > 0 })
+}
+
+// breaksOffBesideSound reports whether one of the behaviours is a long silence before a complete
+// response, and a response after it breaks off.
+func breaksOffBesideSound(list []behaviour) bool {
+	sound := slices.IndexFunc(list, func(b behaviour) bool { return b.silence == watchedSilence })
+	return sound >= 0 && hasEffect(list[sound:], begun)
+}
+
+func explorers() []*explorer {
+	return []*explorer{
+		{path: "/lookup/1", service: "plain", complete: "ok", repeatable: true, behaviours: plainBehaviours()},
+		{path: "/order/1", service: "plain", complete: "ok", behaviours: plainBehaviours()},
+		{path: "/resumable/1", service: "engines", complete: completeStream(), repeatable: true, behaviours: streamBehaviours()},
+		{path: "/stream/1", service: "engines", complete: completeStream(), behaviours: streamBehaviours()},
+	}
+}
+
+func (e *explorer) name() string { return strings.Trim(e.path, "/1") }
+
 // Guards against sequences of endpoint failures after which a request is executed
 // more often than allowed, is wrongly reported as "not run", or gets a response
 // that is mixed or truncated but looks complete. The test is exhaustive: it extends
 // each sequence of behaviours as long as the router makes another attempt.
 func TestEndpointFailureSequences(t *testing.T) {
-	for _, e := range []*explorer{
-		{path: "/lookup/1", complete: "ok", repeatable: true, behaviours: plainBehaviours()},
-		{path: "/order/1", complete: "ok", behaviours: plainBehaviours()},
-		{path: "/resumable/1", complete: completeStream(), repeatable: true, behaviours: streamBehaviours()},
-		{path: "/stream/1", complete: completeStream(), behaviours: streamBehaviours()},
-	} {
-		t.Run(strings.Trim(e.path, "/1"), func(t *testing.T) {
+	for _, e := range explorers() {
+		t.Run(e.name(), func(t *testing.T) {
 			t.Parallel()
 			e.run(t)
 		})
 	}
 }
+
+// Guards against a sound endpoint that is silent for a while and whose answer isn't delivered,
+// whatever other attempts do, and against the same faults as TestEndpointFailureSequences in
+// sequences with endpoints that are silent for a while or for good.
+func TestSilenceSequences(t *testing.T) {
+	for _, endpoints := range []int{1, maxAttempts + 1} {
+		for _, e := range explorers() {
+			t.Run(fmt.Sprintf("%s at %d", e.name(), endpoints), func(t *testing.T) {
+				t.Parallel()
+				e.exploreSilence(t, endpoints, func(list []behaviour) bool { return hasSilence(list) && !breaksOffBesideSound(list) })
+			})
+		}
+	}
+}
+
+// Guards against a stream that is cut because another attempt began it and broke off, while the
+// endpoint of the first attempt, which was silent for a while, answers completely.
+func TestSilenceSequencesWithResponsesThatBreakOff(t *testing.T) {
+	for _, e := range explorers() {
+		t.Run(e.name(), func(t *testing.T) {
+			t.Parallel()
+			e.exploreSilence(t, maxAttempts+1, breaksOffBesideSound)
+		})
+	}
+}
