--- a/direct/entry/hanging_test.go
+++ b/direct/entry/hanging_test.go
@@ -67,7 +67,7 @@
 				})
 				answered := make(chan result, 1)
 				go func() { answered <- r.post(c.path) }()
-				<-received
+				awaitRequest(t, received, answered)
 				began := time.Now()
 				if unreachable {
 					r.endpoints.Put(registry.Endpoint{ID: "down", Service: c.service, Address: directtest.RefusingAddress(t), Zone: "z", Version: "v1", Slots: 100})
--- a/direct/entry/silence_test.go
+++ b/direct/entry/silence_test.go
@@ -195,11 +195,7 @@
 	})
 	answered := make(chan result, 1)
 	go func() { answered <- r.post(x.path) }()
-	select {
-	case <-received:
-	case got := <-answered:
-		t.Fatalf("answer before the endpoint has the request: %+v", got)
-	}
+	awaitRequest(t, received, answered)
 	var others []*directtest.Endpoint
 	for n := range count {
 		id := fmt.Sprintf("other-%d", n)
@@ -232,6 +228,16 @@
 	mustBeIdle(t, r)
 }
 
+// awaitRequest waits until an endpoint has received the request.
+func awaitRequest(t *testing.T, received <-chan struct{}, answered <-chan result) {
+	t.Helper()
+	select {
+	case <-received:
+	case got := <-answered:
+		t.Fatalf("answer before the endpoint has the request: %+v", got)
+	}
+}
+
 // logBuffer keeps log lines.
 type logBuffer struct {
 	mu    sync.Mutex
