An endpoint that pauses inside a long request body isn't cut off

Callers got a 502 after 2.7 s if an endpoint read nothing of a body of 1 MiB for 3.5 s and then went on. Cause: TCP_USER_TIMEOUT (2.5 s) also ends a connection whose receiver keeps its window closed. The limit doesn't apply any more from the beginning of a long body to the headers of the response; there the request's deadline and other attempts bound the wait for a dead host.

--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -79,12 +79,27 @@
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// The error is ignored: keep-alive probes work without this option.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMs)
-			})
-		},
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeoutMs) },
+	}
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT; 0 removes the limit.
+func setUserTimeout(raw syscall.RawConn, ms int) error {
+	return raw.Control(func(fd uintptr) {
+		// The error is ignored: keep-alive probes work without this option.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
+	})
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT of the connection, if it has a socket.
+func (c *conn) setUserTimeout(ms int) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		// A closed connection needs no timeout.
+		_ = setUserTimeout(raw, ms)
 	}
 }
 
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -167,6 +167,12 @@
 	if err := r.checkBeforeSend(ctx, c); err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	if len(rest) > 0 {
+		// TCP_USER_TIMEOUT also ends a connection whose receiver reads nothing for so long, as an
+		// endpoint that pauses may do.
+		c.setUserTimeout(0)
+		defer c.setUserTimeout(userTimeoutMs)
+	}
 	reused := c.requestsSent > 0
 	c.requestsSent++
 	written := make(chan error, 1)
