Streams aren't begun at other builds when no router reads the store

Callers saw: in an outage of the store, first events of streams of a build that isn't implied were withheld after 1.5 s, and the request ended with 502.

Cause: a router whose saves are idle learns of an outage only with the first save that fails. The stream that waits for it begins again at the implied build, where the given-up save makes its origin doubtful, so its events are withheld, too.

Change: new streams are restricted to the implied build also while neither this router nor a peer reads the store, which the load reports tell within 0.2 s. An outage that leaves calls without an answer is still noticed by the first save.

Evidence: TestRestrictionBeginsWithTheOutage and a step of TestTwoRoutersSaveOriginsOfStreams (neither exists without the change).

--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -555,17 +555,26 @@
 	if !m.local.ReadsStore() {
 		return false
 	}
-	now := time.Now()
 	self := m.address.String()
-	readers := []string{self}
+	return slices.Index(rendezvous.Rank(readersKey, append(m.readingPeers(), self)), self) < streamSavers
+}
+
+// StoreIsRead reports whether this router or a peer currently reads the store. In an outage, that
+// ends at a router that doesn't call the store itself, too.
+func (m *Mesh) StoreIsRead() bool { return m.local.ReadsStore() || len(m.readingPeers()) > 0 }
+
+// readingPeers returns the addresses of the peers that currently read the store.
+func (m *Mesh) readingPeers() []string {
+	now := time.Now()
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	var readers []string
 	for address, p := range m.peers {
 		if p.readsStore && now.Sub(p.lastReport) <= readerTimeout {
 			readers = append(readers, address)
 		}
 	}
-	m.mu.Unlock()
-	return slices.Index(rendezvous.Rank(readersKey, readers), self) < streamSavers
+	return readers
 }
 
 // probeInterval is the interval between the turns of two routers that try to read the
--- a/direct/mesh/streams_test.go
+++ b/direct/mesh/streams_test.go
@@ -112,8 +112,12 @@
 	first.reads.Store(false)
 	must.False(t, first.SavesStreams())
 	saversAre(2)
+	must.True(t, first.StoreIsRead(), must.Sprint("by peers"))
 	for _, p := range peers {
 		p.reads.Store(false)
 	}
 	saversAre(0)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return !slices.ContainsFunc(peers, func(p *testPeer) bool { return p.StoreIsRead() })
+	}), wait.Timeout(20*time.Second)))
 }
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -62,6 +62,8 @@
 	// Saves reports whether this router currently keeps the implied builds, and saves the origins
 	// of other routers again after a restoration of the store.
 	Saves func() bool
+	// StoreIsRead reports whether this router or a peer currently reads the store.
+	StoreIsRead func() bool
 	// Builds returns, by service, the number of registered endpoints of each build, in any state.
 	Builds func() map[string]map[streamorigin.Build]int
 	// Routers returns the number of routers in the fleet.
@@ -146,7 +148,7 @@
 // Restriction returns the only build at which new streams of a service should begin because the
 // origins of other builds can't be saved at present, or streamorigin.AnyBuild.
 func (o *Origins) Restriction(service string) streamorigin.Build {
-	if o.saver.working(time.Now()) {
+	if o.saver.working(time.Now()) && o.options.StoreIsRead() {
 		return streamorigin.AnyBuild
 	}
 	o.mu.Lock()
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -81,8 +81,10 @@
 	// firstStart is set until a router was killed.
 	firstStart bool
 	size       int
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// unread is set while no router reads the store.
+	unread atomic.Bool
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // newRouters returns a fleet that starts for the first time, in front of endpoints of these builds.
@@ -114,7 +116,7 @@
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Store: follower, Saves: func() bool { return true }, LongestStream: func() time.Duration { return 0 },
+		Name: name, Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
 		Builds: f.builds.count, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
@@ -522,3 +524,19 @@
 		f.kill()
 	})
 }
+
+// Guards against streams that need a saved origin and begin in an outage, because this router has
+// had nothing to save since it began: their first events would be withheld.
+func TestRestrictionBeginsWithTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.unread.Store(true)
+		must.Eq(t, build, o.Restriction(service))
+		f.unread.Store(false)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.kill()
+	})
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -195,7 +195,8 @@
 	})
 	p.follower.OnChange = p.updateDispatcher
 	p.origins = origins.New(origins.Options{
-		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
+		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
+		Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
 		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
 	})
 	p.handler.Origins = p.origins
