A router without CPU time reads the saved origins at last

Callers saw: after all routers were killed on a large site, one router refused to take up streams ("the origin of the stream is unknown") and could begin none at another build than the implied one, for 8 s.

Cause: a reading of the saved origins was bounded by the 400 ms for which a caller waits. On a host without CPU time (scheduling delay 425 ms), the first reading, which lists the whole topic, never ended in time, and each attempt began anew.

Change: a caller still waits for 400 ms, but the reading goes on. Until one has succeeded, the time for it is doubled after each that took too long, up to 1.6 s; a lost connection therefore delays a router that starts for no longer than that.

Evidence: TestRouterWithoutCPUTimeReadsTheSavedOrigins failed before (the saved origin is never found) and passes 10 times.

--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -29,8 +29,13 @@
 	originsKeyPrefix = "origins/"
 	// minRetention is the shortest time for which origins are kept.
 	minRetention = 30 * time.Second
-	// loadTimeout bounds the reading of saved origins while a caller waits.
-	loadTimeout = 400 * time.Millisecond
+	// loadWait bounds how long a caller waits for a reading of saved origins, which may go on.
+	loadWait = 400 * time.Millisecond
+	// minLoadTimeout bounds one reading of saved origins. Until all were read once, it is doubled
+	// after each reading that took too long, up to maxLoadTimeout: a host without CPU time needs
+	// longer to read many.
+	minLoadTimeout = 400 * time.Millisecond
+	maxLoadTimeout = 1600 * time.Millisecond
 	// secondLookDelay is the delay before an unknown origin is looked for again: a
 	// router that still runs reports it within this time.
 	secondLookDelay = 250 * time.Millisecond
@@ -90,6 +95,8 @@
 	// hasLoaded is set once what the store holds was loaded, loaded is the position after it.
 	hasLoaded bool
 	loaded    mirror.Position
+	// loadTimeout bounds the next reading.
+	loadTimeout time.Duration
 	// era is the latest era of the store that is known here; it begins with the first load.
 	era int64
 	// implied holds the implied builds of services in the store.
@@ -105,9 +112,10 @@
 func New(o Options) *Origins {
 	origins := &Origins{
 		options: o, table: streamorigin.NewTable(), implied: map[string]streamorigin.Implied{},
-		told:    map[streamorigin.Service]streamorigin.Implied{},
-		policy:  streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
-		unknown: metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
+		told:        map[streamorigin.Service]streamorigin.Implied{},
+		loadTimeout: minLoadTimeout,
+		policy:      streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
+		unknown:     metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
 	}
 	origins.saver = newSaver(origins)
 	return origins
@@ -207,7 +215,9 @@
 			case <-time.After(secondLookDelay):
 			}
 		}
-		fresh := o.loadSince(ctx, began)
+		wait, cancel := context.WithTimeout(ctx, loadWait)
+		fresh := o.loadSince(wait, began)
+		cancel()
 		if b, from, ok := o.lookup(stream, attempt != "", fresh, services); ok {
 			o.logFound(attempt, b, from)
 			return b, true
@@ -434,9 +444,7 @@
 	for {
 		done := o.loads.DoChan("load", func() (any, error) {
 			began := time.Now()
-			call, cancel := context.WithTimeout(context.WithoutCancel(ctx), loadTimeout)
-			defer cancel()
-			return began, o.loadOnce(call)
+			return began, o.loadInTime(context.WithoutCancel(ctx))
 		})
 		select {
 		case <-ctx.Done():
@@ -453,6 +461,25 @@
 	}
 }
 
+// loadInTime reads the origins that were saved since the last read, within the present timeout.
+func (o *Origins) loadInTime(ctx context.Context) error {
+	o.mu.Lock()
+	timeout := o.loadTimeout
+	o.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := o.loadOnce(call)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err == nil:
+		o.loadTimeout = minLoadTimeout
+	case call.Err() != nil && !o.hasLoaded:
+		o.loadTimeout = min(2*timeout, maxLoadTimeout)
+	}
+	return err
+}
+
 func (o *Origins) loadOnce(ctx context.Context) error {
 	o.mu.Lock()
 	after := o.loaded
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -540,3 +540,37 @@
 		f.kill()
 	})
 }
+
+// slowList is a store of which a router without CPU time reads a listing in 900 ms.
+type slowList struct{ *directtest.Store }
+
+func (s slowList) List(ctx context.Context, topic follow.Topic) (mirror.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return mirror.Batch{}, ctx.Err()
+	case <-time.After(900 * time.Millisecond):
+		return s.Store.List(ctx, topic)
+	}
+}
+
+// Guards against a router that never knows the origins of streams, nor can save any, because it
+// lacks the CPU time to read the saved ones as fast as a caller expects them; and against a caller that
+// waits for such a reading.
+func TestRouterWithoutCPUTimeReadsTheSavedOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.True(t, o.Begin(t.Context(), "saved", otherBuild))
+		f.kill()
+		next := f.startOn("r2", slowList{f.store})
+		began := time.Now()
+		mustNotFind(t, next, "saved")
+		must.LessEq(t, 1200*time.Millisecond, time.Since(began))
+		time.Sleep(3 * time.Second)
+		mustFind(t, next, "saved", otherBuild)
+		mustFind(t, next, "implied", build)
+		must.True(t, next.Begin(t.Context(), "later", otherBuild))
+		f.kill()
+	})
+}
