--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -85,8 +85,10 @@
 	// firstStart is set until a router was killed.
 	firstStart bool
 	size       int
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// unread is set while no router reads the store.
+	unread atomic.Bool
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // newRouters returns a fleet that starts for the first time, in front of endpoints of these builds.
@@ -118,7 +120,7 @@
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Store: follower, Saves: func() bool { return true }, LongestStream: func() time.Duration { return 0 },
+		Name: name, Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
 		Builds: f.builds.count, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
@@ -574,3 +576,53 @@
 		f.kill()
 	})
 }
+
+// Guards against streams that need a saved origin and begin in an outage, because this router has
+// had nothing to save since it began: their first events would be withheld.
+func TestRestrictionBeginsWithTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.unread.Store(true)
+		must.Eq(t, build, o.Restriction(service))
+		f.unread.Store(false)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.kill()
+	})
+}
+
+// slowList is a store of which a router without CPU time reads a listing in 900 ms.
+type slowList struct{ *directtest.Store }
+
+func (s slowList) List(ctx context.Context, topic follow.Topic) (mirror.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return mirror.Batch{}, ctx.Err()
+	case <-time.After(900 * time.Millisecond):
+		return s.Store.List(ctx, topic)
+	}
+}
+
+// Guards against a router that never knows the origins of streams, nor can save any, because it
+// lacks the CPU time to read the saved ones as fast as a caller expects them; and against a caller that
+// waits for such a reading.
+func TestRouterWithoutCPUTimeReadsTheSavedOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.True(t, o.Begin(t.Context(), "saved", otherBuild))
+		f.kill()
+		next := f.startOn("r2", slowList{f.store})
+		began := time.Now()
+		mustNotFind(t, next, "saved")
+		must.LessEq(t, 1200*time.Millisecond, time.Since(began))
+		time.Sleep(3 * time.Second)
+		mustFind(t, next, "saved", otherBuild)
+		mustFind(t, next, "implied", build)
+		must.True(t, next.Begin(t.Context(), "later", otherBuild))
+		f.kill()
+	})
+}
