An agent forwards no status that HTTP doesn't define

Callers saw: an endpoint of the fleet with agents answers with status 101: callers get a 200 of the agent's own, cut off. With a status below 100, the agent's handler ended by a panic, the connection's stream broke, and the request counted as finished. 600 to 999 were passed on.

Cause: forwardResponse passed any status to WriteHeader, which panics below 100 and treats 1xx as interim. The slot itself was free again, because finish is deferred.

Change: a status that is no final one is a broken answer: the request failed, and its outcome is unknown (502).

Evidence: TestInvalidStatusIsABrokenResponse failed before for each status (stream error for 000 and 099, status 200 for 101, 600 and 999 as they are).

--- a/agent/work.go
+++ b/agent/work.go
@@ -20,6 +20,8 @@
 const (
 	// copyBufferBytes is the size of the buffers that responses are copied with.
 	copyBufferBytes = 32 << 10
+	// maxStatus is the highest status of a final response (RFC 9110, section 15).
+	maxStatus = 599
 	// maxNameBytes is the maximum length of the names stored for a request.
 	maxNameBytes = 256
 )
@@ -171,6 +173,10 @@
 		return
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		ar.handleInvalidStatus(w, resp.StatusCode)
+		return
+	}
 	if resp.StatusCode == http.StatusPreconditionFailed && ar.endpoint.Fencing == objects.FencingChecked {
 		ar.handleFenced(w, r)
 		return
@@ -221,6 +227,13 @@
 		"contact with the endpoint was lost before its answer began"))
 }
 
+// handleInvalidStatus ends a request whose response can't be forwarded.
+func (ar *activeRequest) handleInvalidStatus(w http.ResponseWriter, status int) {
+	ar.result = slots.Failed
+	ar.agent.log.Warn("endpoint sent an invalid status", "request", ar.header.Request, "status", status)
+	ar.agent.writeOutcome(w, outcome.New(outcome.Unknown, http.StatusBadGateway, ar.header.Request, "the endpoint sent an invalid status"))
+}
+
 // handleFenced ends a request that the endpoint refused because it has received a
 // higher fencing number from a later agent.
 func (ar *activeRequest) handleFenced(w http.ResponseWriter, r *http.Request) {
--- a/agent/work_test.go
+++ b/agent/work_test.go
@@ -227,6 +227,21 @@
 	must.Eq(t, 1, f.counter("a").Failed)
 }
 
+// Guards against a response with a status that can't be forwarded: the handler would end by a panic,
+// or an interim status would become a success of the agent's own.
+func TestInvalidStatusIsABrokenResponse(t *testing.T) {
+	for _, service := range []objects.ServiceType{objects.ModelService, objects.PlainService} {
+		for _, status := range []string{"000", "099", "101", "600", "999"} {
+			t.Run(string(service)+" "+status, func(t *testing.T) {
+				f := startFixture(t, options{service: service, handler: writeAndClose("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nno")})
+				f.mustGetOutcome(f.header(f.token()), outcome.Unknown, http.StatusBadGateway)
+				eventually(t, "a free slot", func() bool { return f.inProgress() == 0 })
+				must.Eq(t, 1, f.counter("a").Failed)
+			})
+		}
+	}
+}
+
 // Guards against a truncated response that appears complete to the router.
 func TestTruncatedResponse(t *testing.T) {
 	f := startFixture(t, options{handler: writeAndClose("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
