A panic in a handler leaves no queue locked

Callers saw: nothing yet; found by reading. If a message for a queue ends its handler by a panic, the HTTP server recovers and the router lives on, but with the queue's mutex locked: all later messages for that service hang, and its callers wait until they give up.

Cause: Owner.withQueue unlocked the mutex without defer.

Change: the locked part is a method of its own that unlocks as it returns, however it does.

Evidence: TestPanicLeavesNoQueueLocked failed before. Looked through with it: all other mutexes of router/ and agent/ that are locked without defer guard plain assignments, run in goroutines of the process, whose panics end it, or are in handlers whose panics end it (crashOnPanic).

--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -328,22 +328,27 @@
 // withQueue runs f on a service's queue and dispatches the grants that are
 // possible afterwards.
 func (o *Owner) withQueue(name string, config *serviceConfig, f func(sv *service)) {
-	var grants []fairqueue.Grant
-	for done := false; !done; {
-		sv := o.getOrCreate(name)
-		sv.mu.Lock()
-		if !sv.deleted {
-			sv.setConfig(config)
-			f(sv)
-			grants = sv.takeGrants(o.opts.Clock())
-			done = true
-		}
-		sv.mu.Unlock()
+	grants, done := o.getOrCreate(name).run(config, f, o.opts.Clock)
+	for !done {
+		grants, done = o.getOrCreate(name).run(config, f, o.opts.Clock)
 	}
 	o.grants.Inc(int64(len(grants)))
 	o.enqueueGrants(name, grants)
 }
 
+// run runs f on the queue and returns the grants that are possible afterwards. It reports false if
+// the queue has been deleted. A panic in f doesn't leave the queue locked.
+func (sv *service) run(config *serviceConfig, f func(sv *service), clock func() time.Time) ([]fairqueue.Grant, bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.deleted {
+		return nil, false
+	}
+	sv.setConfig(config)
+	f(sv)
+	return sv.takeGrants(clock()), true
+}
+
 // getOrCreate returns a service's queue and creates it if there is none.
 func (o *Owner) getOrCreate(name string) *service {
 	o.mu.Lock()
--- a/router/owner/owner_test.go
+++ b/router/owner/owner_test.go
@@ -324,3 +324,19 @@
 		must.SliceContainsAll(t, ids, x.entry.requests())
 	})
 }
+
+// Guards against a queue that stays locked for as long as the process runs because a handler ended
+// by a panic, from which the HTTP server recovers.
+func TestPanicLeavesNoQueueLocked(t *testing.T) {
+	runOwner(t, func(t *testing.T, x *fixture) {
+		x.sync(t, false, "r1")
+		config := x.configs.current().services["svc"]
+		func() {
+			defer func() { must.NotNil(t, recover()) }()
+			x.withQueue("svc", config, func(*service) { panic("invalid message") })
+		}()
+		queue := x.getOrCreate("svc")
+		must.True(t, queue.mu.TryLock())
+		queue.mu.Unlock()
+	})
+}
