An assignment whose agent address fits in no URL is refused

Callers saw: nothing yet; shown by a test. An assignment with the address "127.0.0.1:http" or "two hosts:1" ended the router's process, and with it all requests of its callers.

Cause: Dispatch checked only that the address has a host and a port; building the request to the agent panics for others, and a handler's panic ends the process.

Change: the port is a number from 1 to 65535, and the address is the host of a URL, or the assignment is refused with its log line.

Evidence: TestAssignmentWithInvalidAddressIsRefused failed before ("handler panicked: parse http://127.0.0.1:http/fleet/v1/work: invalid port").

--- a/router/entry/dispatch.go
+++ b/router/entry/dispatch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/lifecycle"
@@ -86,6 +88,18 @@
 	if a == nil || a.Request == "" || a.SlotToken == "" || a.Weight == 0 {
 		return false
 	}
-	_, _, err := net.SplitHostPort(a.AgentAddress)
-	return err == nil
+	return isAgentAddress(a.AgentAddress)
+}
+
+// isAgentAddress reports whether text is a host and a port, which can be put into a URL.
+func isAgentAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" {
+		return false
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return false
+	}
+	target, err := url.Parse("http://" + text)
+	return err == nil && target.Host == text
 }
--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -429,3 +429,35 @@
 	h.post("/post-desk/stock", "harbour-token", "")
 	must.NotNil(t, <-caught)
 }
+
+// Guards against an assignment whose agent address fits in no URL: it would end the process.
+func TestAssignmentWithInvalidAddressIsRefused(t *testing.T) {
+	agent := newAgent(t, echo)
+	h := newHarness(t, noAgent)
+	done := make(chan reply, 1)
+	go func() { done <- h.post("/post-desk/label", "harbour-token", "x") }()
+	var waiting string
+	eventually(t, "the owner has the ticket", func() bool {
+		h.owner.mu.Lock()
+		defer h.owner.mu.Unlock()
+		for request := range h.owner.waiting {
+			waiting = request
+		}
+		return waiting != ""
+	})
+	dispatch := func(token, address string) fleetpb.DispatchResult {
+		got, err := h.server.Dispatch(context.Background(), &fleetpb.DispatchRequest{
+			Sender: h.owner.clients.Sender(), Service: "post-desk",
+			Assignments: []*fleetpb.Assignment{{Request: waiting, Attempt: 1, SlotToken: token, AgentAddress: address, Weight: 1}},
+		})
+		must.NoError(t, err)
+		return got.Results[0]
+	}
+	for i, address := range []string{
+		"", "127.0.0.1", "127.0.0.1:http", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:-1", ":1", "two hosts:1", "host\x7f:1", "host/path:1", "user@host:1", "host?x:1",
+	} {
+		must.Eq(t, fleetpb.DispatchResult_DISPATCH_RESULT_GONE, dispatch(fmt.Sprint("token-", i), address), must.Sprintf("%q", address))
+	}
+	must.Eq(t, fleetpb.DispatchResult_DISPATCH_RESULT_ACCEPTED, dispatch("token", agent.address))
+	must.Eq(t, http.StatusCreated, (<-done).status)
+}
