--- a/router/entry/outcome_test.go
+++ b/router/entry/outcome_test.go
@@ -470,3 +470,15 @@
 		})
 	}
 }
+
+// Guards against a status that HTTP doesn't define reaching a caller.
+func TestInvalidStatusOfAnAgentIsUnknown(t *testing.T) {
+	for _, status := range []int{600, 999} {
+		agent := newAgent(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		h := newHarness(t, alwaysAgent(agent.address))
+		got := h.post("/post-desk/label", "harbour-token", "x")
+		must.Eq(t, http.StatusBadGateway, got.status)
+		must.Eq(t, string(outcome.Unknown), got.header.Get(outcome.Header))
+		eventually(t, "all requests are removed", func() bool { return len(h.server.Status()) == 0 })
+	}
+}
