A fuzz test of saved crashes

The decoder of the crashes in the store had no test of invalid records. None of the cases shows a fault: a time far ahead or behind gives ages of 0 or more. The error for a record that is too short names what is missing.

--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -95,7 +95,7 @@
 
 func decodeSaved(now time.Time, saved []byte) (quarantine.Facts, error) {
 	if len(saved) < savedTimeBytes {
-		return quarantine.Facts{}, eris.New("saved crashes are truncated")
+		return quarantine.Facts{}, eris.New("decode saved crashes: the time is missing")
 	}
 	savedAt := time.UnixMilli(int64(binary.BigEndian.Uint64(saved)))
 	// The clock of the host that saved them may be ahead.
--- a/direct/crashes_test.go
+++ b/direct/crashes_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -117,3 +119,44 @@
 		must.Error(t, err)
 	}
 }
+
+// Guards against saved crashes of another writer that end the router, or that are of a time to come
+// and are never forgotten.
+func TestInvalidSavedCrashesAreRejected(t *testing.T) {
+	now := time.Now()
+	facts := quarantine.Facts{Interrupted: []quarantine.Interrupted{{Crash: 1, At: now, Parts: crashingPrompt.SharedIDs()}}}
+	good := encodeSaved(now, facts)
+	_, err := decodeSaved(now, good)
+	must.NoError(t, err)
+	for name, saved := range map[string][]byte{"time": good[:7], "format": append(good[:8:8], 0), "end": append(good[:len(good):len(good)], 1), "instance": good[:9]} {
+		_, err := decodeSaved(now, saved)
+		must.Error(t, err, must.Sprint(name))
+		must.StrContains(t, err.Error(), name)
+	}
+	for _, savedAt := range []uint64{0, math.MaxInt64, 1 << 63, math.MaxUint64} {
+		facts, err := decodeSaved(now, append(binary.BigEndian.AppendUint64(nil, savedAt), good[8:]...))
+		must.NoError(t, err)
+		must.False(t, facts.Interrupted[0].At.After(now))
+	}
+}
+
+// FuzzDecodeSaved guards against the same for any bytes.
+func FuzzDecodeSaved(f *testing.F) {
+	now := time.Now()
+	f.Add(encodeSaved(now, quarantine.Facts{Served: []quarantine.ServedPart{{Part: 1, At: now}}}))
+	f.Fuzz(func(t *testing.T, saved []byte) {
+		facts, err := decodeSaved(now, saved)
+		if err != nil {
+			return
+		}
+		for _, i := range facts.Interrupted {
+			must.False(t, i.At.After(now))
+		}
+		for _, s := range facts.Served {
+			must.False(t, s.At.After(now))
+		}
+		table := quarantine.NewTable()
+		table.Merge(facts)
+		table.Expire(now)
+	})
+}
