What an earlier incarnation of an endpoint said doesn't count for the next

What callers saw: nothing yet; found by reading. After a restart, an endpoint got too few requests, or none, by the limit or the pause of the incarnation before.

Cause: attempts hold the endpoint, not its incarnation: responses of the one before that were read after the restart was known set the limit, pause and failures of the next one. A limit that was forgotten with the restart came back with the report of a peer that didn't know of it yet.

Change: an attempt knows the number of restarts that was known when it began; limits, pauses and failures of an earlier incarnation are ignored. A forgotten limit counts as ended, which older reports of peers don't undo.

Evidence: TestEarlierIncarnationSaysNothingOfTheNext failed before, at the limit of a late response.

--- a/coordination/endpointload/state.go
+++ b/coordination/endpointload/state.go
@@ -52,8 +52,10 @@
 // endpoint is the state of one endpoint at this router.
 type endpoint struct {
 	// hash identifies the endpoint in load reports.
-	hash     uint32
-	started  time.Time
+	hash    uint32
+	started time.Time
+	// restarts is the number of its restarts that are known here.
+	restarts int
 	pending  int64
 	running  int
 	parts    map[uint64]time.Time
--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -96,6 +96,9 @@
 		return false
 	}
 	restarted := !e.started.IsZero()
+	if restarted {
+		e.restarts++
+	}
 	e.started = started
 	clear(e.parts)
 	e.failures = 0
@@ -183,6 +186,8 @@
 	started bool
 	ended   bool
 	measure bool
+	// restarts is the endpoint's number of restarts when the attempt began.
+	restarts int
 }
 
 // StartAttempt records an attempt that is about to be sent. queuedTokens is the number
@@ -196,7 +201,7 @@
 	e.recordCached(now, cost.SharedParts)
 	e.pending += tokens
 	e.running++
-	return &Attempt{table: t, endpoint: e, tokens: tokens, queuedTokens: queuedTokens, sent: now, measure: true}
+	return &Attempt{table: t, endpoint: e, tokens: tokens, queuedTokens: queuedTokens, sent: now, measure: true, restarts: e.restarts}
 }
 
 // RecordSent records that the request is written to the endpoint. Placing it and connecting may
@@ -239,7 +244,15 @@
 
 // Pause records that the endpoint refused the attempt and wants no requests from this router
 // for a time.
-func (a *Attempt) Pause(now time.Time, d time.Duration) { a.endpoint.pause(now, d) }
+func (a *Attempt) Pause(now time.Time, d time.Duration) {
+	if a.IsCurrent() {
+		a.endpoint.pause(now, d)
+	}
+}
+
+// IsCurrent reports whether no restart of the endpoint has become known since the attempt began.
+// Otherwise, its outcome may be that of an earlier incarnation.
+func (a *Attempt) IsCurrent() bool { return a.restarts == a.endpoint.restarts }
 
 // Result is the way an attempt ended, as it counts for the endpoint's health.
 type Result int
@@ -276,7 +289,9 @@
 	case Succeeded:
 		e.recordResult(now, false)
 	case Failed, Refused:
-		e.recordResult(now, true)
+		if a.IsCurrent() {
+			e.recordResult(now, true)
+		}
 	case ConnectFailed:
 		e.markUnreachable(now)
 	case Abandoned, NotSent:
--- a/coordination/requestlimit/table.go
+++ b/coordination/requestlimit/table.go
@@ -140,8 +140,11 @@
 	}
 }
 
-// Forget drops the limit of an endpoint that has restarted.
-func (t *Table) Forget(endpoint uint32) { delete(t.limits, endpoint) }
+// Forget ends the limit of an endpoint that has restarted. Peers that don't know of the restart yet
+// don't bring it back.
+func (t *Table) Forget(now time.Time, endpoint uint32) {
+	t.apply(now, Limit{Endpoint: endpoint, Rate: NoLimit, At: now})
+}
 
 // Expire drops limits that ended long ago and, after lapsedFor, those of endpoints for which known
 // returns false.
--- a/direct/dispatch/incarnations.go
+++ b/direct/dispatch/incarnations.go
@@ -41,8 +41,9 @@
 
 func (d *Dispatcher) setIncarnation(id string, started time.Time) {
 	if d.loads.SetStartTime(id, started) {
-		d.recordEndpointDown(time.Now(), endpointload.Hash(id))
-		d.requestLimits.Forget(endpointload.Hash(id))
+		now := time.Now()
+		d.recordEndpointDown(now, endpointload.Hash(id))
+		d.requestLimits.Forget(now, endpointload.Hash(id))
 	}
 }
 
--- a/direct/dispatch/incarnations_test.go
+++ b/direct/dispatch/incarnations_test.go
@@ -94,3 +94,39 @@
 	d.Restarted(e.ID, now)
 	must.False(t, d.Accepting(e, false))
 }
+
+// Guards against a limit, a pause or a failure of an incarnation that has ended counting for the next
+// one: its last responses are read after its successor is known, and peers report its limit.
+func TestEarlierIncarnationSaysNothingOfTheNext(t *testing.T) {
+	now := time.Now()
+	d := newBuilds()
+	e := registry.Endpoint{ID: "e1", Service: "s", Version: "v1", Slots: 8, Started: now.Add(-time.Minute)}
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	place := func() *Assignment {
+		a, refusal := d.PlaceEngine(time.Now(), &Request{Service: "s", Target: time.Second})
+		must.Nil(t, refusal)
+		return a
+	}
+	first, late, broken := place(), place(), place()
+	must.True(t, first.RecordLimit(now, 50, now))
+	first.End(now, endpointload.Succeeded)
+	ofPeers, _ := d.Limits(now)
+
+	e.Started = now
+	d.registry.Put(e)
+	d.Restarted(e.ID, e.Started)
+	must.False(t, late.RecordLimit(time.Now(), 50, now))
+	late.Pause(time.Now(), time.Minute)
+	late.End(time.Now(), endpointload.Refused)
+	broken.End(time.Now(), endpointload.Failed)
+	d.MergeLimits(time.Now(), "peer", 10, ofPeers)
+	must.Eq(t, 0, d.LimitedEndpoints())
+	must.True(t, d.Accepting(e, true))
+	must.Eq(t, 0, d.loads.View(time.Now(), "e1", nil).FailureRate)
+
+	next := place()
+	must.True(t, next.RecordLimit(time.Now(), 20, time.Now()), must.Sprint("its own limit counts"))
+	next.Pause(time.Now(), time.Minute)
+	must.False(t, d.Accepting(e, true), must.Sprint("and so does its pause"))
+}
--- a/direct/dispatch/limits.go
+++ b/direct/dispatch/limits.go
@@ -12,6 +12,9 @@
 // sent.
 func (a *Assignment) RecordLimit(now time.Time, rate float64, sentAt time.Time) (changed bool) {
 	a.withLock(func() {
+		if !a.attempt.IsCurrent() {
+			return
+		}
 		d := a.dispatcher
 		changed = d.requestLimits.Observe(now, endpointload.Hash(a.Endpoint.ID), rate, sentAt)
 		if !d.requestLimits.TakeNews() {
