A silent store doesn't confirm the incarnation of an endpoint

Cause: the doubt about an endpoint without a report ends when it was reached and the store has answered for 2.5 s since. The store counted as answering until a read of it timed out, up to 2.7 s after it had fallen silent.

Ruled out: a report that confirmed it (there was none), and the end of the doubt by an entry (the new one was read 2 s later).

Change: the time in which the store is known to have answered ends when the latest read that succeeded began; for a router whose peers read the store, the timeout of a read and of their reports ago.

--- a/coordination/incarnation/table.go
+++ b/coordination/incarnation/table.go
@@ -113,22 +113,22 @@
 	return true
 }
 
-// Settle ends the doubt about endpoints that were reached at least EntryTime ago, if the store has
-// answered since: an incarnation that had started by then is registered. steadySince is when the
-// store began to answer, or the zero time while it doesn't.
-func (t *Table) Settle(now, steadySince time.Time) {
-	if t.doubted == 0 || steadySince.IsZero() {
+// Settle ends the doubt about endpoints that were reached, if the store has answered all the time for
+// EntryTime since: an incarnation that had started by then is registered. since and until are the
+// bounds of the time in which the store is known to have answered.
+func (t *Table) Settle(since, until time.Time) {
+	if t.doubted == 0 {
 		return
 	}
 	for _, e := range t.endpoints {
 		if e.reachedAt.IsZero() || e.hasSuperseded {
 			continue
 		}
-		since := e.reachedAt
-		if steadySince.After(since) {
-			since = steadySince
+		from := e.reachedAt
+		if since.After(from) {
+			from = since
 		}
-		if now.Sub(since) >= EntryTime {
+		if until.Sub(from) >= EntryTime {
 			t.confirm(e)
 		}
 	}
--- a/coordination/incarnation/table_test.go
+++ b/coordination/incarnation/table_test.go
@@ -50,7 +50,7 @@
 	must.Eq(t, at(1050), table.Register("e", at(0)), must.Sprint("the stale entry"))
 	table.Want("e")
 	must.SliceEmpty(t, table.TakeQuestions(at(5000)), must.Sprint("only the entry can tell more"))
-	table.Settle(at(60_000), at(0))
+	table.Settle(at(0), at(60_000))
 	must.False(t, table.Confirmed("e"))
 	must.Eq(t, at(1050), table.Register("e", at(1050)))
 	must.True(t, table.Confirmed("e"))
@@ -87,14 +87,16 @@
 	table := NewTable()
 	table.Register("e", at(0))
 	table.Doubt(at(1000), "e")
-	table.Settle(at(60_000), at(0))
+	table.Settle(at(0), at(60_000))
 	must.False(t, table.Confirmed("e"), must.Sprint("it wasn't reached"))
 	table.Reached(at(60_010), at(60_000), "e")
-	table.Settle(at(90_000), time.Time{})
+	table.Settle(time.Time{}, time.Time{})
 	must.False(t, table.Confirmed("e"), must.Sprint("the store doesn't answer"))
-	table.Settle(at(90_000), at(89_000))
+	table.Settle(at(0), at(62_000))
+	must.False(t, table.Confirmed("e"), must.Sprint("the store's last answer came before the entry was due"))
+	table.Settle(at(89_000), at(90_000))
 	must.False(t, table.Confirmed("e"), must.Sprint("entries may be missing"))
-	table.Settle(at(92_000), at(89_000))
+	table.Settle(at(89_000), at(92_000))
 	must.True(t, table.Confirmed("e"))
 	must.Eq(t, 0, table.Doubted())
 }
@@ -148,11 +150,9 @@
 					table.Reached(at(now), at(now), "e")
 				}
 			}
-			steady := time.Time{}
 			if storeSteady >= 0 {
-				steady = at(storeSteady)
+				table.Settle(at(storeSteady), at(now))
 			}
-			table.Settle(at(now), steady)
 			if table.Confirmed("e") {
 				must.Eq(t, running, table.Register("e", registered))
 				must.Eq(t, running, registered, must.Sprint("the version is that of the entry"))
--- a/direct/confirm/confirm.go
+++ b/direct/confirm/confirm.go
@@ -39,10 +39,11 @@
 	Pool       *endpointhttp.Pool
 	Dialect    dialect.Dialect
 	Report     Report
-	// SteadySince returns since when the store has answered, or the zero time while it doesn't.
-	SteadySince func(now time.Time) time.Time
-	Log         *slog.Logger
-	Metrics     metrics.Registry
+	// StoreAnswered returns the bounds of the latest time in which the store is known to have answered,
+	// or zero times while it doesn't.
+	StoreAnswered func(now time.Time) (since, until time.Time)
+	Log           *slog.Logger
+	Metrics       metrics.Registry
 }
 
 // Run asks endpoints until ctx is done and returns its error.
@@ -55,7 +56,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			c.Dispatcher.SettleIncarnations(now, c.SteadySince(now))
+			c.Dispatcher.SettleIncarnations(c.StoreAnswered(now))
 			for _, e := range c.Dispatcher.TakeQuestions(now) {
 				asked.Inc(1)
 				go c.ask(ctx, e)
--- a/direct/confirm/confirm_test.go
+++ b/direct/confirm/confirm_test.go
@@ -44,7 +44,12 @@
 	f.dispatcher.Restarted("e", registeredStart)
 	c := &Confirmer{
 		Dispatcher: f.dispatcher, Pool: f.pool, Dialect: dialect.Default(), Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
-		SteadySince: func(time.Time) time.Time { return *f.steady.Load() },
+		StoreAnswered: func(now time.Time) (since, until time.Time) {
+			if since = *f.steady.Load(); since.IsZero() {
+				return time.Time{}, time.Time{}
+			}
+			return since, now
+		},
 		Report: Report{Path: "/report", Started: func(body []byte) (time.Time, error) {
 			ms, err := strconv.ParseInt(string(body), 10, 64)
 			return time.UnixMilli(ms), eris.Wrap(err, "decode")
--- a/direct/dispatch/incarnations.go
+++ b/direct/dispatch/incarnations.go
@@ -120,11 +120,11 @@
 }
 
 // SettleIncarnations ends the doubt about endpoints whose entries would show a restart, since the
-// store has answered from steadySince on; zero while it doesn't answer.
-func (d *Dispatcher) SettleIncarnations(now, steadySince time.Time) {
+// store is known to have answered from since to until.
+func (d *Dispatcher) SettleIncarnations(since, until time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.incarnations.Settle(now, steadySince)
+	d.incarnations.Settle(since, until)
 }
 
 // DoubtedEndpoints returns the number of endpoints whose incarnation is in doubt.
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -73,6 +73,8 @@
 	loaded [2]atomic.Bool
 	// reading is set while the store responds to this router's reads of a topic.
 	reading [2]atomic.Bool
+	// answeredAt is when the latest read of the endpoints that succeeded began, in Unix nanoseconds.
+	answeredAt atomic.Int64
 	// announced is closed once the store has acknowledged the announcement.
 	announced chan struct{}
 }
@@ -117,6 +119,13 @@
 	return f.reading[Configuration].Load() && f.reading[Endpoints].Load()
 }
 
+// AnsweredAt returns when the latest read of the endpoints that succeeded began. The entries written
+// before are known here.
+func (f *Follower) AnsweredAt() time.Time { return time.Unix(0, f.answeredAt.Load()) }
+
+// ReadTimeout returns the time after which a read of the store fails.
+func (f *Follower) ReadTimeout() time.Duration { return f.readWait + callMargin }
+
 // Run follows the store and the peers until ctx is done and returns its error.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -155,6 +164,9 @@
 		switch {
 		case err == nil:
 			f.markStoreReachable(topic)
+			if topic == Endpoints {
+				f.answeredAt.Store(began.UnixNano())
+			}
 			backoff = minBackoff
 			if reading {
 				// A listing succeeds also while all reads are refused.
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -488,9 +488,9 @@
 	minActiveReaders = 2
 	// smallFleet is the largest fleet in which every router reads the store.
 	smallFleet = 8
-	// readerTimeout is the time without a report after which a peer no longer
+	// ReaderTimeout is the time without a report after which a peer no longer
 	// counts as reading the store; reports are sent at least every 400 ms.
-	readerTimeout = time.Second
+	ReaderTimeout = time.Second
 )
 
 // ShouldReadStore implements follow.Peers. In a large fleet a few routers read
@@ -506,7 +506,7 @@
 	fleet := []string{m.address.String()}
 	reading := 0
 	for address, p := range m.peers {
-		if now.Sub(p.lastReport) > readerTimeout {
+		if now.Sub(p.lastReport) > ReaderTimeout {
 			continue
 		}
 		fleet = append(fleet, address)
@@ -530,7 +530,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if p.readsStore && now.Sub(p.lastReport) <= readerTimeout {
+		if p.readsStore && now.Sub(p.lastReport) <= ReaderTimeout {
 			return true
 		}
 	}
@@ -553,7 +553,7 @@
 	readers := []string{self}
 	m.mu.Lock()
 	for address, p := range m.peers {
-		if p.readsStore && now.Sub(p.lastReport) <= readerTimeout {
+		if p.readsStore && now.Sub(p.lastReport) <= ReaderTimeout {
 			readers = append(readers, address)
 		}
 	}
--- a/direct/process.go
+++ b/direct/process.go
@@ -104,7 +104,7 @@
 	follower   *follow.Follower
 	origins    *origins.Origins
 	confirmer  *confirm.Confirmer
-	// steadySince is the latest result of storeSteadySince.
+	// steadySince is the beginning of the time that storeAnswered returns.
 	steadySince time.Time
 	mesh        *mesh.Mesh
 	listeners   listeners
@@ -210,7 +210,7 @@
 	p.handler.Origins = p.origins
 	p.confirmer = &confirm.Confirmer{
 		Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect, Report: p.options.Report,
-		SteadySince: p.storeSteadySince, Log: p.log, Metrics: p.metrics,
+		StoreAnswered: p.storeAnswered, Log: p.log, Metrics: p.metrics,
 	}
 	p.pool.OnBroken = p.doubtIncarnation
 }
@@ -224,16 +224,23 @@
 	}
 }
 
-// storeSteadySince returns since when the store has answered this router or a peer, as far as this
-// router knows, or the zero time. Only the confirmer calls it.
-func (p *process) storeSteadySince(now time.Time) time.Time {
+// storeAnswered returns the bounds of the latest time in which the store is known to have answered this
+// router or a peer, or zero times. A router that reads the store notices an outage when its read times
+// out. Only the confirmer calls it.
+func (p *process) storeAnswered(now time.Time) (since, until time.Time) {
 	switch {
-	case !p.follower.ReadsStore() && !p.mesh.HasStoreReader():
+	case p.follower.ReadsStore():
+		until = p.follower.AnsweredAt()
+	case p.mesh.HasStoreReader():
+		until = now.Add(-p.follower.ReadTimeout() - mesh.ReaderTimeout)
+	default:
 		p.steadySince = time.Time{}
-	case p.steadySince.IsZero():
+		return time.Time{}, time.Time{}
+	}
+	if p.steadySince.IsZero() {
 		p.steadySince = now
 	}
-	return p.steadySince
+	return p.steadySince, until
 }
 
 // longestStream returns the longest timeout of a route whose streams may be resumed.
