Tests of silence count only their own requests

Seen once: TestSilenceSequences/lookup_at_5 counted 6 executions where the router's log shows three sends in all. A test port had been used before by another process's endpoint: a later run recorded four requests "GET /-/report" of another router on such a port. The tests give each request its own identifier, answer others with 421 and print them.

The silent sequences run 128 at a time, and the tests that mostly wait run in parallel.

--- a/direct/entry/begun_test.go
+++ b/direct/entry/begun_test.go
@@ -15,6 +15,7 @@
 // Guards against a stream that is cut after its first events because its endpoint broke off while
 // the only other endpoint of its build was too busy for new requests, or silent.
 func TestBegunStreamGoesOnAtABusyEndpoint(t *testing.T) {
+	t.Parallel()
 	other := func(c prompt.Cost) *dispatch.Request {
 		return &dispatch.Request{Service: "engines", Cost: c, Target: time.Minute, Exclude: []string{"e1"}, Continued: true}
 	}
--- a/direct/entry/failure_sequences_test.go
+++ b/direct/entry/failure_sequences_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -140,7 +141,12 @@
 // endpointScript applies a list of behaviours to successive attempts at any of the
 // endpoints. Attempts beyond the list get the last behaviour again.
 type endpointScript struct {
+	// id is the identifier of the only request that counts, if it is set: the port of an
+	// endpoint may have been that of another one, which some other router still uses.
+	id string
+
 	mu         sync.Mutex
+	foreign    []string
 	behaviours []behaviour
 	attempts   int
 	executions int
@@ -148,6 +154,11 @@
 
 func (s *endpointScript) script(c net.Conn, call *directtest.Call) bool {
 	s.mu.Lock()
+	if s.id != "" && call.ID() != s.id {
+		s.foreign = append(s.foreign, call.Method+" "+call.RequestURI+" "+call.ID())
+		s.mu.Unlock()
+		return status(http.StatusMisdirectedRequest)(c, call)
+	}
 	b := s.behaviours[min(s.attempts, len(s.behaviours)-1)]
 	s.attempts++
 	if b.executes() {
@@ -330,7 +341,7 @@
 
 // parallelSequences bounds the sequences that are tested at the same time; with a silence, they
 // mostly wait.
-const parallelSequences = 64
+const parallelSequences = 128
 
 // beside are the behaviours that are combined with silent ones.
 var beside = []string{"full", "bare 503", "failure", "reset", "truncated", "cut inside an event", "complete response", "complete stream"}
@@ -396,16 +407,21 @@
 // trySilence sends one request to a router with its own endpoints and returns the number of
 // attempts that reached one.
 func (e *explorer) trySilence(t *testing.T, list []behaviour, endpoints int) int {
-	s := &endpointScript{behaviours: list}
+	s := &endpointScript{behaviours: list, id: rand.Text()}
 	r := newRouter(t)
 	logOnFailure(t, r)
 	for i := range endpoints {
 		r.add(fmt.Sprintf("e%d", i), e.service, s.script)
 	}
-	got := r.post(e.path)
+	in := r.request(http.MethodPost, e.path, "body")
+	in.Header.Set(headers.RequestID, s.id)
+	got := r.do(in)
 	mustBeIdle(t, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.foreign) > 0 {
+		t.Logf("requests of other routers: %q", s.foreign)
+	}
 	e.check(t, s, got)
 	return s.attempts
 }
--- a/direct/entry/hanging_test.go
+++ b/direct/entry/hanging_test.go
@@ -19,6 +19,7 @@
 // Guards against callers that wait longer for an endpoint that is silent for good, and whose
 // attempt isn't ended while another one runs, than the latency target allows.
 func TestHangingEndpointCostsNoMoreThanTheTarget(t *testing.T) {
+	t.Parallel()
 	hang := func(c net.Conn) bool {
 		_, _ = c.Read(make([]byte, 1))
 		return false
--- a/direct/entry/leaving_caller_test.go
+++ b/direct/entry/leaving_caller_test.go
@@ -16,6 +16,7 @@
 // Guards against an attempt that goes on at its endpoint, or in the accounting, after the caller
 // has left or the deadline has passed while two attempts at the request run.
 func TestBothAttemptsEndWithTheirCaller(t *testing.T) {
+	t.Parallel()
 	const (
 		// closeTime bounds the time until the endpoints see their connections closed.
 		closeTime = 500 * time.Millisecond
--- a/direct/entry/silence_test.go
+++ b/direct/entry/silence_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"crypto/rand"
 	"fmt"
 	"io"
 	"log/slog"
@@ -197,7 +198,9 @@
 		return silent(c, call)
 	})
 	answered := make(chan result, 1)
-	go func() { answered <- r.post(x.path) }()
+	in := r.request(http.MethodPost, x.path, "body")
+	in.Header.Set(headers.RequestID, rand.Text())
+	go func() { answered <- r.do(in) }()
 	awaitRequest(t, received, answered)
 	var others []*directtest.Endpoint
 	for n := range count {
@@ -211,13 +214,25 @@
 		}
 	}
 	got := <-answered
-	executions := len(first.Calls())
+	// The port of an endpoint may have been that of another one, which some other router still uses.
+	calls := func(e *directtest.Endpoint) int {
+		n := 0
+		for _, call := range e.Calls() {
+			if call.ID() == in.Header.Get(headers.RequestID) {
+				n++
+			} else {
+				t.Logf("request of another router: %s %s %s", call.Method, call.RequestURI, call.ID())
+			}
+		}
+		return n
+	}
+	executions := calls(first)
 	for _, e := range others {
 		if !o.notRun {
-			executions += len(e.Calls())
+			executions += calls(e)
 		}
 		if o.noRetries {
-			must.Len(t, 0, e.Calls())
+			must.Eq(t, 0, calls(e))
 		}
 	}
 	must.LessEq(t, routeAttempts, executions)
--- a/direct/entry/third_attempt_test.go
+++ b/direct/entry/third_attempt_test.go
@@ -16,6 +16,7 @@
 // Guards against a request that ends without an answer although its route allows a third attempt
 // and another endpoint answers, because the first two attempts hang, fail or break off.
 func TestThirdAttemptFollowsTwoThatFail(t *testing.T) {
+	t.Parallel()
 	hang := func(c net.Conn, _ *directtest.Call) bool {
 		_, _ = c.Read(make([]byte, 1))
 		return false
