--- a/direct/entry/withheld_second_test.go
+++ b/direct/entry/withheld_second_test.go
@@ -39,3 +39,24 @@
 	must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
 	must.Eq(t, streamEvents, strings.Count(got.body, "data: v2"))
 }
+
+// Guards against a stream that fails because an endpoint whose first event can't be forwarded
+// without a saved origin replaces a silent, sound endpoint whose stream needs none.
+func TestWithheldSecondAttemptDoesNotEndTheFirst(t *testing.T) {
+	r := newRouter(t)
+	received := make(chan struct{}, 1)
+	r.addVersion("first", "engines", "v1", func(c net.Conn, call *directtest.Call) bool {
+		received <- struct{}{}
+		time.Sleep(shortSilence)
+		return streamFrom("v1", streamEvents, streamEvents)(c, call)
+	})
+	answered := make(chan result, 1)
+	go func() { answered <- r.post("/resumable/1") }()
+	<-received
+	r.origins.failSaves(dispatch.BuildOf(registry.Endpoint{Service: "engines", Version: "v1"}))
+	r.addVersion("other", "engines", "v2", streamFrom("v2", streamEvents, streamEvents))
+	got := <-answered
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+	must.Eq(t, streamEvents, strings.Count(got.body, "data: v1"))
+}
