What a review of hedged requests found

- An attempt that failed beside a silent one counted as in progress until the request ended, so that its endpoint seemed silent and got no new requests.
It ends at once.
- A stream that ended inside an event or, without framing, before any event replaced a sound one.
- An attempt was ended for an event of another one that may not be forwarded because its origin isn't saved.
Another attempt is ended only once the origin is saved, and begins at the implied build while new streams must.
- A resumed stream that hung at its next endpoint wasn't hedged before its first event there.
- Attempts that the retry budget doesn't allow were placed first and used up request limits.
- A begun stream was cut if no endpoint had a place at that moment, for instance while all wait for confirmation after their connections broke.
It tries again for up to 2 s.
- A panic while a request is hedged no longer ends the process.

--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -80,6 +80,15 @@
 
 // Take reports whether another retry is allowed at now, and counts it if so.
 func (b *Budget) Take(now time.Time) bool {
+	if !b.Allows(now) {
+		return false
+	}
+	b.bucketAt(now).retries++
+	return true
+}
+
+// Allows reports whether another retry is allowed at now.
+func (b *Budget) Allows(now time.Time) bool {
 	current := b.bucketAt(now)
 	var requests, retries int64
 	for _, bk := range b.buckets {
@@ -94,11 +103,7 @@
 			retries += bk.retries
 		}
 	}
-	if float64(retries+1) > b.allowed(requests) {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= b.allowed(requests)
 }
 
 // bucketAt returns the bucket for now, cleared if it held an earlier interval.
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -587,6 +587,13 @@
 	return d.budget(service).Take(now)
 }
 
+// RetryAllowed reports whether TakeRetry would allow another attempt.
+func (d *Dispatcher) RetryAllowed(now time.Time, service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Allows(now)
+}
+
 func (d *Dispatcher) budget(service string) *retry.Budget {
 	b := d.budgets[service]
 	if b == nil {
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -53,6 +53,8 @@
 	prefetch(a *attempt, begun bool)
 	// relay forwards the endpoint's response and ends the attempt.
 	relay(a *attempt) relayResult
+	// lastEvent returns the identifier of the last event that the caller has, if it has any.
+	lastEvent() (id int64, ok bool)
 	// canContinue reports whether another attempt can complete the response.
 	canContinue() bool
 	// failWithoutResponse sends the final response if no endpoint gave a usable
@@ -69,6 +71,9 @@
 	notSentCount, refusedCount := 0, 0
 	for {
 		assignment, refusal := r.place(time.Now())
+		if refusal != nil && r.awaitPlace(refusal) {
+			continue
+		}
 		if refusal != nil {
 			d.rejectUnplaced(refusal)
 			return
@@ -123,11 +128,43 @@
 	}
 }
 
+const (
+	// placeInterval is the interval between tries to place a response that has begun, and
+	// maxPlaceWait bounds the time for them.
+	placeInterval = 100 * time.Millisecond
+	maxPlaceWait  = 2 * time.Second
+)
+
+// awaitPlace waits before another try to place a response that has begun. It returns false if the
+// response must be given up. Endpoints may be paused, at their limit or not confirmed only for a
+// moment.
+func (r *request) awaitPlace(refusal *dispatch.Refusal) bool {
+	now := time.Now()
+	if !r.responseBegun || refusal.Reason == dispatch.Quarantined {
+		return false
+	}
+	if r.unplacedSince.IsZero() {
+		r.unplacedSince = now
+	}
+	if now.Sub(r.unplacedSince) >= maxPlaceWait || !now.Before(r.deadline) {
+		return false
+	}
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-time.After(placeInterval):
+		return true
+	}
+}
+
 // account adds an attempt to the counts of the request.
 func (r *request) account(a *attempt) {
 	r.exclude = append(r.exclude, a.assignment.Endpoint.ID)
+	if a.failure != nil {
+		r.failure = a.failure
+	}
 	if a.outcome != notSent {
-		r.sentAttempts++
+		r.sentAttempts.Add(1)
 	}
 	if a.mayHaveExecuted() {
 		r.possibleExecutions++
@@ -138,7 +175,7 @@
 // count as busy for as long as the process runs, and the attempts that aren't needed.
 func (r *request) endUnfinished() {
 	r.hedge.stop()
-	if a := r.unfinished; a != nil {
+	if a := r.unfinished.Load(); a != nil {
 		r.h.Log.Warn("attempt ended without a result", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 		r.endAttempt(a, endpointload.Failed)
 	}
@@ -159,6 +196,8 @@
 	// withheld is set if the caller must not get the first events, since the origin of the stream
 	// isn't saved.
 	withheld bool
+	// failure is the response if it is complete and a server error.
+	failure *bufferedResponse
 	// unread reports whether bytes of the response wait in the socket; nil before there is a
 	// connection.
 	unread atomic.Pointer[func() bool]
@@ -174,6 +213,9 @@
 // mayHaveExecuted reports whether the endpoint may have executed the request.
 func (a *attempt) mayHaveExecuted() bool { return a.outcome == responded || a.outcome == indeterminate }
 
+// hasAnswer reports whether there is a response that may be forwarded and isn't a server error.
+func (a *attempt) hasAnswer() bool { return a.outcome == responded && a.failure == nil && !a.withheld }
+
 // hasUnread reports whether bytes of the response wait to be read: then this process is late,
 // and the endpoint isn't silent.
 func (a *attempt) hasUnread() bool {
@@ -316,9 +358,7 @@
 
 // endAttempt releases the attempt's connection and records its result.
 func (r *request) endAttempt(a *attempt, result endpointload.Result) {
-	if r.unfinished == a {
-		r.unfinished = nil
-	}
+	r.unfinished.CompareAndSwap(a, nil)
 	if a.response != nil {
 		a.response.Close()
 	}
@@ -398,7 +438,7 @@
 	attrs := []slog.Attr{
 		slog.String("request", r.id), slog.String("route", r.route.Name),
 		slog.String("endpoint", a.assignment.Endpoint.ID), slog.String("result", resultName(result)),
-		slog.Int64("after_ms", time.Since(a.startedAt).Milliseconds()), slog.Int("sends", r.sentAttempts),
+		slog.Int64("after_ms", time.Since(a.startedAt).Milliseconds()), slog.Int64("sends", r.sentAttempts.Load()),
 		slog.String("fingerprint", formatFingerprint(r.fingerprint())),
 	}
 	if a.err != nil {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -139,7 +139,7 @@
 	// cachedFingerprint is the result of fingerprint, or 0 before its first call.
 	cachedFingerprint uint64
 	// sentAttempts counts the attempts in which the request was sent.
-	sentAttempts int
+	sentAttempts atomic.Int64
 	// possibleExecutions counts the attempts that may have executed the request.
 	possibleExecutions int
 	exclude            []string
@@ -149,12 +149,14 @@
 	// continues is set if the request continues a stream within its team's share.
 	continues bool
 	// unfinished is the attempt in progress, or nil.
-	unfinished *attempt
+	unfinished atomic.Pointer[attempt]
 	// hedge watches the attempt in progress, if a second one may run beside it.
 	hedge *hedge
 	// failure is the latest complete response with a server error. The caller gets it if no
 	// endpoint gives a better one.
 	failure *bufferedResponse
+	// unplacedSince is the time since which a response that has begun has no place.
+	unplacedSince time.Time
 	// responseBegun is set once the caller has a part of the response.
 	responseBegun bool
 	// disconnected is set once the caller's connection was found closed.
--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 )
@@ -46,8 +47,10 @@
 	r        *request
 	delivery delivery
 	first    *attempt
-	// next is the request to place at another endpoint.
-	next dispatch.Request
+	// next is the request to place at another endpoint. build is the only build that can run it,
+	// or streamorigin.AnyBuild, while the caller has no part of the response.
+	next  dispatch.Request
+	build streamorigin.Build
 
 	mu sync.Mutex
 	// changed is signaled when another attempt has finished.
@@ -57,24 +60,25 @@
 	scheduled time.Time
 	// silentSince is the time of the first check in a row that found all endpoints stalled.
 	silentSince time.Time
-	// forwarding is set while the request's goroutine doesn't read from the endpoint, firstEnded
-	// once the first attempt has failed.
-	forwarding, firstEnded bool
-	// claims counts how often the first attempt had something to forward.
-	claims int
+	// forwarding is set while the request's goroutine doesn't read from the endpoint, reserved
+	// while it decides whether what it has read may be forwarded, firstEnded once the first
+	// attempt has failed.
+	forwarding, reserved, firstEnded bool
+	// settled counts how often the first attempt had something to forward.
+	settled int
 	// lastID is the last event that the caller has, if hasID is set. begun is set if it has a
 	// part of the response.
 	lastID       int64
 	hasID, begun bool
 	// executions counts the attempts at the request that an endpoint may have executed,
-	// refusals the other attempts that failed before.
-	executions, refusals int
-	ended                bool
-	// others holds the other attempts that run or have a response, winner the one that had
-	// something to forward first.
+	// notExecuted the other attempts that certainly weren't.
+	executions, notExecuted int
+	ended                   bool
+	// others holds the other attempts that run or have something to forward, winner the one that
+	// had it first.
 	others []*otherAttempt
 	winner *otherAttempt
-	// unsuccessful holds the other attempts that have failed and were not ended.
+	// unsuccessful holds the other attempts that have failed and weren't accounted.
 	unsuccessful []*attempt
 }
 
@@ -98,16 +102,15 @@
 	}
 }
 
-// usable reports whether the attempt has something to forward that isn't a server error.
-func (o *otherAttempt) usable() bool {
-	return !o.running() && o.outcome == responded && o.response.Status < http.StatusInternalServerError
-}
+// usable reports whether the attempt has finished and has something to forward that isn't a
+// server error.
+func (o *otherAttempt) usable() bool { return !o.running() && o.hasAnswer() }
 
 // sendHedged sends the request to the assigned endpoint, with extra added to its headers. If
 // the request may be repeated, the attempt is watched for a silent endpoint.
 func (r *request) sendHedged(d delivery, assignment *dispatch.Assignment, extra http.Header) *attempt {
 	a := r.newAttempt(assignment)
-	r.unfinished = a
+	r.unfinished.Store(a)
 	r.hedge = r.newHedge(d, a, r.possibleExecutions+1)
 	r.send(a, extra)
 	r.account(a)
@@ -121,7 +124,8 @@
 	if !r.route.Repeatable() || executions >= r.route.Attempts || idempotent && r.route.LatencyTarget <= 0 {
 		return nil
 	}
-	h := &hedge{r: r, delivery: d, first: a, next: *r.dispatchRequest(a.startedAt), begun: r.responseBegun, executions: executions}
+	h := &hedge{r: r, delivery: d, first: a, next: *r.dispatchRequest(a.startedAt), build: r.build, begun: r.responseBegun, executions: executions}
+	h.lastID, h.hasID = d.lastEvent()
 	h.changed = sync.NewCond(&h.mu)
 	h.next.Exclude = append(slices.Clone(r.exclude), a.assignment.Endpoint.ID)
 	h.next.Repeated, h.next.Begun = true, false
@@ -153,33 +157,63 @@
 	}
 }
 
-// claim reports whether the first attempt may forward what it has received, with the event
-// lastID at its end. If so, the other attempts are ended. Otherwise one of them had something to
-// forward before.
-func (h *hedge) claim(lastID int64, hasID bool) bool {
+// reserve reports whether the first attempt may forward what it has received. It returns false if
+// another one had something to forward before. settle or release must follow.
+func (h *hedge) reserve() bool {
 	if h == nil {
 		return true
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.winner != nil {
-		h.mu.Unlock()
 		return false
 	}
+	h.reserved, h.forwarding = true, true
+	return true
+}
+
+// release lets the other attempts go on, because the first one may not forward what it has.
+func (h *hedge) release() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reserved = false
+	if i := slices.IndexFunc(h.others, (*otherAttempt).usable); i >= 0 {
+		h.winner = h.others[i]
+	}
+}
+
+// claim reserves and settles what isn't an event of a stream.
+func (h *hedge) claim() bool {
+	if !h.reserve() {
+		return false
+	}
+	h.settle(0, false)
+	return true
+}
+
+// settle ends the other attempts, because the first one forwards what it has received, with the
+// event lastID at its end.
+func (h *hedge) settle(lastID int64, hasID bool) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
 	others := h.others
-	h.others, h.forwarding, h.begun = nil, true, true
+	h.others, h.reserved, h.begun = nil, false, true
 	h.lastID, h.hasID = lastID, hasID
-	h.claims++
+	h.settled++
 	h.mu.Unlock()
 	if len(others) > 0 {
 		h.endOthers(others)
 		h.rearm()
 	}
-	return true
 }
 
 // await waits, after the first attempt has failed, until another one has something to forward or
-// all have failed. It returns the one with which the request goes on, or nil. If all have failed, that
-// is one with a server error.
+// all have failed. It returns the one with which the request goes on, or nil.
 func (h *hedge) await() *attempt {
 	if h == nil {
 		return nil
@@ -190,9 +224,6 @@
 		h.changed.Wait()
 	}
 	chosen := h.winner
-	if chosen == nil && len(h.others) > 0 {
-		chosen = h.others[0]
-	}
 	others := slices.DeleteFunc(h.stopWatch(), func(o *otherAttempt) bool { return o == chosen })
 	h.mu.Unlock()
 	h.endOthers(others)
@@ -200,18 +231,15 @@
 		return nil
 	}
 	r := h.r
-	r.unfinished = chosen.attempt
+	r.unfinished.Store(chosen.attempt)
 	r.account(chosen.attempt)
-	r.hedge = nil
-	r.h.Log.Info("request goes on with another attempt", "request", r.id, "endpoint", chosen.assignment.Endpoint.ID, "usable", chosen.usable(),
+	r.h.Log.Info("request goes on with another attempt", "request", r.id, "endpoint", chosen.assignment.Endpoint.ID,
 		"after_ms", time.Since(chosen.startedAt).Milliseconds())
-	if chosen.usable() {
-		r.h.Metrics.HedgesWon.Inc(1)
-		if chosen.begun {
-			r.h.Metrics.Resumed.Inc(1)
-		}
-		r.hedge = r.newHedge(h.delivery, chosen.attempt, r.possibleExecutions)
+	r.h.Metrics.HedgesWon.Inc(1)
+	if chosen.begun {
+		r.h.Metrics.Resumed.Inc(1)
 	}
+	r.hedge = r.newHedge(h.delivery, chosen.attempt, r.possibleExecutions)
 	return chosen.attempt
 }
 
@@ -236,7 +264,7 @@
 }
 
 // endOthers cancels other attempts that aren't needed and waits for their end, since they use the
-// request's body. It also ends those that have failed.
+// request's body. It also accounts those that have failed.
 func (h *hedge) endOthers(others []*otherAttempt) {
 	for _, o := range others {
 		o.cancel(errSuperseded)
@@ -247,22 +275,18 @@
 		if o.mayHaveExecuted() && (o.usable() || o.err != nil) {
 			result = endpointload.Abandoned
 		}
-		h.endOther(o.attempt, result)
+		h.r.account(o.attempt)
+		h.r.endAttempt(o.attempt, result)
 	}
 	h.mu.Lock()
 	unsuccessful := h.unsuccessful
 	h.unsuccessful = nil
 	h.mu.Unlock()
 	for _, a := range unsuccessful {
-		h.endOther(a, h.r.resultOf(a))
+		h.r.account(a)
 	}
 }
 
-func (h *hedge) endOther(a *attempt, result endpointload.Result) {
-	h.r.account(a)
-	h.r.endAttempt(a, result)
-}
-
 // rearm schedules the next check.
 func (h *hedge) rearm() {
 	h.mu.Lock()
@@ -272,7 +296,7 @@
 
 // schedule schedules the next check if another attempt may follow. The caller holds mu.
 func (h *hedge) schedule(delay time.Duration) {
-	if h.ended || h.winner != nil || h.executions >= h.r.route.Attempts || h.refusals >= maxRefused {
+	if h.ended || h.winner != nil || h.executions >= h.r.route.Attempts || h.notExecuted >= maxRefused {
 		return
 	}
 	h.scheduled = time.Now().Add(delay)
@@ -282,6 +306,11 @@
 // check starts another attempt if the endpoints of those in progress are silent. It runs in the
 // timer's goroutine, and so does that attempt.
 func (h *hedge) check() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.r.h.Log.Error("panic while a request was hedged", "request", h.r.id, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
 	now := time.Now()
 	h.mu.Lock()
 	if h.ended || h.winner != nil {
@@ -293,13 +322,15 @@
 		h.mu.Unlock()
 		return
 	}
-	next, begun, claims := h.next, h.begun, h.claims
+	next, begun, settled := h.next, h.begun, h.settled
 	resume := h.r.resumeHeader(h.lastID, h.hasID)
 	h.mu.Unlock()
 	if begun {
 		next.Build, next.Continued = dispatch.BuildOf(h.first.assignment.Endpoint), true
+	} else {
+		next.Build = h.r.restrictedBuild(h.build)
 	}
-	other := h.start(now, &next, claims)
+	other := h.start(now, &next, settled)
 	if other == nil {
 		h.rearm()
 		return
@@ -318,6 +349,7 @@
 	stalled := func(a *attempt) bool { return a.assignment.Stalled(now) }
 	switch {
 	case now.Sub(h.scheduled) > maxCheckDelay, h.forwarding && !h.firstEnded, hasUnread, len(inProgress) == 0:
+		// The silence, if any, begins anew below.
 	case h.r.route.Semantics == routing.Idempotent:
 		return !h.begun && now.Sub(inProgress[len(inProgress)-1].startedAt) >= h.r.hedgeDelay()
 	case h.begun && !h.hasID, slices.ContainsFunc(inProgress, func(a *attempt) bool { return !stalled(a) }):
@@ -347,10 +379,10 @@
 
 // start places another attempt. It returns nil if no endpoint takes the request, the retry
 // budget is used up, or the first attempt has ended or had something to forward meanwhile.
-func (h *hedge) start(now time.Time, next *dispatch.Request, claims int) *otherAttempt {
+func (h *hedge) start(now time.Time, next *dispatch.Request, settled int) *otherAttempt {
 	d := h.r.h.Dispatcher
-	// The check is cheaper than a placement that is refused.
-	if !d.HasUsable(now, next.Service, next.Exclude, next.Build) || d.Quarantine(now, next.Cost, next.Fingerprint) != nil {
+	// A placement counts against the endpoint's request limit, and costs more than these checks.
+	if !d.RetryAllowed(now, next.Service) || !d.HasUsable(now, next.Service, next.Exclude, next.Build) || d.Quarantine(now, next.Cost, next.Fingerprint) != nil {
 		return nil
 	}
 	assignment, _ := h.r.placeAt(now, next)
@@ -359,7 +391,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || h.winner != nil || h.claims != claims || !d.TakeRetry(now, next.Service) {
+	if h.ended || h.winner != nil || h.settled != settled || !d.TakeRetry(now, next.Service) {
 		assignment.End(now, endpointload.NotSent)
 		return nil
 	}
@@ -386,33 +418,47 @@
 	if other.outcome == responded {
 		h.delivery.prefetch(other.attempt, other.begun)
 	}
+	if other.outcome == responded && !other.begun && h.r.isResumable() && h.build == streamorigin.AnyBuild {
+		// The caller would not get its first event.
+		build := h.r.restrictedBuild(h.build)
+		other.withheld = build != streamorigin.AnyBuild && build != dispatch.BuildOf(other.assignment.Endpoint)
+	}
 }
 
 // finish records the end of run. If the attempt has something to forward before the others, it
 // ends the first one.
 func (h *hedge) finish(other *otherAttempt) {
+	if h.recordFinished(other) {
+		// Its endpoint must not count as busy until the request ends.
+		h.r.endAttempt(other.attempt, h.r.resultOf(other.attempt))
+	}
+}
+
+// recordFinished reports whether the attempt has failed and must be ended by the caller.
+func (h *hedge) recordFinished(other *otherAttempt) (failed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	close(other.finished)
 	h.changed.Broadcast()
 	if !other.mayHaveExecuted() {
 		h.executions--
-		h.refusals++
+		h.notExecuted++
 	}
 	switch {
 	case !slices.Contains(h.others, other):
-		// claim, await or stop end it.
-	case other.usable() && h.winner == nil:
-		h.winner = other
-		h.first.cancel(errSuperseded)
+		// settle, await or stop have cancelled it, and end it.
+		return false
 	case other.usable():
-	case other.outcome == responded:
-		h.schedule(0)
-	default:
-		h.others = slices.DeleteFunc(h.others, func(o *otherAttempt) bool { return o == other })
-		h.unsuccessful = append(h.unsuccessful, other.attempt)
-		h.schedule(0)
+		if h.winner == nil && !h.reserved {
+			h.winner = other
+			h.first.cancel(errSuperseded)
+		}
+		return false
 	}
+	h.others = slices.DeleteFunc(h.others, func(o *otherAttempt) bool { return o == other })
+	h.unsuccessful = append(h.unsuccessful, other.attempt)
+	h.schedule(0)
+	return true
 }
 
 // endSuperseded ends an attempt that another one replaces.
--- a/direct/entry/log.go
+++ b/direct/entry/log.go
@@ -13,7 +13,7 @@
 func (r *request) logRequestEnd(status int, reason string, more ...slog.Attr) {
 	attrs := []slog.Attr{
 		slog.String("request", r.id), slog.Int("status", status), slog.String("reason", reason),
-		slog.Int64("after_ms", time.Since(r.receivedAt).Milliseconds()), slog.Int("sends", r.sentAttempts),
+		slog.Int64("after_ms", time.Since(r.receivedAt).Milliseconds()), slog.Int64("sends", r.sentAttempts.Load()),
 	}
 	if r.table != nil {
 		attrs = append(attrs, slog.Uint64("config", r.table.Version))
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -70,9 +70,13 @@
 
 // placedBuild returns the only build at which the request should be placed, or
 // streamorigin.AnyBuild.
-func (r *request) placedBuild() streamorigin.Build {
-	if r.build != streamorigin.AnyBuild || r.route.Semantics != routing.Stream || !r.route.Resumable {
-		return r.build
+func (r *request) placedBuild() streamorigin.Build { return r.restrictedBuild(r.build) }
+
+// restrictedBuild returns build or, for a stream that may begin at any build, the only one at which
+// it should begin at present.
+func (r *request) restrictedBuild(build streamorigin.Build) streamorigin.Build {
+	if build != streamorigin.AnyBuild || !r.isResumable() {
+		return build
 	}
 	if b := r.h.Origins.Restriction(r.service.Name); b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
 		return b
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -29,6 +29,7 @@
 	return d.r.sendHedged(d, assignment, nil)
 }
 func (d plainDelivery) relay(a *attempt) relayResult             { return d.r.relayBuffered(a) }
+func (d plainDelivery) lastEvent() (int64, bool)                 { return 0, false }
 func (d plainDelivery) canContinue() bool                        { return true }
 func (d plainDelivery) failWithoutResponse(reason string)        { d.r.failWithoutResponse(reason) }
 func (d plainDelivery) rejectUnplaced(refusal *dispatch.Refusal) { d.r.rejectUnplaced(refusal) }
@@ -43,11 +44,24 @@
 		a.outcome, a.err = indeterminate, err
 		return
 	}
+	if a.response.Status >= http.StatusInternalServerError {
+		a.recordFailure(body)
+		return
+	}
 	a.response.Body = io.MultiReader(bytes.NewReader(body), a.response.Body)
 }
 
+// recordFailure keeps the body of a server error, unless it is too long to be complete.
+func (a *attempt) recordFailure(body []byte) {
+	if len(body) > maxBufferedResponse {
+		a.outcome = indeterminate
+		return
+	}
+	a.failure = &bufferedResponse{a.response.Status, a.response.Header, body}
+}
+
 func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
-	if r.sentAttempts > 0 {
+	if r.sentAttempts.Load() > 0 {
 		if refusal := r.h.Dispatcher.Quarantine(now, r.cost, r.fingerprint()); refusal != nil {
 			return nil, refusal
 		}
@@ -97,7 +111,7 @@
 		r.endAttempt(a, endpointload.Failed)
 		return failed
 	}
-	if !r.hedge.claim(0, false) {
+	if !r.hedge.claim() {
 		r.endSuperseded(a)
 		return failed
 	}
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -62,6 +62,7 @@
 	return d.r.sendHedged(d, assignment, extra)
 }
 func (d streamDelivery) relay(a *attempt) relayResult      { return d.r.relayStream(a, d.s) }
+func (d streamDelivery) lastEvent() (int64, bool)          { return d.s.lastID, d.s.hasID }
 func (d streamDelivery) canContinue() bool                 { return !d.s.headersSent || d.s.hasID }
 func (d streamDelivery) failWithoutResponse(reason string) { d.r.failStream(d.s, reason) }
 
@@ -92,9 +93,15 @@
 		read = append(read, buffer[:n]...)
 		complete := len(splitter.Feed(buffer[:n])) > 0
 		switch {
-		case complete || errors.Is(err, io.EOF):
+		case complete:
 			a.response.Body = io.MultiReader(bytes.NewReader(read), a.response.Body)
 			return
+		case errors.Is(err, io.EOF):
+			if a.err = endError(a, &splitter); a.err != nil {
+				a.outcome = indeterminate
+			}
+			a.response.Body = bytes.NewReader(read)
+			return
 		case splitter.Overflowed():
 			a.outcome, a.err = indeterminate, errEventTooLong
 			return
@@ -185,17 +192,19 @@
 	if !hasID {
 		lastID, hasID = s.lastID, s.hasID
 	}
-	if !r.hedge.claim(lastID, hasID) {
+	if !r.hedge.reserve() {
 		return errOutpaced
 	}
 	a.assignment.Begin(now)
 	if eventStream {
 		a.assignment.Served(now)
 	}
+	if !s.headersSent && eventStream && !r.recordOrigin(a) {
+		r.hedge.release()
+		return errUnsavedOrigin
+	}
+	r.hedge.settle(lastID, hasID)
 	if !s.headersSent {
-		if eventStream && !r.recordOrigin(a) {
-			return errUnsavedOrigin
-		}
 		s.headersSent, r.responseBegun = true, true
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
 		r.copyResponseHeader(a.response.Header)
@@ -214,15 +223,16 @@
 // ends inside an event is handled as an error, and so is one without events that only
 // ended with its connection.
 func (r *request) finishStream(a *attempt, s *streamState, eventStream bool) relayResult {
-	switch {
-	case eventStream && s.splitter.HasPartial():
-		return r.endBroken(a, eris.New("stream ended inside an event"))
-	case eventStream && !a.response.Framed() && !a.assignment.Begun():
-		return r.endBroken(a, eris.New("stream ended before its first event"))
-	case !r.hedge.claim(s.lastID, s.hasID):
+	if eventStream {
+		if err := endError(a, &s.splitter); err != nil {
+			return r.endBroken(a, err)
+		}
+	}
+	if !r.hedge.reserve() {
 		r.endSuperseded(a)
 		return failed
 	}
+	r.hedge.settle(s.lastID, s.hasID)
 	a.assignment.Served(time.Now())
 	if !s.headersSent {
 		s.headersSent = true
@@ -247,6 +257,17 @@
 	return failed
 }
 
+// endError returns why the end of a stream isn't that of a complete one, or nil.
+func endError(a *attempt, splitter *eventstream.Splitter) error {
+	switch {
+	case splitter.HasPartial():
+		return eris.New("stream ended inside an event")
+	case !a.response.Framed() && !a.assignment.Begun():
+		return eris.New("stream ended before its first event")
+	}
+	return nil
+}
+
 func (r *request) failStream(s *streamState, reason string) {
 	if s.headersSent {
 		r.abortStream(s, reason)
