--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/coordination/timebucket"
+)
 
 const (
 	// Window is the interval over which requests and retries are counted.
@@ -22,8 +26,7 @@
 	retryBuckets = requestBuckets + 1
 )
 
-// bucket holds the counts of one interval of bucketWidth. index is the number of
-// that interval since the Unix epoch.
+// bucket holds the counts of the interval of bucketWidth with the number index.
 type bucket struct {
 	index    int64
 	requests int64
@@ -52,6 +55,7 @@
 // It is not safe for concurrent use.
 type Budget struct {
 	limits  *Limits
+	origin  timebucket.Origin
 	buckets [retryBuckets]bucket
 }
 
@@ -76,6 +80,15 @@
 
 // Take reports whether another retry is allowed at now, and counts it if so.
 func (b *Budget) Take(now time.Time) bool {
+	if !b.Allows(now) {
+		return false
+	}
+	b.bucketAt(now).retries++
+	return true
+}
+
+// Allows reports whether another retry is allowed at now.
+func (b *Budget) Allows(now time.Time) bool {
 	current := b.bucketAt(now)
 	var requests, retries int64
 	for _, bk := range b.buckets {
@@ -90,16 +103,12 @@
 			retries += bk.retries
 		}
 	}
-	if float64(retries+1) > b.allowed(requests) {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= b.allowed(requests)
 }
 
 // bucketAt returns the bucket for now, cleared if it held an earlier interval.
 func (b *Budget) bucketAt(now time.Time) *bucket {
-	index := now.UnixNano() / int64(bucketWidth)
+	index := b.origin.Index(now, bucketWidth)
 	bk := &b.buckets[index%retryBuckets]
 	if bk.index != index {
 		*bk = bucket{index: index}
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
 	"github.com/acaciaspar/acaciaspar/coordination/fairshare"
+	"github.com/acaciaspar/acaciaspar/coordination/incarnation"
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
 	"github.com/acaciaspar/acaciaspar/coordination/quarantine"
@@ -80,6 +81,8 @@
 	// requestLimits is signaled through limitNews when peers should be told about it.
 	requestLimits *requestlimit.Table
 	limitNews     chan struct{}
+	// incarnations holds the endpoints that may have restarted since their entries were read.
+	incarnations *incarnation.Table
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -123,6 +126,7 @@
 		waiting:       map[*Assignment]struct{}{},
 		requestLimits: requestlimit.NewTable(),
 		limitNews:     make(chan struct{}, 1),
+		incarnations:  incarnation.NewTable(),
 	}
 }
 
@@ -136,16 +140,6 @@
 	}
 }
 
-// Accepting reports whether an endpoint still accepts requests.
-func (d *Dispatcher) Accepting(id string) bool {
-	if e, ok := d.registry.Lookup(id); !ok || e.State != registry.Ready {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.loads.PausedUntil(time.Now(), id).IsZero()
-}
-
 // HasUsable reports whether a service has a usable endpoint of a build that is not in
 // exclude.
 func (d *Dispatcher) HasUsable(now time.Time, service string, exclude []string, build streamorigin.Build) bool {
@@ -170,6 +164,9 @@
 	Exclude []string
 	// Build is the only build that can run the request, or streamorigin.AnyBuild.
 	Build streamorigin.Build
+	// Resumable is set if the request begins or continues a stream that another endpoint of the
+	// same build may continue.
+	Resumable bool
 	// Continued is set if the caller has the first events of the stream.
 	Continued bool
 	// Repeated is set if an endpoint may already have run the request, or the beginning of
@@ -280,7 +277,7 @@
 	d.countRequest(now, request)
 	home := homeEndpoint(request.Cost.Affinity(), endpoints)
 	candidates, usable, limited := d.candidates(now, endpoints, request.Cost.SharedParts, home, false)
-	if len(candidates) == 0 && limited == 0 && request.Begun {
+	if len(candidates) == 0 && request.Begun {
 		candidates, usable, limited = d.candidates(now, endpoints, request.Cost.SharedParts, home, true)
 	}
 	switch {
@@ -408,6 +405,9 @@
 
 func (d *Dispatcher) readyEndpoints(request *Request) []registry.Endpoint {
 	ready := d.registry.Ready(request.Service)
+	if request.Resumable || request.Build != streamorigin.AnyBuild {
+		ready = d.confirmed(ready)
+	}
 	if len(request.Exclude) == 0 && request.Build == streamorigin.AnyBuild {
 		return ready
 	}
@@ -430,14 +430,20 @@
 	return streamorigin.BuildOf(e.Service, e.Version)
 }
 
-// HasReady reports whether a service has an endpoint of a build that accepts requests.
+// HasReady reports whether a service has an endpoint that accepts requests and is certainly of a
+// build.
 func (d *Dispatcher) HasReady(service string, build streamorigin.Build) bool {
-	return slices.ContainsFunc(d.registry.Ready(service), func(e registry.Endpoint) bool { return runs(e, build) })
+	ready := d.confirmed(d.registry.Ready(service))
+	return slices.ContainsFunc(ready, func(e registry.Endpoint) bool { return runs(e, build) })
 }
 
 // EntriesDue returns how long entries of live endpoints may still be missing.
 func (d *Dispatcher) EntriesDue(now time.Time) time.Duration { return d.registry.EntriesDue(now) }
 
+// KnowsAllEndpoints reports whether all live endpoints are registered, or were when the present
+// outage of the store began.
+func (d *Dispatcher) KnowsAllEndpoints(now time.Time) bool { return d.registry.Complete(now) }
+
 // Builds returns, by service, the number of registered endpoints of each build, in any state.
 func (d *Dispatcher) Builds() map[string]map[streamorigin.Build]int {
 	builds := map[string]map[streamorigin.Build]int{}
@@ -462,15 +468,16 @@
 	best, bestScore, usable := -1, 0.0, 0
 	for i, e := range endpoints {
 		v := d.loads.View(now, e.ID, nil)
-		if !v.Usable {
+		if !v.Usable && !(request.Begun && v.Stalled) {
 			continue
 		}
 		usable++
-		if v.Running >= plainQueueFactor*max(e.Slots, 1) || !d.allowed(now, e.ID) {
+		full := v.Running >= plainQueueFactor*max(e.Slots, 1)
+		if full && !request.Begun || !d.allowed(now, e.ID) {
 			continue
 		}
 		score := float64(v.Running) + v.FailureRate*failurePenalty
-		if v.UnreachableFromPeers {
+		if v.UnreachableFromPeers || v.Stalled {
 			score += failurePenalty
 		}
 		if e.Zone != d.zone {
@@ -488,7 +495,10 @@
 	}
 	d.requestLimits.Take(now, endpointload.Hash(endpoints[best].ID))
 	attempt := d.loads.StartAttempt(now, endpoints[best].ID, prompt.Cost{}, 0)
-	return &Assignment{Endpoint: endpoints[best], dispatcher: d, attempt: attempt, fingerprint: request.Fingerprint}, nil
+	return &Assignment{
+		Endpoint: endpoints[best], dispatcher: d, attempt: attempt,
+		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint,
+	}, nil
 }
 
 const (
@@ -497,7 +507,7 @@
 	// take to execute.
 	plainQueueFactor = 2
 	// failurePenalty is the penalty, in requests in progress, of an endpoint
-	// that fails every request or that peers report as unreachable.
+	// that fails every request, is stalled, or that peers report as unreachable.
 	failurePenalty = 20.0
 	// zonePenalty is the penalty, in requests in progress, of an endpoint in
 	// another availability zone.
@@ -577,6 +587,13 @@
 	return d.budget(service).Take(now)
 }
 
+// RetryAllowed reports whether TakeRetry would allow another attempt.
+func (d *Dispatcher) RetryAllowed(now time.Time, service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Allows(now)
+}
+
 func (d *Dispatcher) budget(service string) *retry.Budget {
 	b := d.budgets[service]
 	if b == nil {
@@ -607,26 +624,16 @@
 	}
 }
 
-// Restarted records the start time of an endpoint. A changed start time discards
-// the cache contents and failures recorded for the previous instance.
-func (d *Dispatcher) Restarted(id string, started time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.loads.SetStartTime(id, started) {
-		d.recordEndpointDown(time.Now(), endpointload.Hash(id))
-		d.requestLimits.Forget(endpointload.Hash(id))
-	}
-}
-
 // EvictExpired evicts the loads of endpoints that departed long ago, expired
 // reports of peers, and the usage of idle teams and inactive peers.
 func (d *Dispatcher) EvictExpired(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loads.EvictIdle(d.registry.Remembers)
+	d.loads.EvictIdle(now, d.registry.Remembers)
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
 	d.expireLimits(now)
+	d.incarnations.Evict(d.registry.Remembers)
 	for name, t := range d.teams {
 		if now.Sub(t.lastRequest) > usageIdleTimeout {
 			delete(d.teams, name)
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -47,12 +47,14 @@
 type delivery interface {
 	// send sends the request to the assigned endpoint.
 	send(assignment *dispatch.Assignment) *attempt
-	// prefetch reads from the response of a second attempt until a part of it can be forwarded.
+	// prefetch reads from the response of another attempt until a part of it can be forwarded.
 	// It changes the attempt's outcome if nothing can. begun is set if the caller has a part of
 	// the response. It must not use the state of the delivery.
 	prefetch(a *attempt, begun bool)
 	// relay forwards the endpoint's response and ends the attempt.
 	relay(a *attempt) relayResult
+	// lastEvent returns the identifier of the last event that the caller has, if it has any.
+	lastEvent() (id int64, ok bool)
 	// canContinue reports whether another attempt can complete the response.
 	canContinue() bool
 	// failWithoutResponse sends the final response if no endpoint gave a usable
@@ -69,38 +71,42 @@
 	notSentCount, refusedCount := 0, 0
 	for {
 		assignment, refusal := r.place(time.Now())
+		if refusal != nil && r.awaitPlace(refusal) {
+			continue
+		}
 		if refusal != nil {
 			d.rejectUnplaced(refusal)
 			return
 		}
+		executions := r.possibleExecutions
 		a, result := r.run(d, assignment)
 		if result == done {
 			return
 		}
-		switch a.outcome {
-		case notSent:
+		switch {
+		case r.possibleExecutions > executions:
+			if !d.canContinue() || a.withheld && !r.canBeginElsewhere(a) || !r.takeRetry(a) {
+				d.failWithoutResponse(a.failureReason())
+				return
+			}
+		case a.outcome == notSent:
 			notSentCount++
 			if r.callerDisconnected() || notSentCount >= maxNotSent || !time.Now().Before(r.deadline) {
 				d.failWithoutResponse("no endpoint could be reached")
 				return
 			}
-		case refused:
+		default:
 			refusedCount++
 			if refusedCount >= maxRefused || !r.h.Dispatcher.TakeRetry(time.Now(), r.service.Name) {
 				d.failWithoutResponse("the endpoints refused the request")
 				return
 			}
-		case responded, indeterminate:
-			if !d.canContinue() || !r.takeRetry(a) {
-				d.failWithoutResponse(a.failureReason())
-				return
-			}
 		}
 	}
 }
 
-// run sends the request to the assigned endpoint and forwards the response. A second attempt
-// that runs beside it goes on if the first one fails. If both fail, run returns the one that
+// run sends the request to the assigned endpoint and forwards the response. Another attempt
+// that runs beside it goes on if the first one fails. If all fail, run returns the one that
 // was used last.
 func (r *request) run(d delivery, assignment *dispatch.Assignment) (*attempt, relayResult) {
 	a := d.send(assignment)
@@ -114,19 +120,51 @@
 		if result == done {
 			return a, done
 		}
-		second := r.hedge.await()
-		if second == nil {
+		other := r.hedge.await()
+		if other == nil {
 			return a, failed
 		}
-		a = second
+		a = other
+	}
+}
+
+const (
+	// placeInterval is the interval between tries to place a response that has begun, and
+	// maxPlaceWait bounds the time for them.
+	placeInterval = 100 * time.Millisecond
+	maxPlaceWait  = 2 * time.Second
+)
+
+// awaitPlace waits before another try to place a response that has begun. It returns false if the
+// response must be given up. Endpoints may be paused, at their limit or not confirmed only for a
+// moment.
+func (r *request) awaitPlace(refusal *dispatch.Refusal) bool {
+	now := time.Now()
+	if !r.responseBegun || refusal.Reason == dispatch.Quarantined {
+		return false
+	}
+	if r.unplacedSince.IsZero() {
+		r.unplacedSince = now
+	}
+	if now.Sub(r.unplacedSince) >= maxPlaceWait || !now.Before(r.deadline) {
+		return false
+	}
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-time.After(placeInterval):
+		return true
 	}
 }
 
 // account adds an attempt to the counts of the request.
 func (r *request) account(a *attempt) {
 	r.exclude = append(r.exclude, a.assignment.Endpoint.ID)
+	if a.failure != nil {
+		r.failure = a.failure
+	}
 	if a.outcome != notSent {
-		r.sentAttempts++
+		r.sentAttempts.Add(1)
 	}
 	if a.mayHaveExecuted() {
 		r.possibleExecutions++
@@ -134,10 +172,10 @@
 }
 
 // endUnfinished ends the attempts that a panic left unfinished, so that their endpoints don't
-// count as busy for as long as the process runs, and the second attempt that isn't needed.
+// count as busy for as long as the process runs, and the attempts that aren't needed.
 func (r *request) endUnfinished() {
 	r.hedge.stop()
-	if a := r.unfinished; a != nil {
+	if a := r.unfinished.Load(); a != nil {
 		r.h.Log.Warn("attempt ended without a result", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 		r.endAttempt(a, endpointload.Failed)
 	}
@@ -155,6 +193,11 @@
 	// duration is the time until the response headers were read or the attempt
 	// failed. dialTimeout is the timeout of a connection to the endpoint.
 	duration, dialTimeout time.Duration
+	// withheld is set if the caller must not get the first events, since the origin of the stream
+	// isn't saved.
+	withheld bool
+	// failure is the response if it is complete and a server error.
+	failure *bufferedResponse
 	// unread reports whether bytes of the response wait in the socket; nil before there is a
 	// connection.
 	unread atomic.Pointer[func() bool]
@@ -170,6 +213,9 @@
 // mayHaveExecuted reports whether the endpoint may have executed the request.
 func (a *attempt) mayHaveExecuted() bool { return a.outcome == responded || a.outcome == indeterminate }
 
+// hasAnswer reports whether there is a response that may be forwarded and isn't a server error.
+func (a *attempt) hasAnswer() bool { return a.outcome == responded && a.failure == nil && !a.withheld }
+
 // hasUnread reports whether bytes of the response wait to be read: then this process is late,
 // and the endpoint isn't silent.
 func (a *attempt) hasUnread() bool {
@@ -179,7 +225,10 @@
 
 // failureReason describes a failed attempt in the final response.
 func (a *attempt) failureReason() string {
-	if a.outcome == responded {
+	switch {
+	case a.withheld:
+		return "the origin of the stream isn't saved"
+	case a.outcome == responded:
 		return "the answer was cut off"
 	}
 	return "the answer was lost"
@@ -194,7 +243,7 @@
 )
 
 // send sends the request to the attempt's endpoint and classifies the response. It doesn't
-// change the request, so that two attempts can run at the same time.
+// change the request, so that several attempts can run at the same time.
 func (r *request) send(a *attempt, extra http.Header) {
 	out := r.endpointRequest(a, a.startedAt)
 	for name, values := range extra {
@@ -309,9 +358,7 @@
 
 // endAttempt releases the attempt's connection and records its result.
 func (r *request) endAttempt(a *attempt, result endpointload.Result) {
-	if r.unfinished == a {
-		r.unfinished = nil
-	}
+	r.unfinished.CompareAndSwap(a, nil)
 	if a.response != nil {
 		a.response.Close()
 	}
@@ -391,7 +438,7 @@
 	attrs := []slog.Attr{
 		slog.String("request", r.id), slog.String("route", r.route.Name),
 		slog.String("endpoint", a.assignment.Endpoint.ID), slog.String("result", resultName(result)),
-		slog.Int64("after_ms", time.Since(a.startedAt).Milliseconds()), slog.Int("sends", r.sentAttempts),
+		slog.Int64("after_ms", time.Since(a.startedAt).Milliseconds()), slog.Int64("sends", r.sentAttempts.Load()),
 		slog.String("fingerprint", formatFingerprint(r.fingerprint())),
 	}
 	if a.err != nil {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
@@ -137,7 +139,7 @@
 	// cachedFingerprint is the result of fingerprint, or 0 before its first call.
 	cachedFingerprint uint64
 	// sentAttempts counts the attempts in which the request was sent.
-	sentAttempts int
+	sentAttempts atomic.Int64
 	// possibleExecutions counts the attempts that may have executed the request.
 	possibleExecutions int
 	exclude            []string
@@ -147,12 +149,14 @@
 	// continues is set if the request continues a stream within its team's share.
 	continues bool
 	// unfinished is the attempt in progress, or nil.
-	unfinished *attempt
+	unfinished atomic.Pointer[attempt]
 	// hedge watches the attempt in progress, if a second one may run beside it.
 	hedge *hedge
 	// failure is the latest complete response with a server error. The caller gets it if no
 	// endpoint gives a better one.
 	failure *bufferedResponse
+	// unplacedSince is the time since which a response that has begun has no place.
+	unplacedSince time.Time
 	// responseBegun is set once the caller has a part of the response.
 	responseBegun bool
 	// disconnected is set once the caller's connection was found closed.
@@ -223,12 +227,16 @@
 	return true
 }
 
-// parseCost parses the cost of a request to a model engine.
+// parseCost parses the cost of a request to a model engine. Requests to other services cost
+// nothing, but the parts that they name may crash endpoints, too.
 func (r *request) parseCost() {
+	d := &r.h.Dialect
+	parts := r.in.Header.Get(d.PromptParts)
 	if r.route.PromptAffinity || r.service.Engine != nil {
-		d := &r.h.Dialect
-		r.cost = prompt.Parse(r.in.Header.Get(d.PromptParts), r.in.Header.Get(d.TokenCounts), r.in.Header.Get(d.LengthHint))
+		r.cost = prompt.Parse(parts, r.in.Header.Get(d.TokenCounts), r.in.Header.Get(d.LengthHint))
+		return
 	}
+	r.cost = prompt.ParseParts(parts)
 }
 
 // resolve determines the route, team, deadline and service. If it returns false, it has
@@ -430,7 +438,7 @@
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
-		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Continued: r.build != streamorigin.AnyBuild,
+		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Resumable: r.isResumable(), Continued: r.build != streamorigin.AnyBuild,
 		Repeated: r.possibleExecutions > 0 || r.continues, Begun: r.responseBegun,
 	}
 }
@@ -453,21 +461,27 @@
 var (
 	errDeadlinePassed = errors.New("the deadline has passed")
 	errEndpointGone   = errors.New("the endpoint stopped accepting requests")
+	// errOutdatedEntries is an errEndpointGone: the endpoint may have left.
+	errOutdatedEntries = fmt.Errorf("%w, or this router is late to learn it", errEndpointGone)
 )
 
 // recheck is called immediately before the request is sent to an endpoint. On a busy
 // host, much time may have passed since it was placed. It returns an error if the
 // caller has disconnected, the deadline has passed, or the endpoint is draining or
-// gone.
-func (r *request) recheck(instance string) error {
+// gone, or may have restarted, or if this router doesn't know its present entry.
+func (r *request) recheck(chosen registry.Endpoint) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
 		r.disconnected.Store(true)
 		return errConnectionClosed
 	}
-	if !time.Now().Before(r.deadline) {
+	now := time.Now()
+	if !now.Before(r.deadline) {
 		return errDeadlinePassed
 	}
-	if !r.h.Dispatcher.Accepting(instance) {
+	if r.h.Dispatcher.EntriesOutdated(now) {
+		return errOutdatedEntries
+	}
+	if !r.h.Dispatcher.Accepting(chosen, r.isResumable()) {
 		return errEndpointGone
 	}
 	return nil
--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	// stallTimeout is how long an endpoint must remain stalled before a second attempt at a
+	// stallTimeout is how long an endpoint must remain stalled before another attempt at a
 	// stream begins. It is in addition to the silence after which an endpoint counts as
 	// stalled and gets no new requests.
 	stallTimeout = 400 * time.Millisecond
 	// hedgeInterval is the interval at which an attempt is checked for a silent endpoint.
 	hedgeInterval = 250 * time.Millisecond
-	// hedgeFraction is the fraction of the latency target after which a second attempt at an
+	// hedgeFraction is the fraction of the latency target after which another attempt at an
 	// idempotent request begins.
 	hedgeFraction = 0.6
 	// maxCheckDelay is the delay of a check from which this process was itself late and can't
@@ -31,50 +31,59 @@
 
 var (
 	// errSuperseded ends an attempt because the other one has something to forward.
-	errSuperseded    = errors.New("another attempt at the request has an answer")
-	errSecondAttempt = errors.New("second attempt ended by a panic")
+	errSuperseded      = errors.New("another attempt at the request has an answer")
+	errAttemptPanicked = errors.New("attempt ended by a panic")
 )
 
-// hedge runs a second attempt beside one whose endpoint is silent. The first of the two that has
-// something to forward to the caller goes on, and the other one is cancelled then. A silent
-// endpoint may still answer, and the second attempt may fail, so neither is ended earlier.
+// hedge runs further attempts beside a first one whose endpoint is silent. The first of them that
+// has something to forward to the caller goes on, and the others are cancelled then. A silent
+// endpoint may still answer, and another attempt may fail, so none is ended earlier.
 //
-// The request's goroutine uses the first attempt; the second one runs in a goroutine of its own
+// The request's goroutine uses the first attempt. Each other one runs in a goroutine of its own
 // until await takes it, or claim or stop end it. mu is locked before the dispatcher's lock. The
-// methods of the request's goroutine may be called on nil, for an attempt beside which no second
+// methods of the request's goroutine may be called on nil, for an attempt beside which no other
 // one may run.
 type hedge struct {
 	r        *request
 	delivery delivery
 	first    *attempt
-	// next is the request to place at the other endpoint.
-	next dispatch.Request
+	// next is the request to place at another endpoint. build is the only build that can run it,
+	// or streamorigin.AnyBuild, while the caller has no part of the response.
+	next  dispatch.Request
+	build streamorigin.Build
 
-	mu    sync.Mutex
-	timer *time.Timer
+	mu sync.Mutex
+	// changed is signaled when another attempt has finished.
+	changed *sync.Cond
+	timer   *time.Timer
 	// scheduled is the time of the next check.
 	scheduled time.Time
-	// silentSince is the time of the first check in a row that found the endpoint stalled.
+	// silentSince is the time of the first check in a row that found all endpoints stalled.
 	silentSince time.Time
-	// forwarding is set while the request's goroutine doesn't read from the endpoint.
-	forwarding bool
-	// claims counts how often the first attempt had something to forward.
-	claims int
+	// forwarding is set while the request's goroutine doesn't read from the endpoint, reserved
+	// while it decides whether what it has read may be forwarded, firstEnded once the first
+	// attempt has failed.
+	forwarding, reserved, firstEnded bool
+	// settled counts how often the first attempt had something to forward.
+	settled int
 	// lastID is the last event that the caller has, if hasID is set. begun is set if it has a
 	// part of the response.
 	lastID       int64
 	hasID, begun bool
 	// executions counts the attempts at the request that an endpoint may have executed,
-	// refusals the second attempts that failed otherwise.
-	executions, refusals int
-	ended                bool
-	second               *secondAttempt
-	// unsuccessful holds the second attempts that have failed and were not ended.
+	// notExecuted the other attempts that certainly weren't.
+	executions, notExecuted int
+	ended                   bool
+	// others holds the other attempts that run or have something to forward, winner the one that
+	// had it first.
+	others []*otherAttempt
+	winner *otherAttempt
+	// unsuccessful holds the other attempts that have failed and weren't accounted.
 	unsuccessful []*attempt
 }
 
-// secondAttempt is an attempt that runs beside another one.
-type secondAttempt struct {
+// otherAttempt is an attempt that runs beside the first one.
+type otherAttempt struct {
 	*attempt
 	// resume is the header with which the endpoint continues the response; begun is set if the
 	// caller has a part of it.
@@ -84,21 +93,24 @@
 	finished chan struct{}
 }
 
-// usable reports whether the attempt has something to forward that isn't a server error.
-func (s *secondAttempt) usable() bool {
+func (o *otherAttempt) running() bool {
 	select {
-	case <-s.finished:
-		return s.outcome == responded && s.response.Status < http.StatusInternalServerError
-	default:
+	case <-o.finished:
 		return false
+	default:
+		return true
 	}
 }
 
+// usable reports whether the attempt has finished and has something to forward that isn't a
+// server error.
+func (o *otherAttempt) usable() bool { return !o.running() && o.hasAnswer() }
+
 // sendHedged sends the request to the assigned endpoint, with extra added to its headers. If
 // the request may be repeated, the attempt is watched for a silent endpoint.
 func (r *request) sendHedged(d delivery, assignment *dispatch.Assignment, extra http.Header) *attempt {
 	a := r.newAttempt(assignment)
-	r.unfinished = a
+	r.unfinished.Store(a)
 	r.hedge = r.newHedge(d, a, r.possibleExecutions+1)
 	r.send(a, extra)
 	r.account(a)
@@ -112,12 +124,14 @@
 	if !r.route.Repeatable() || executions >= r.route.Attempts || idempotent && r.route.LatencyTarget <= 0 {
 		return nil
 	}
-	h := &hedge{r: r, delivery: d, first: a, next: *r.dispatchRequest(a.startedAt), begun: r.responseBegun, executions: executions}
+	h := &hedge{r: r, delivery: d, first: a, next: *r.dispatchRequest(a.startedAt), build: r.build, begun: r.responseBegun, executions: executions}
+	h.lastID, h.hasID = d.lastEvent()
+	h.changed = sync.NewCond(&h.mu)
 	h.next.Exclude = append(slices.Clone(r.exclude), a.assignment.Endpoint.ID)
 	h.next.Repeated, h.next.Begun = true, false
 	delay := hedgeInterval
 	if idempotent {
-		delay = time.Duration(float64(r.route.LatencyTarget) * hedgeFraction)
+		delay = r.hedgeDelay()
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -126,6 +140,11 @@
 	return h
 }
 
+// hedgeDelay returns the time after which another attempt at an idempotent request begins.
+func (r *request) hedgeDelay() time.Duration {
+	return time.Duration(float64(r.route.LatencyTarget) * hedgeFraction)
+}
+
 // reading records that the request's goroutine waits for the endpoint again.
 func (h *hedge) reading() {
 	if h == nil {
@@ -138,165 +157,202 @@
 	}
 }
 
-// claim reports whether the first attempt may forward what it has received, with the event
-// lastID at its end. If so, the second attempt is ended. Otherwise that one had something to
-// forward before.
-func (h *hedge) claim(lastID int64, hasID bool) bool {
+// reserve reports whether the first attempt may forward what it has received. It returns false if
+// another one had something to forward before. settle or release must follow.
+func (h *hedge) reserve() bool {
 	if h == nil {
 		return true
 	}
 	h.mu.Lock()
-	second := h.second
-	if second != nil && second.usable() {
-		h.mu.Unlock()
+	defer h.mu.Unlock()
+	if h.winner != nil {
+		return false
+	}
+	h.reserved, h.forwarding = true, true
+	return true
+}
+
+// release lets the other attempts go on, because the first one may not forward what it has.
+func (h *hedge) release() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reserved = false
+	if i := slices.IndexFunc(h.others, (*otherAttempt).usable); i >= 0 {
+		h.winner = h.others[i]
+	}
+}
+
+// claim reserves and settles what isn't an event of a stream.
+func (h *hedge) claim() bool {
+	if !h.reserve() {
 		return false
 	}
-	h.second, h.forwarding, h.begun = nil, true, true
+	h.settle(0, false)
+	return true
+}
+
+// settle ends the other attempts, because the first one forwards what it has received, with the
+// event lastID at its end.
+func (h *hedge) settle(lastID int64, hasID bool) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	others := h.others
+	h.others, h.reserved, h.begun = nil, false, true
 	h.lastID, h.hasID = lastID, hasID
-	h.claims++
+	h.settled++
 	h.mu.Unlock()
-	if second != nil {
-		h.end(second)
+	if len(others) > 0 {
+		h.endOthers(others)
 		h.rearm()
 	}
-	return true
 }
 
-// await ends the watch after the first attempt has failed. It returns the second attempt, if
-// there is one, once that has something to forward or has failed, too.
+// await waits, after the first attempt has failed, until another one has something to forward or
+// all have failed. It returns the one with which the request goes on, or nil.
 func (h *hedge) await() *attempt {
 	if h == nil {
 		return nil
 	}
-	second := h.stopWatch()
-	h.endUnsuccessful()
-	if second == nil {
+	h.mu.Lock()
+	h.firstEnded, h.silentSince = true, time.Time{}
+	for !h.ended && h.winner == nil && slices.ContainsFunc(h.others, (*otherAttempt).running) {
+		h.changed.Wait()
+	}
+	chosen := h.winner
+	others := slices.DeleteFunc(h.stopWatch(), func(o *otherAttempt) bool { return o == chosen })
+	h.mu.Unlock()
+	h.endOthers(others)
+	if chosen == nil {
 		return nil
 	}
-	<-second.finished
 	r := h.r
-	r.unfinished = second.attempt
-	r.account(second.attempt)
-	usable := second.usable()
-	r.h.Log.Info("second attempt replaces the first", "request", r.id, "endpoint", second.assignment.Endpoint.ID, "usable", usable,
-		"after_ms", time.Since(second.startedAt).Milliseconds())
-	if usable {
-		r.h.Metrics.HedgesWon.Inc(1)
-		if second.begun {
-			r.h.Metrics.Resumed.Inc(1)
-		}
+	r.unfinished.Store(chosen.attempt)
+	r.account(chosen.attempt)
+	r.h.Log.Info("request goes on with another attempt", "request", r.id, "endpoint", chosen.assignment.Endpoint.ID,
+		"after_ms", time.Since(chosen.startedAt).Milliseconds())
+	r.h.Metrics.HedgesWon.Inc(1)
+	if chosen.begun {
+		r.h.Metrics.Resumed.Inc(1)
 	}
-	r.hedge = r.newHedge(h.delivery, second.attempt, r.possibleExecutions)
-	return second.attempt
+	r.hedge = r.newHedge(h.delivery, chosen.attempt, r.possibleExecutions)
+	return chosen.attempt
 }
 
-// stop ends the watch and the second attempt when the request ends.
+// stop ends the watch and the other attempts when the request ends.
 func (h *hedge) stop() {
 	if h == nil {
 		return
 	}
-	if second := h.stopWatch(); second != nil {
-		h.end(second)
-	}
-	h.endUnsuccessful()
+	h.mu.Lock()
+	others := h.stopWatch()
+	h.mu.Unlock()
+	h.endOthers(others)
 }
 
-// stopWatch ends the checks and returns the second attempt, or nil.
-func (h *hedge) stopWatch() *secondAttempt {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// stopWatch ends the checks and returns the other attempts. The caller holds mu.
+func (h *hedge) stopWatch() []*otherAttempt {
 	h.ended = true
 	h.timer.Stop()
-	second := h.second
-	h.second = nil
-	return second
+	others := h.others
+	h.others = nil
+	return others
 }
 
-// end cancels a second attempt that isn't needed and waits for its end, since it uses the
-// request's body.
-func (h *hedge) end(second *secondAttempt) {
-	second.cancel(errSuperseded)
-	<-second.finished
-	result := h.r.resultOf(second.attempt)
-	if second.mayHaveExecuted() && (second.usable() || second.err != nil) {
-		result = endpointload.Abandoned
-	}
-	h.endSecond(second.attempt, result)
-	h.endUnsuccessful()
-}
-
-// endUnsuccessful ends the second attempts that have failed.
-func (h *hedge) endUnsuccessful() {
+// endOthers cancels other attempts that aren't needed and waits for their end, since they use the
+// request's body. It also accounts those that have failed.
+func (h *hedge) endOthers(others []*otherAttempt) {
+	for _, o := range others {
+		o.cancel(errSuperseded)
+	}
+	for _, o := range others {
+		<-o.finished
+		result := h.r.resultOf(o.attempt)
+		if o.mayHaveExecuted() && (o.usable() || o.err != nil) {
+			result = endpointload.Abandoned
+		}
+		h.r.account(o.attempt)
+		h.r.endAttempt(o.attempt, result)
+	}
 	h.mu.Lock()
 	unsuccessful := h.unsuccessful
 	h.unsuccessful = nil
 	h.mu.Unlock()
 	for _, a := range unsuccessful {
-		h.endSecond(a, h.r.resultOf(a))
+		h.r.account(a)
 	}
 }
 
-func (h *hedge) endSecond(a *attempt, result endpointload.Result) {
-	h.r.account(a)
-	h.r.endAttempt(a, result)
-}
-
 // rearm schedules the next check.
 func (h *hedge) rearm() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.schedule()
+	h.schedule(hedgeInterval)
 }
 
-// schedule schedules the next check if another second attempt may follow.
-func (h *hedge) schedule() {
-	if h.ended || h.executions >= h.r.route.Attempts || h.refusals >= maxRefused {
+// schedule schedules the next check if another attempt may follow. The caller holds mu.
+func (h *hedge) schedule(delay time.Duration) {
+	if h.ended || h.winner != nil || h.executions >= h.r.route.Attempts || h.notExecuted >= maxRefused {
 		return
 	}
-	h.scheduled = time.Now().Add(hedgeInterval)
-	h.timer.Reset(hedgeInterval)
+	h.scheduled = time.Now().Add(delay)
+	h.timer.Reset(delay)
 }
 
-// check starts a second attempt if the endpoint of the first one is silent. It runs in the
+// check starts another attempt if the endpoints of those in progress are silent. It runs in the
 // timer's goroutine, and so does that attempt.
 func (h *hedge) check() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.r.h.Log.Error("panic while a request was hedged", "request", h.r.id, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
 	now := time.Now()
 	h.mu.Lock()
-	if h.ended || h.second != nil {
+	if h.ended || h.winner != nil {
 		h.mu.Unlock()
 		return
 	}
 	if !h.due(now) {
-		h.schedule()
+		h.schedule(hedgeInterval)
 		h.mu.Unlock()
 		return
 	}
-	next, begun, claims := h.next, h.begun, h.claims
+	next, begun, settled := h.next, h.begun, h.settled
 	resume := h.r.resumeHeader(h.lastID, h.hasID)
 	h.mu.Unlock()
 	if begun {
 		next.Build, next.Continued = dispatch.BuildOf(h.first.assignment.Endpoint), true
+	} else {
+		next.Build = h.r.restrictedBuild(h.build)
 	}
-	second := h.start(now, &next, claims)
-	if second == nil {
+	other := h.start(now, &next, settled)
+	if other == nil {
 		h.rearm()
 		return
 	}
-	second.resume, second.begun = resume, begun
-	h.r.h.Log.Info("second attempt started", "request", h.r.id, "silent_endpoint", h.first.assignment.Endpoint.ID,
-		"endpoint", second.assignment.Endpoint.ID, "begun", begun, "after_ms", now.Sub(h.first.startedAt).Milliseconds())
-	h.run(second)
+	other.resume, other.begun = resume, begun
+	h.r.h.Log.Info("another attempt started", "request", h.r.id, "silent_endpoint", h.first.assignment.Endpoint.ID,
+		"endpoint", other.assignment.Endpoint.ID, "begun", begun, "after_ms", now.Sub(h.first.startedAt).Milliseconds())
+	h.run(other)
 }
 
-// due reports whether a second attempt should begin: the endpoint of the first one has been
-// silent for long enough, and this process wasn't late to read what it sent.
+// due reports whether another attempt should begin: the endpoints of those in progress have been
+// silent for long enough, and this process wasn't late to read what they sent. The caller holds mu.
 func (h *hedge) due(now time.Time) bool {
-	idempotent := h.r.route.Semantics == routing.Idempotent
+	inProgress := h.inProgress()
+	hasUnread := slices.ContainsFunc(inProgress, (*attempt).hasUnread)
+	stalled := func(a *attempt) bool { return a.assignment.Stalled(now) }
 	switch {
-	case now.Sub(h.scheduled) > maxCheckDelay, h.forwarding, h.first.hasUnread():
-	case idempotent:
-		return !h.begun
-	case h.begun && !h.hasID, !h.first.assignment.Stalled(now):
+	case now.Sub(h.scheduled) > maxCheckDelay, h.forwarding && !h.firstEnded, hasUnread, len(inProgress) == 0:
+		// The silence, if any, begins anew below.
+	case h.r.route.Semantics == routing.Idempotent:
+		return !h.begun && now.Sub(inProgress[len(inProgress)-1].startedAt) >= h.r.hedgeDelay()
+	case h.begun && !h.hasID, slices.ContainsFunc(inProgress, func(a *attempt) bool { return !stalled(a) }):
 	default:
 		if h.silentSince.IsZero() {
 			h.silentSince = now
@@ -307,12 +363,26 @@
 	return false
 }
 
-// start places a second attempt. It returns nil if no endpoint takes the request, the retry
+// inProgress returns the attempts that run, in the order of their start. The caller holds mu.
+func (h *hedge) inProgress() []*attempt {
+	var list []*attempt
+	if !h.firstEnded {
+		list = append(list, h.first)
+	}
+	for _, o := range h.others {
+		if o.running() {
+			list = append(list, o.attempt)
+		}
+	}
+	return list
+}
+
+// start places another attempt. It returns nil if no endpoint takes the request, the retry
 // budget is used up, or the first attempt has ended or had something to forward meanwhile.
-func (h *hedge) start(now time.Time, next *dispatch.Request, claims int) *secondAttempt {
+func (h *hedge) start(now time.Time, next *dispatch.Request, settled int) *otherAttempt {
 	d := h.r.h.Dispatcher
-	// The check is cheaper than a placement that is refused.
-	if !d.HasUsable(now, next.Service, next.Exclude, next.Build) || d.Quarantine(now, next.Cost, next.Fingerprint) != nil {
+	// A placement counts against the endpoint's request limit, and costs more than these checks.
+	if !d.RetryAllowed(now, next.Service) || !d.HasUsable(now, next.Service, next.Exclude, next.Build) || d.Quarantine(now, next.Cost, next.Fingerprint) != nil {
 		return nil
 	}
 	assignment, _ := h.r.placeAt(now, next)
@@ -321,77 +391,77 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || h.claims != claims || !d.TakeRetry(now, next.Service) {
+	if h.ended || h.winner != nil || h.settled != settled || !d.TakeRetry(now, next.Service) {
 		assignment.End(now, endpointload.NotSent)
 		return nil
 	}
 	h.r.h.Metrics.Hedges.Inc(1)
 	h.next.Exclude = append(slices.Clone(h.next.Exclude), assignment.Endpoint.ID)
-	h.second = &secondAttempt{attempt: h.r.newAttempt(assignment), finished: make(chan struct{})}
-	return h.second
+	h.executions++
+	other := &otherAttempt{attempt: h.r.newAttempt(assignment), finished: make(chan struct{})}
+	h.others = append(h.others, other)
+	h.schedule(hedgeInterval)
+	return other
 }
 
-// run runs a second attempt until it has failed or has something to forward.
-func (h *hedge) run(second *secondAttempt) {
-	defer h.finish(second)
+// run runs another attempt until it has failed or has something to forward.
+func (h *hedge) run(other *otherAttempt) {
+	defer h.finish(other)
 	defer func() {
 		if cause := recover(); cause != nil {
-			second.outcome, second.err = indeterminate, errSecondAttempt
-			h.r.h.Log.Error("panic in a second attempt", "request", h.r.id, "cause", cause, "stack", string(debug.Stack()))
+			other.outcome, other.err = indeterminate, errAttemptPanicked
+			h.r.h.Log.Error("panic in another attempt", "request", h.r.id, "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
-	h.r.logResumption(second.assignment, second.resume)
-	h.r.send(second.attempt, second.resume)
-	if second.outcome == responded {
-		h.delivery.prefetch(second.attempt, second.begun)
+	h.r.logResumption(other.assignment, other.resume)
+	h.r.send(other.attempt, other.resume)
+	if other.outcome == responded {
+		h.delivery.prefetch(other.attempt, other.begun)
+	}
+	if other.outcome == responded && !other.begun && h.r.isResumable() && h.build == streamorigin.AnyBuild {
+		// The caller would not get its first event.
+		build := h.r.restrictedBuild(h.build)
+		other.withheld = build != streamorigin.AnyBuild && build != dispatch.BuildOf(other.assignment.Endpoint)
 	}
 }
 
-// finish records the end of run. If the attempt has something to forward, it ends the first one.
-func (h *hedge) finish(second *secondAttempt) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	close(second.finished)
-	if second.mayHaveExecuted() {
-		h.executions++
-	} else {
-		h.refusals++
-	}
-	switch {
-	case h.second != second:
-	case second.usable():
-		h.first.cancel(errSuperseded)
-	case second.outcome != responded:
-		h.second = nil
-		h.unsuccessful = append(h.unsuccessful, second.attempt)
-		h.schedule()
+// finish records the end of run. If the attempt has something to forward before the others, it
+// ends the first one.
+func (h *hedge) finish(other *otherAttempt) {
+	if h.recordFinished(other) {
+		// Its endpoint must not count as busy until the request ends.
+		h.r.endAttempt(other.attempt, h.r.resultOf(other.attempt))
 	}
 }
 
-// beginAt runs a second attempt at the beginning of the response, at an endpoint of a build, and
-// reports whether it has something to forward within timeout. The first attempt goes on if not.
-func (h *hedge) beginAt(build streamorigin.Build, timeout time.Duration) bool {
-	if h == nil {
-		return false
-	}
+// recordFinished reports whether the attempt has failed and must be ended by the caller.
+func (h *hedge) recordFinished(other *otherAttempt) (failed bool) {
 	h.mu.Lock()
-	next, claims, allowed := h.next, h.claims, h.executions < h.r.route.Attempts
-	h.mu.Unlock()
-	if !allowed {
-		return false
+	defer h.mu.Unlock()
+	close(other.finished)
+	h.changed.Broadcast()
+	if !other.mayHaveExecuted() {
+		h.executions--
+		h.notExecuted++
 	}
-	next.Build = build
-	second := h.start(time.Now(), &next, claims)
-	if second == nil {
+	switch {
+	case !slices.Contains(h.others, other):
+		// settle, await or stop have cancelled it, and end it.
+		return false
+	case other.usable():
+		if h.winner == nil && !h.reserved {
+			h.winner = other
+			h.first.cancel(errSuperseded)
+		}
 		return false
 	}
-	limit := time.AfterFunc(timeout, func() { second.cancel(errSuperseded) })
-	defer limit.Stop()
-	h.run(second)
-	return second.usable()
+	h.others = slices.DeleteFunc(h.others, func(o *otherAttempt) bool { return o == other })
+	h.unsuccessful = append(h.unsuccessful, other.attempt)
+	h.schedule(0)
+	return true
 }
 
-// endSuperseded ends an attempt that the second one replaces.
+// endSuperseded ends an attempt that another one replaces.
 func (r *request) endSuperseded(a *attempt) {
 	a.err = errSuperseded
 	r.endAttempt(a, endpointload.Failed)
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -51,9 +51,12 @@
 
 // takesUpStream reports whether the caller has the first events of the stream.
 func (r *request) takesUpStream() bool {
-	return r.route.Semantics == routing.Stream && r.route.Resumable && r.in.Header.Get(r.h.Dialect.LastEventID) != ""
+	return r.isResumable() && r.in.Header.Get(r.h.Dialect.LastEventID) != ""
 }
 
+// isResumable reports whether the request is a stream that another endpoint may continue.
+func (r *request) isResumable() bool { return r.route.Semantics == routing.Stream && r.route.Resumable }
+
 // originBuild returns the build that began the stream whose first event an attempt brought.
 func (r *request) originBuild(attempt string) (streamorigin.Build, bool) {
 	var services []string
@@ -67,9 +70,13 @@
 
 // placedBuild returns the only build at which the request should be placed, or
 // streamorigin.AnyBuild.
-func (r *request) placedBuild() streamorigin.Build {
-	if r.build != streamorigin.AnyBuild || r.route.Semantics != routing.Stream || !r.route.Resumable {
-		return r.build
+func (r *request) placedBuild() streamorigin.Build { return r.restrictedBuild(r.build) }
+
+// restrictedBuild returns build or, for a stream that may begin at any build, the only one at which
+// it should begin at present.
+func (r *request) restrictedBuild(build streamorigin.Build) streamorigin.Build {
+	if build != streamorigin.AnyBuild || !r.isResumable() {
+		return build
 	}
 	if b := r.h.Origins.Restriction(r.service.Name); b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
 		return b
@@ -78,25 +85,34 @@
 }
 
 // recordOrigin records the build of the first endpoint whose events are forwarded to the
-// caller. It returns false if the origin can't be saved and a second attempt, at a build that
-// needs no saved origin, goes on with the request.
+// caller. It returns false if the origin isn't safe, and the caller must not get the events: after
+// a restart of all routers, the stream could go on at another build.
 func (r *request) recordOrigin(a *attempt) bool {
 	if r.build != streamorigin.AnyBuild || !r.route.Resumable {
 		return true
 	}
 	build := dispatch.BuildOf(a.assignment.Endpoint)
 	if !r.h.Origins.Begin(r.ctx, r.id, build) {
-		if other := r.placedBuild(); other != streamorigin.AnyBuild && other != build && !r.callerDisconnected() &&
-			r.hedge.beginAt(other, r.latencyTarget(time.Now())) {
-			r.h.Log.Info("origin of a stream not saved; begun again at another build", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
+		if !r.impliedBuildIsGone() {
 			return false
 		}
-		if r.callerDisconnected() {
-			return true
-		}
 		r.h.Log.Warn("stream goes on although its origin isn't saved", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
 		r.h.Origins.Record(r.id, build)
 	}
 	r.build = build
 	return true
 }
+
+// impliedBuildIsGone reports whether no endpoint of the service's implied build is left, at which a
+// stream without a saved origin could go on.
+func (r *request) impliedBuildIsGone() bool {
+	implied := r.h.Origins.Restriction(r.service.Name)
+	return implied != streamorigin.AnyBuild && !r.h.Dispatcher.HasReady(r.service.Name, implied) && r.h.Dispatcher.KnowsAllEndpoints(time.Now())
+}
+
+// canBeginElsewhere reports whether a stream whose first events were withheld because its origin
+// isn't saved can begin again at the implied build.
+func (r *request) canBeginElsewhere(a *attempt) bool {
+	build := r.placedBuild()
+	return build != streamorigin.AnyBuild && build != dispatch.BuildOf(a.assignment.Endpoint)
+}
--- a/direct/entry/silence_test.go
+++ b/direct/entry/silence_test.go
@@ -1,14 +1,15 @@
 package entry_test
 
 import (
+	"crypto/rand"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,8 +36,8 @@
 	parallelExchanges = 64
 )
 
-// largeBodies are response bodies that are too large to be buffered, by endpoint. They differ, so
-// that a response mixed from two endpoints shows.
+// largeBodies are response bodies that are too large to be buffered. They depend on the endpoint,
+// so that a response mixed from two endpoints shows.
 var largeBodies = sync.OnceValue(func() map[string]string {
 	bodies := map[string]string{}
 	for _, endpoint := range []string{"first", "other"} {
@@ -64,9 +65,9 @@
 	complete func(endpoint string) string
 	// silent answers completely, with a pause in which pause is called.
 	silent func(pause func()) directtest.Script
-	// truncated is the response of another endpoint that breaks off before any of it can be
-	// forwarded, begun one that breaks off later.
-	truncated, begun directtest.Script
+	// truncatedEarly and truncatedLate are truncated responses of another endpoint, before and
+	// after the router can forward a part of them.
+	truncatedEarly, truncatedLate directtest.Script
 }
 
 // silentAfter returns a stream that is silent after some events.
@@ -101,42 +102,41 @@
 
 func exchanges() []exchange {
 	stream := func(string) string { return completeStream() }
-	truncatedStream := func(c net.Conn, call *directtest.Call) bool {
+	cutEvent := func(c net.Conn, call *directtest.Call) bool {
 		directtest.BeginStream(c, call)
 		directtest.Chunk(c, "id: "+strconv.Itoa(firstEvent(call))+"\nda")
 		return false
 	}
-	begunStream := func(c net.Conn, call *directtest.Call) bool {
+	cutStream := func(c net.Conn, call *directtest.Call) bool {
 		directtest.BeginStream(c, call)
 		directtest.Chunk(c, directtest.Event(firstEvent(call)))
 		return false
 	}
-	truncatedBody := func(c net.Conn, call *directtest.Call) bool {
-		beginBody(c, call, largeBody("other"), bufferedBytes/2)
-		return false
-	}
-	begunBody := func(c net.Conn, call *directtest.Call) bool {
-		beginBody(c, call, largeBody("other"), bufferedBytes+bufferedBytes/2)
-		return false
+	cutBody := func(n int) directtest.Script {
+		return func(c net.Conn, call *directtest.Call) bool {
+			beginBody(c, call, largeBody("other"), n)
+			return false
+		}
 	}
+	const half = bufferedBytes / 2
 	return []exchange{
 		{"stream silent before its headers", "/resumable/1", "engines", stream, func(pause func()) directtest.Script {
 			return func(c net.Conn, call *directtest.Call) bool {
 				pause()
 				return silentAfter(streamEvents)(pause)(c, call)
 			}
-		}, truncatedStream, begunStream},
-		{"stream silent before its first event", "/resumable/1", "engines", stream, silentAfter(0), truncatedStream, begunStream},
-		{"stream silent after two events", "/resumable/1", "engines", stream, silentAfter(2), truncatedStream, begunStream},
+		}, cutEvent, cutStream},
+		{"stream silent before its first event", "/resumable/1", "engines", stream, silentAfter(0), cutEvent, cutStream},
+		{"stream silent after two events", "/resumable/1", "engines", stream, silentAfter(2), cutEvent, cutStream},
 		{"request silent before its response", "/lookup/1", "plain", func(endpoint string) string { return endpoint }, func(pause func()) directtest.Script {
 			return func(c net.Conn, call *directtest.Call) bool {
 				pause()
 				directtest.Respond(c, call, http.StatusOK, "first")
 				return true
 			}
-		}, truncatedBody, begunBody},
-		{"request silent inside the buffered part of its response", "/lookup/1", "plain", largeBody, silentInside(bufferedBytes / 2), truncatedBody, begunBody},
-		{"request silent above the buffered part of its response", "/lookup/1", "plain", largeBody, silentInside(bufferedBytes + bufferedBytes/2), truncatedBody, begunBody},
+		}, cutBody(half), cutBody(bufferedBytes + half)},
+		{"request silent inside the buffered part of its response", "/lookup/1", "plain", largeBody, silentInside(half), cutBody(half), cutBody(bufferedBytes + half)},
+		{"request silent above the buffered part of its response", "/lookup/1", "plain", largeBody, silentInside(bufferedBytes + half), cutBody(half), cutBody(bufferedBytes + half)},
 	}
 }
 
@@ -144,11 +144,12 @@
 type otherEndpoints struct {
 	name   string
 	script directtest.Script
-	// answers is set if they may answer completely, begins if they may begin an answer and break
-	// it off: then the attempt at the silent endpoint has ended already.
-	answers, begins bool
+	// answers is set if they may answer completely.
+	answers bool
 	// notRun is set if they say that they didn't execute the request.
 	notRun bool
+	// breaksOff is set if they begin a response and break it off: that ends the first attempt.
+	breaksOff bool
 	// absent, refusing and noRetries are set if there are none, if they refuse connections, and
 	// if no retry is allowed.
 	absent, refusing, noRetries bool
@@ -163,7 +164,7 @@
 		beginBody(c, call, body, len(body))
 		return true
 	}
-	list := []otherEndpoints{
+	return []otherEndpoints{
 		{name: "absent", absent: true},
 		{name: "full", script: status(http.StatusServiceUnavailable, headers.NotExecuted+": 1"), notRun: true},
 		{name: "bare 503", script: status(http.StatusServiceUnavailable)},
@@ -178,37 +179,29 @@
 		{name: "refuses connections", refusing: true},
 		{name: "no retry is allowed", script: sound, noRetries: true},
 		{name: "answers", script: sound, answers: true},
-		{name: "truncates", script: x.truncated},
-		{name: "begins and breaks off", script: x.begun, begins: true},
+		{name: "truncates", script: x.truncatedEarly},
 	}
-	return list
 }
 
 // run sends the request to a silent endpoint, beside which others are registered once it has the
 // request, and checks the response.
 func (x *exchange) run(t *testing.T, o *otherEndpoints, silence time.Duration, count int) {
 	r := newRouter(t)
+	logOnFailure(t, r)
 	if o.noRetries {
 		r.handler.Dispatcher = dispatch.New("z", r.endpoints, placement.DefaultPolicy(), retry.Limits{})
 	}
 	received := make(chan struct{}, 1)
-	began := time.Now()
-	var resumed atomic.Int64
-	silent := x.silent(func() {
-		time.Sleep(silence)
-		resumed.Store(int64(time.Since(began)))
-	})
+	silent := x.silent(func() { time.Sleep(silence) })
 	first := r.add("first", x.service, func(c net.Conn, call *directtest.Call) bool {
 		received <- struct{}{}
 		return silent(c, call)
 	})
 	answered := make(chan result, 1)
-	go func() { answered <- r.post(x.path) }()
-	select {
-	case <-received:
-	case got := <-answered:
-		t.Fatalf("answered before the endpoint had the request: %+v", got)
-	}
+	in := r.request(http.MethodPost, x.path, "body")
+	in.Header.Set(headers.RequestID, rand.Text())
+	go func() { answered <- r.do(in) }()
+	awaitRequest(t, received, answered)
 	var others []*directtest.Endpoint
 	for n := range count {
 		id := fmt.Sprintf("other-%d", n)
@@ -221,23 +214,32 @@
 		}
 	}
 	got := <-answered
-	defer func() {
-		if t.Failed() {
-			t.Logf("endpoint resumed after %v, caller answered after %v", time.Duration(resumed.Load()), time.Since(began))
+	// The port of an endpoint may have been that of another one, which some other router still uses.
+	calls := func(e *directtest.Endpoint) int {
+		n := 0
+		for _, call := range e.Calls() {
+			if call.ID() == in.Header.Get(headers.RequestID) {
+				n++
+			} else {
+				t.Logf("request of another router: %s %s %s", call.Method, call.RequestURI, call.ID())
+			}
 		}
-	}()
-	executions := len(first.Calls())
+		return n
+	}
+	executions := calls(first)
 	for _, e := range others {
 		if !o.notRun {
-			executions += len(e.Calls())
+			executions += calls(e)
 		}
 		if o.noRetries {
-			must.Len(t, 0, e.Calls())
+			must.Eq(t, 0, calls(e))
 		}
 	}
 	must.LessEq(t, routeAttempts, executions)
-	if o.begins && got.err != nil {
+	if o.breaksOff && got.err != nil {
 		must.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+		must.Less(t, len(largeBody("other")), len(got.body))
+		must.NotEq(t, x.complete("other"), got.body)
 		mustBeIdle(t, r)
 		return
 	}
@@ -251,6 +253,42 @@
 	mustBeIdle(t, r)
 }
 
+// awaitRequest waits until an endpoint has received the request.
+func awaitRequest(t *testing.T, received <-chan struct{}, answered <-chan result) {
+	t.Helper()
+	select {
+	case <-received:
+	case got := <-answered:
+		t.Fatalf("answer before the endpoint has the request: %+v", got)
+	}
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// logOnFailure prints the router's log if the test fails.
+func logOnFailure(t *testing.T, r *router) {
+	t.Helper()
+	b := &logBuffer{}
+	r.handler.Log = slog.New(slog.NewTextHandler(b, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	t.Cleanup(func() {
+		if t.Failed() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			t.Log(b.lines.String())
+		}
+	})
+}
+
 // mustBeIdle checks that no attempt counts as in progress once all requests have ended.
 func mustBeIdle(t *testing.T, r *router) {
 	t.Helper()
@@ -274,14 +312,12 @@
 	}
 }
 
-// Guards against a repeatable request whose endpoint, which is sound, is silent for a while and
-// goes on, and that is ended, truncated, mixed, executed too often or left in the accounting
-// because of what other endpoints do with a second attempt.
-func TestSilentEndpointIsNotReplacedByAWorseOne(t *testing.T) {
+// runExchanges runs all exchanges beside all other endpoints that others returns.
+func runExchanges(t *testing.T, others func(*exchange) []otherEndpoints) {
 	var group errgroup.Group
 	group.SetLimit(parallelExchanges)
 	for _, x := range exchanges() {
-		for _, o := range x.others() {
+		for _, o := range others(&x) {
 			for _, variant := range []struct {
 				silence time.Duration
 				others  int
@@ -296,3 +332,18 @@
 	}
 	must.NoError(t, group.Wait())
 }
+
+// Guards against a repeatable request whose endpoint, which is sound, is silent for a while and
+// goes on, and that is ended, truncated, mixed, executed too often or left in the accounting
+// because of what other endpoints do with a second attempt.
+func TestSilentEndpointIsNotReplacedByAWorseOne(t *testing.T) {
+	runExchanges(t, (*exchange).others)
+}
+
+// Guards against a response that looks complete or is mixed, or a request that is executed too
+// often, because another endpoint was the first to have something to forward and then broke off.
+func TestResponseOfAnotherEndpointThatBreaksOffIsNotComplete(t *testing.T) {
+	runExchanges(t, func(x *exchange) []otherEndpoints {
+		return []otherEndpoints{{name: "breaks off", script: x.truncatedLate, breaksOff: true}}
+	})
+}
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -33,7 +33,7 @@
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
 	// peerFetchInterval is the interval at which missing records are fetched from
-	// peers.
+	// peers and endpoints expire.
 	peerFetchInterval = 200 * time.Millisecond
 	// readerCheckInterval is the interval at which a router that does not read the
 	// store, because its peers do, checks whether it must read it itself.
@@ -73,6 +73,8 @@
 	loaded [2]atomic.Bool
 	// reading is set while the store responds to this router's reads of a topic.
 	reading [2]atomic.Bool
+	// answeredAt is when the latest read of the endpoints that succeeded began, in Unix nanoseconds.
+	answeredAt atomic.Int64
 	// announced is closed once the store has acknowledged the announcement.
 	announced chan struct{}
 }
@@ -117,12 +119,21 @@
 	return f.reading[Configuration].Load() && f.reading[Endpoints].Load()
 }
 
+// AnsweredAt returns when the latest read of the endpoints that succeeded began. The entries written
+// before are known here.
+func (f *Follower) AnsweredAt() time.Time { return time.Unix(0, f.answeredAt.Load()) }
+
+// ReadTimeout returns the time after which a read of the store fails.
+func (f *Follower) ReadTimeout() time.Duration { return f.readWait + callMargin }
+
 // Run follows the store and the peers until ctx is done and returns its error.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.followTopic(ctx, Configuration) })
 	group.Go(func() error { return f.followTopic(ctx, Endpoints) })
-	group.Go(func() error { return f.followPeers(ctx) })
+	group.Go(func() error { return f.followPeers(ctx, Configuration) })
+	group.Go(func() error { return f.followPeers(ctx, Endpoints) })
+	group.Go(func() error { return f.expireEndpoints(ctx) })
 	return group.Wait()
 }
 
@@ -136,6 +147,9 @@
 	for ctx.Err() == nil {
 		if f.listed[topic].Load() && !f.peers.ShouldReadStore() {
 			f.reading[topic].Store(false)
+			if f.unreachable[topic].Load() && f.peers.HasStoreReader() {
+				f.markOutageEnded(topic)
+			}
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
@@ -150,6 +164,9 @@
 		switch {
 		case err == nil:
 			f.markStoreReachable(topic)
+			if topic == Endpoints {
+				f.answeredAt.Store(began.UnixNano())
+			}
 			backoff = minBackoff
 			if reading {
 				// A listing succeeds also while all reads are refused.
@@ -322,7 +339,6 @@
 	endpoint, err := f.decoder.Endpoint(r)
 	if err != nil {
 		f.ignoreRecord(r, err)
-		f.endpoints.Remove(r.Key, now)
 		return
 	}
 	previous, ok := f.endpoints.Lookup(endpoint.ID)
@@ -346,7 +362,7 @@
 
 func (f *Follower) markStoreUnreachable(topic Topic, err error) {
 	if topic == Endpoints {
-		f.endpoints.StoreUnavailable()
+		f.endpoints.StoreUnavailable(time.Now())
 	}
 	f.reading[topic].Store(false)
 	if !f.unreachable[topic].Swap(true) {
@@ -355,18 +371,23 @@
 }
 
 func (f *Follower) markStoreReachable(topic Topic) {
+	f.reading[topic].Store(true)
+	f.markOutageEnded(topic)
+}
+
+// markOutageEnded records that the store answers this router or a peer that reads it.
+func (f *Follower) markOutageEnded(topic Topic) {
 	if topic == Endpoints {
 		f.endpoints.StoreRecovered(time.Now())
 	}
-	f.reading[topic].Store(true)
 	if f.unreachable[topic].Swap(false) {
 		f.log.Info("the store answers again", "topic", topic.String())
 	}
 }
 
-// followPeers periodically expires endpoints and fetches missing records from
-// peers.
-func (f *Follower) followPeers(ctx context.Context) error {
+// followPeers periodically fetches missing records of a topic from peers. A peer that doesn't respond
+// delays only that topic.
+func (f *Follower) followPeers(ctx context.Context, topic Topic) error {
 	ticker := time.NewTicker(peerFetchInterval)
 	defer ticker.Stop()
 	for {
@@ -374,19 +395,31 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-		}
-		if f.endpoints.Expire(time.Now()) {
-			f.OnChange()
-		}
-		for _, topic := range []Topic{Configuration, Endpoints} {
 			f.fetchFromPeers(ctx, topic)
 		}
 	}
 }
 
+// expireEndpoints periodically removes the endpoints whose grace period has ended.
+func (f *Follower) expireEndpoints(ctx context.Context) error {
+	ticker := time.NewTicker(peerFetchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			if f.endpoints.Expire(time.Now()) {
+				f.OnChange()
+			}
+		}
+	}
+}
+
 // fetchFromPeers fetches and applies the records of a topic that a peer has and
 // that this router has not received from the store yet.
 func (f *Follower) fetchFromPeers(ctx context.Context, topic Topic) {
+	began := time.Now()
 	batch, found, err := f.peers.Records(ctx, topic, f.mirrors[topic].Position())
 	if err != nil {
 		if f.limiter.Allow(time.Now(), topic.String(), "peer") {
@@ -395,6 +428,7 @@
 		return
 	}
 	if !found {
+		f.markChecked(topic, began)
 		return
 	}
 	if len(batch.Records) > 0 {
@@ -405,11 +439,19 @@
 		f.log.Warn("apply records from peer failed", "topic", topic.String(), "error", err.Error())
 		return
 	}
+	f.markChecked(topic, began)
 	if len(batch.Records) > 0 {
 		f.loaded[topic].Store(true)
 	}
 }
 
+// markChecked records that this router had the records of a topic, at a time, that its peers had.
+func (f *Follower) markChecked(topic Topic, at time.Time) {
+	if topic == Endpoints {
+		f.endpoints.Checked(at)
+	}
+}
+
 // Era returns the latest era of the store that is known here. Records written in an
 // earlier one may be lost.
 func (f *Follower) Era() int64 {
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -38,6 +38,7 @@
 }
 
 func (p peers) ShouldReadStore() bool { return !p.peersReadStore }
+func (p peers) HasStoreReader() bool  { return p.peersReadStore }
 
 const readWait = 1200 * time.Millisecond
 
@@ -55,11 +56,15 @@
 }
 
 func runFollowerWithPeers(t *testing.T, peerStore *directtest.Store, peersReadStore bool, test func(f *fixture)) {
+	runFollowerWith(t, peers{store: peerStore, peersReadStore: peersReadStore}, test)
+}
+
+func runFollowerWith(t *testing.T, p follow.Peers, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{store: directtest.NewStore(), routes: &routing.Store{}, endpoints: registry.NewTable()}
 		f.follower = follow.New(follow.Options{
 			ReadWait: readWait,
-			Store:    f.store, Decoder: directtest.Decoder{}, Peers: peers{store: peerStore, peersReadStore: peersReadStore}, Routes: f.routes,
+			Store:    f.store, Decoder: directtest.Decoder{}, Peers: p, Routes: f.routes,
 			Endpoints: f.endpoints, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -190,6 +195,27 @@
 	})
 }
 
+// Guards against an endpoint that is given up, or is used although it drains, because another
+// writer put a record that names no endpoint under its identifier.
+func TestInvalidEntryKeepsWhatWasKnown(t *testing.T) {
+	runFollower(t, nil, func(f *fixture) {
+		draining := directtest.Encode(registry.Endpoint{ID: "b", Service: "s", Address: "127.0.0.1:2", State: registry.Draining})
+		f.store.Append(follow.Endpoints, "a", endpoint("a"))
+		f.store.Append(follow.Endpoints, "b", draining)
+		time.Sleep(time.Second)
+		f.store.Append(follow.Endpoints, "a", "\xff{")
+		f.store.Append(follow.Endpoints, "b", "\xff{")
+		time.Sleep(time.Second)
+		must.Eq(t, 1, f.readyEndpoints())
+		known, ok := f.endpoints.Lookup("b")
+		must.True(t, ok)
+		must.Eq(t, registry.Draining, known.State)
+		f.store.Append(follow.Endpoints, "a", "")
+		time.Sleep(time.Second)
+		must.Eq(t, 0, f.readyEndpoints(), must.Sprint("the endpoint has left"))
+	})
+}
+
 // Guards against missing a record if the store does not end waiting reads when
 // the record is written.
 func TestMissedNotificationIsReadAfterReadWait(t *testing.T) {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
+	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
@@ -88,6 +89,7 @@
 	reportsSent     metrics.Counter
 	reportBytesSent metrics.Counter
 	badReports      metrics.Counter
+	limiter         observability.LogLimiter
 
 	// teamsSentAt is the time of the latest report with teams; only Send uses it.
 	teamsSentAt time.Time
@@ -118,6 +120,10 @@
 	TakeNews(limit int) []streamorigin.Origin
 	// MergePeer adds the origins that a peer reports.
 	MergePeer(now time.Time, origins []streamorigin.Origin)
+	// ImpliedBuilds returns the builds of streams without a saved origin.
+	ImpliedBuilds() []streamorigin.ServiceImplied
+	// MergeImplied adds the implied builds that a peer reports.
+	MergeImplied(list []streamorigin.ServiceImplied)
 }
 
 type peer struct {
@@ -161,10 +167,14 @@
 	if parsed == m.address {
 		return
 	}
-	if err != nil || !parsed.Addr().Is4() {
+	if err != nil || !loadreport.IsRouterAddress(parsed) {
 		m.badReports.Inc(1)
+		if m.limiter.Allow(now, address, "address") {
+			m.log.Warn("invalid address of a peer ignored", "address", address)
+		}
 		return
 	}
+	address = parsed.String()
 	m.mu.Lock()
 	_, known := m.peers[address]
 	added := !known && len(m.peers) < maxPeers
@@ -331,6 +341,9 @@
 				BegunTokens: wireCount(usage.Begun),
 			})
 		}
+		for _, i := range m.local.Streams().ImpliedBuilds() {
+			message.Implied = append(message.Implied, loadreport.ImpliedBuild{Service: uint32(i.Service), Build: uint32(i.Build), Era: i.Era})
+		}
 	}
 	for _, p := range report.Placed {
 		message.Placed = append(message.Placed, loadreport.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
@@ -379,12 +392,12 @@
 		m.handleCrashReport(now, data, sender)
 		return
 	case loadreport.IsLimitReport(data):
-		m.handleLimitReport(now, data)
+		m.handleLimitReport(now, data, sender)
 		return
 	}
 	report, err := loadreport.Decode(data)
 	if err != nil {
-		m.badReports.Inc(1)
+		m.ignoreReport(now, sender, err)
 		return
 	}
 	if report.Instance == m.instance {
@@ -408,6 +421,16 @@
 	if len(report.Streams) > 0 {
 		m.local.Streams().MergePeer(now, decodeStreams(report.Streams))
 	}
+	if len(report.Implied) > 0 {
+		m.local.Streams().MergeImplied(decodeImplied(report.Implied))
+	}
+}
+
+func (m *Mesh) ignoreReport(now time.Time, sender *net.UDPAddr, err error) {
+	m.badReports.Inc(1)
+	if m.limiter.Allow(now, sender.String(), "report") {
+		m.log.Warn("invalid report ignored", "sender", sender.String(), "error", err.Error())
+	}
 }
 
 func decodeStreams(streams []loadreport.StreamOrigin) []streamorigin.Origin {
@@ -418,6 +441,16 @@
 	return origins
 }
 
+func decodeImplied(implied []loadreport.ImpliedBuild) []streamorigin.ServiceImplied {
+	list := make([]streamorigin.ServiceImplied, len(implied))
+	for i, b := range implied {
+		list[i] = streamorigin.ServiceImplied{
+			Service: streamorigin.Service(b.Service), Implied: streamorigin.Implied{Build: streamorigin.Build(b.Build), Era: b.Era},
+		}
+	}
+	return list
+}
+
 func decodeReport(report *loadreport.Report) dispatch.PeerReport {
 	r := dispatch.PeerReport{
 		Instance: report.Instance, Sequence: report.Sequence, HasTeams: report.HasTeams,
@@ -466,17 +499,42 @@
 	if err != nil {
 		return mirror.Batch{}, false, eris.Wrapf(err, "fetch records from %s", address)
 	}
+	batch, err := m.decodeRecords(reply)
+	if err != nil {
+		return mirror.Batch{}, false, eris.Wrapf(err, "records from %s", address)
+	}
+	if !batch.Complete && batch.End.Era != known.Era {
+		return mirror.Batch{}, false, eris.Errorf("incomplete records of era %d from %s, era %d is known", reply.Era, address, known.Era)
+	}
+	return batch, true, nil
+}
+
+// maxOffset bounds the offsets of the store's records. A record with a higher one would keep all
+// later records of its key from being applied.
+const maxOffset = 1 << 53
+
+// decodeRecords returns the records of a peer's reply. It ignores records that can't be before its
+// end.
+func (m *Mesh) decodeRecords(reply *fleetpb.RecordsReply) (mirror.Batch, error) {
+	if reply.Era < 0 || reply.Next < 0 || reply.Next > maxOffset {
+		return mirror.Batch{}, eris.Errorf("the end is out of range: era %d, offset %d", reply.Era, reply.Next)
+	}
 	batch := mirror.Batch{
 		Records: make([]mirror.Record, 0, len(reply.Records)), Complete: reply.Complete,
 		End: mirror.Position{Era: reply.Era, Next: reply.Next},
 	}
 	for _, r := range reply.Records {
+		// What is kept across a restoration of the store, and what replaces a lost record, may have the
+		// offset of the end.
+		if r.Offset < 0 || r.Offset > reply.Next {
+			if m.limiter.Allow(time.Now(), r.Key, "offset") {
+				m.log.Warn("invalid record of a peer ignored", "key", r.Key, "offset", r.Offset, "end", reply.Next)
+			}
+			continue
+		}
 		batch.Records = append(batch.Records, mirror.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
-	if !batch.Complete && batch.End.Era != known.Era {
-		return mirror.Batch{}, false, eris.Errorf("incomplete records of era %d from %s, era %d is known", reply.Era, address, known.Era)
-	}
-	return batch, true, nil
+	return batch, nil
 }
 
 const (
@@ -488,9 +546,9 @@
 	minActiveReaders = 2
 	// smallFleet is the largest fleet in which every router reads the store.
 	smallFleet = 8
-	// readerTimeout is the time without a report after which a peer no longer
+	// ReaderTimeout is the time without a report after which a peer no longer
 	// counts as reading the store; reports are sent at least every 400 ms.
-	readerTimeout = time.Second
+	ReaderTimeout = time.Second
 )
 
 // ShouldReadStore implements follow.Peers. In a large fleet a few routers read
@@ -506,7 +564,7 @@
 	fleet := []string{m.address.String()}
 	reading := 0
 	for address, p := range m.peers {
-		if now.Sub(p.lastReport) > readerTimeout {
+		if now.Sub(p.lastReport) > ReaderTimeout {
 			continue
 		}
 		fleet = append(fleet, address)
@@ -524,6 +582,19 @@
 	return reading < minActiveReaders && (readsStore || isProbeTurn(now, rank, len(fleet)))
 }
 
+// HasStoreReader reports whether a peer currently reads the store.
+func (m *Mesh) HasStoreReader() bool {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.readsStore && now.Sub(p.lastReport) <= ReaderTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // streamSavers is the number of routers that save the origins of streams for the fleet. With
 // two, one may fail.
 const streamSavers = 2
@@ -535,17 +606,26 @@
 	if !m.local.ReadsStore() {
 		return false
 	}
-	now := time.Now()
 	self := m.address.String()
-	readers := []string{self}
+	return slices.Index(rendezvous.Rank(readersKey, append(m.readingPeers(), self)), self) < streamSavers
+}
+
+// StoreIsRead reports whether this router or a peer currently reads the store. In an outage, that
+// ends at a router that doesn't call the store itself, too.
+func (m *Mesh) StoreIsRead() bool { return m.local.ReadsStore() || len(m.readingPeers()) > 0 }
+
+// readingPeers returns the addresses of the peers that currently read the store.
+func (m *Mesh) readingPeers() []string {
+	now := time.Now()
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	var readers []string
 	for address, p := range m.peers {
-		if p.readsStore && now.Sub(p.lastReport) <= readerTimeout {
+		if p.readsStore && now.Sub(p.lastReport) <= ReaderTimeout {
 			readers = append(readers, address)
 		}
 	}
-	m.mu.Unlock()
-	return slices.Index(rendezvous.Rank(readersKey, readers), self) < streamSavers
+	return readers
 }
 
 // probeInterval is the interval between the turns of two routers that try to read the
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,10 +27,18 @@
 	// originsKeyPrefix those of the records with origins.
 	impliedKeyPrefix = "implied/"
 	originsKeyPrefix = "origins/"
+	// maxSlot bounds the numbers of a router's records. It saves at most 25 a second, and uses each
+	// number again after retention.
+	maxSlot = 1 << 20
 	// minRetention is the shortest time for which origins are kept.
 	minRetention = 30 * time.Second
-	// loadTimeout bounds the reading of saved origins while a caller waits.
-	loadTimeout = 400 * time.Millisecond
+	// loadWait bounds how long a caller waits for a reading of saved origins, which may go on.
+	loadWait = 400 * time.Millisecond
+	// minLoadTimeout bounds one reading of saved origins. Until all were read once, it is doubled
+	// after each reading that took too long, up to maxLoadTimeout: a host without CPU time needs
+	// longer to read many.
+	minLoadTimeout = 400 * time.Millisecond
+	maxLoadTimeout = 1600 * time.Millisecond
 	// secondLookDelay is the delay before an unknown origin is looked for again: a
 	// router that still runs reports it within this time.
 	secondLookDelay = 250 * time.Millisecond
@@ -38,6 +46,7 @@
 
 var (
 	errNotLoaded   = errors.New("the saved origins have not been read yet")
+	errUnknownKey  = errors.New("the key is of no saved origins and no implied build")
 	errEarlierRead = errors.New("the reply is of an earlier era of the store")
 )
 
@@ -62,6 +71,8 @@
 	// Saves reports whether this router currently keeps the implied builds, and saves the origins
 	// of other routers again after a restoration of the store.
 	Saves func() bool
+	// StoreIsRead reports whether this router or a peer currently reads the store.
+	StoreIsRead func() bool
 	// Builds returns, by service, the number of registered endpoints of each build, in any state.
 	Builds func() map[string]map[streamorigin.Build]int
 	// Routers returns the number of routers in the fleet.
@@ -88,11 +99,15 @@
 	// hasLoaded is set once what the store holds was loaded, loaded is the position after it.
 	hasLoaded bool
 	loaded    mirror.Position
+	// loadTimeout bounds the next reading.
+	loadTimeout time.Duration
 	// era is the latest era of the store that is known here; it begins with the first load.
 	era int64
 	// implied holds the implied builds of services in the store.
 	implied map[string]streamorigin.Implied
-	policy  streamorigin.ImpliedPolicy
+	// told holds the implied builds that peers told, which count until the store was read here.
+	told   map[streamorigin.Service]streamorigin.Implied
+	policy streamorigin.ImpliedPolicy
 	// refreshedAt is the time of the latest read for the implied builds. Only the upkeep uses it.
 	refreshedAt time.Time
 }
@@ -101,8 +116,10 @@
 func New(o Options) *Origins {
 	origins := &Origins{
 		options: o, table: streamorigin.NewTable(), implied: map[string]streamorigin.Implied{},
-		policy:  streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
-		unknown: metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
+		told:        map[streamorigin.Service]streamorigin.Implied{},
+		loadTimeout: minLoadTimeout,
+		policy:      streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
+		unknown:     metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
 	}
 	origins.saver = newSaver(origins)
 	return origins
@@ -143,11 +160,14 @@
 // Restriction returns the only build at which new streams of a service should begin because the
 // origins of other builds can't be saved at present, or streamorigin.AnyBuild.
 func (o *Origins) Restriction(service string) streamorigin.Build {
-	if o.saver.working(time.Now()) {
+	if o.saver.working(time.Now()) && o.options.StoreIsRead() {
 		return streamorigin.AnyBuild
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.hasLoaded {
+		return o.told[streamorigin.ServiceOf(service)].Build
+	}
 	build, _ := o.impliedBuild(service)
 	return build
 }
@@ -162,6 +182,13 @@
 }
 
 func (o *Origins) isImplied(build streamorigin.Build) bool {
+	if !o.hasLoaded {
+		for _, i := range o.told {
+			if i.Build == build {
+				return true
+			}
+		}
+	}
 	for service := range o.implied {
 		if b, ok := o.impliedBuild(service); ok && b == build {
 			return true
@@ -181,6 +208,7 @@
 		b, ok := o.table.LookupRecorded(stream)
 		o.mu.Unlock()
 		if ok {
+			o.logFound(attempt, b, sourceRouter)
 			return b, true
 		}
 	}
@@ -191,8 +219,11 @@
 			case <-time.After(secondLookDelay):
 			}
 		}
-		fresh := o.loadSince(ctx, began)
-		if b, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+		wait, cancel := context.WithTimeout(ctx, loadWait)
+		fresh := o.loadSince(wait, began)
+		cancel()
+		if b, from, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+			o.logFound(attempt, b, from)
 			return b, true
 		}
 	}
@@ -201,24 +232,37 @@
 	return streamorigin.AnyBuild, false
 }
 
+// source says how the origin of a stream is known.
+type source string
+
+const (
+	sourceRouter  source = "a router"
+	sourceStore   source = "the store"
+	sourceImplied source = "the implied build"
+)
+
+func (o *Origins) logFound(attempt string, build streamorigin.Build, from source) {
+	o.options.Log.Info("origin of a stream found", "attempt", attempt, "build", build, "source", string(from))
+}
+
 // lookup returns the build of a stream as far as it follows from what is known. fresh is set if
 // all origins that were saved before the caller came back have been read.
-func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, bool) {
+func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, source, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if named {
 		if b, ok := o.table.Lookup(stream); ok {
-			return b, true
+			return b, sourceStore, true
 		}
 	}
 	if !fresh || len(services) != 1 {
-		return streamorigin.AnyBuild, false
+		return streamorigin.AnyBuild, "", false
 	}
 	b, ok := o.impliedBuild(services[0])
 	if !ok || !named && !o.table.OnlyOf(o.isImplied) {
-		return streamorigin.AnyBuild, false
+		return streamorigin.AnyBuild, "", false
 	}
-	return b, true
+	return b, sourceImplied, true
 }
 
 // CountTakeUp counts that a caller takes up the stream whose first event this attempt brought,
@@ -250,6 +294,34 @@
 	o.table.MergePeer(now, origins)
 }
 
+// ImpliedBuilds returns the implied builds that were read from the store and are in force.
+func (o *Origins) ImpliedBuilds() []streamorigin.ServiceImplied {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []streamorigin.ServiceImplied
+	for service, i := range o.implied {
+		if i.Era == o.era {
+			list = append(list, streamorigin.ServiceImplied{Service: streamorigin.ServiceOf(service), Implied: i})
+		}
+	}
+	return list
+}
+
+// MergeImplied adds the implied builds that a peer has read from the store. They matter to a router
+// that starts while the store is away: without them, its streams could begin nowhere.
+func (o *Origins) MergeImplied(list []streamorigin.ServiceImplied) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.hasLoaded {
+		return
+	}
+	for _, i := range list {
+		if known, ok := o.told[i.Service]; i.Build != streamorigin.AnyBuild && (!ok || i.Era >= known.Era) {
+			o.told[i.Service] = i.Implied
+		}
+	}
+}
+
 // Run saves and expires origins until ctx is done and returns its error.
 func (o *Origins) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -376,9 +448,7 @@
 	for {
 		done := o.loads.DoChan("load", func() (any, error) {
 			began := time.Now()
-			call, cancel := context.WithTimeout(context.WithoutCancel(ctx), loadTimeout)
-			defer cancel()
-			return began, o.loadOnce(call)
+			return began, o.loadInTime(context.WithoutCancel(ctx))
 		})
 		select {
 		case <-ctx.Done():
@@ -395,6 +465,25 @@
 	}
 }
 
+// loadInTime reads the origins that were saved since the last read, within the present timeout.
+func (o *Origins) loadInTime(ctx context.Context) error {
+	o.mu.Lock()
+	timeout := o.loadTimeout
+	o.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := o.loadOnce(call)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err == nil:
+		o.loadTimeout = minLoadTimeout
+	case call.Err() != nil && !o.hasLoaded:
+		o.loadTimeout = min(2*timeout, maxLoadTimeout)
+	}
+	return err
+}
+
 func (o *Origins) loadOnce(ctx context.Context) error {
 	o.mu.Lock()
 	after := o.loaded
@@ -421,6 +510,7 @@
 		clear(o.implied)
 	}
 	o.loaded, o.hasLoaded = batch.End, true
+	clear(o.told)
 	for _, r := range batch.Records {
 		if r.IsTombstone() {
 			continue
@@ -441,8 +531,8 @@
 	if !ok {
 		return 0, false
 	}
-	_, err := fmt.Sscanf(text, "%d", &slot)
-	return slot, err == nil && slot >= 0
+	slot, err := strconv.Atoi(text)
+	return slot, err == nil && slot >= 0 && slot <= maxSlot
 }
 
 func (o *Origins) mergeRecord(now time.Time, r mirror.Record) error {
@@ -456,6 +546,9 @@
 		o.implied[service] = implied
 		return nil
 	}
+	if !strings.HasPrefix(r.Key, originsKeyPrefix) {
+		return errUnknownKey
+	}
 	origins, err := streamorigin.Decode(r.Value)
 	if err == nil {
 		o.table.MergeSaved(now, origins)
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +31,7 @@
 	return mirror.Batch{}, false, nil
 }
 func (noPeers) ShouldReadStore() bool { return true }
+func (noPeers) HasStoreReader() bool  { return false }
 
 // builds holds the builds of the endpoints of the service "engines".
 type builds struct {
@@ -81,8 +85,10 @@
 	// firstStart is set until a router was killed.
 	firstStart bool
 	size       int
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// unread is set while no router reads the store.
+	unread atomic.Bool
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // newRouters returns a fleet that starts for the first time, in front of endpoints of these builds.
@@ -114,7 +120,7 @@
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Store: follower, Saves: func() bool { return true }, LongestStream: func() time.Duration { return 0 },
+		Name: name, Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
 		Builds: f.builds.count, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
@@ -329,6 +335,54 @@
 	})
 }
 
+// Guards against a stream that goes on at any build because another writer's record names none, or
+// at a wrong one because a record that isn't a router's is taken for its origins.
+func TestForeignOriginsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		saved := func(attempt string, b streamorigin.Build) string {
+			origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: b}
+			return string(streamorigin.Encode([]streamorigin.SavedOrigin{{Origin: origin}}))
+		}
+		f.store.Append(follow.Streams, "origins/r9/0", saved("without build", streamorigin.AnyBuild))
+		f.store.Append(follow.Streams, "other", saved("other key", otherBuild))
+		f.store.Append(follow.Streams, "origins/r9/1", saved("whole", otherBuild))
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		mustFind(t, o, "without build", build)
+		mustFind(t, o, "other key", build)
+		mustFind(t, o, "whole", otherBuild)
+		f.kill()
+	})
+}
+
+// Guards against numbers of records that overflow because a record of another writer has the
+// largest one.
+func TestRecordWithAHugeNumberIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		foreign := []string{"origins/r1/9223372036854775806", "origins/r1/99999999999999999999", "origins/r1/-1", "origins/r1/7x", "origins/r1/"}
+		for _, key := range foreign {
+			f.store.Append(follow.Streams, key, "not origins")
+		}
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), otherBuild))
+		}
+		listed, err := f.store.List(t.Context(), follow.Streams)
+		must.NoError(t, err)
+		for _, r := range listed.Records {
+			if number, ok := strings.CutPrefix(r.Key, "origins/r1/"); ok && !slices.Contains(foreign, r.Key) {
+				n, err := strconv.Atoi(number)
+				must.NoError(t, err)
+				must.Between(t, 0, n, 9)
+			}
+		}
+		f.kill()
+	})
+}
+
 // Guards against calls to the store for the streams of a service with a single build, and against
 // streams of that build that can't be taken up after all routers were killed.
 func TestStreamsOfTheImpliedBuildAreNotSaved(t *testing.T) {
@@ -460,3 +514,115 @@
 		})
 	}
 }
+
+// slowStore is a store whose writes take almost as long as a router waits for one.
+type slowStore struct{ *directtest.Store }
+
+func (s slowStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte) (int64, error) {
+	time.Sleep(390 * time.Millisecond)
+	return s.Store.Write(ctx, topic, key, value)
+}
+
+// Guards against streams that begin again at a build that needs a saved origin, because each save
+// succeeds although first events wait too long for it.
+func TestRestrictionHoldsAfterALateSave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.startOn("r1", slowStore{f.store})
+		time.Sleep(2 * time.Second)
+		var late, unrestricted atomic.Int32
+		var streams sync.WaitGroup
+		for i := range 200 {
+			streams.Go(func() {
+				if o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild) {
+					return
+				}
+				late.Add(1)
+				if o.Restriction(service) != build {
+					unrestricted.Add(1)
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		streams.Wait()
+		must.Positive(t, late.Load())
+		must.Zero(t, unrestricted.Load())
+		f.kill()
+	})
+}
+
+// Guards against a router that starts while the store is away and begins streams whose origin is
+// lost with it, or none: its peers tell it the implied build.
+func TestRouterThatStartsInAnOutageBeginsAtTheImpliedBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		a := f.start("r1")
+		time.Sleep(2 * time.Second)
+		f.store.SetUnreachable(true)
+		b := f.start("r2")
+		must.False(t, b.Begin(t.Context(), "early", build), must.Sprint("the implied build is unknown"))
+		told := a.ImpliedBuilds()
+		must.Len(t, 1, told)
+		b.MergeImplied(told)
+		must.Eq(t, build, b.Restriction(service))
+		must.True(t, b.Begin(t.Context(), "implied", build))
+		must.False(t, b.Begin(t.Context(), "other", otherBuild))
+		must.Len(t, 0, b.ImpliedBuilds(), must.Sprint("only what was read from the store is passed on"))
+		f.store.SetUnreachable(false)
+		time.Sleep(2 * time.Second)
+		b.MergeImplied([]streamorigin.ServiceImplied{{Service: told[0].Service, Implied: streamorigin.Implied{Build: otherBuild, Era: 9}}})
+		f.store.SetUnreachable(true)
+		must.False(t, b.Begin(t.Context(), "next", otherBuild), must.Sprint("the store was read"))
+		f.kill()
+	})
+}
+
+// Guards against streams that need a saved origin and begin in an outage, because this router has
+// had nothing to save since it began: their first events would be withheld.
+func TestRestrictionBeginsWithTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.unread.Store(true)
+		must.Eq(t, build, o.Restriction(service))
+		f.unread.Store(false)
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		f.kill()
+	})
+}
+
+// slowList is a store of which a router without CPU time reads a listing in 900 ms.
+type slowList struct{ *directtest.Store }
+
+func (s slowList) List(ctx context.Context, topic follow.Topic) (mirror.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return mirror.Batch{}, ctx.Err()
+	case <-time.After(900 * time.Millisecond):
+		return s.Store.List(ctx, topic)
+	}
+}
+
+// Guards against a router that never knows the origins of streams, nor can save any, because it
+// lacks the CPU time to read the saved ones as fast as a caller expects them; and against a caller that
+// waits for such a reading.
+func TestRouterWithoutCPUTimeReadsTheSavedOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build, build, otherBuild)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.True(t, o.Begin(t.Context(), "saved", otherBuild))
+		f.kill()
+		next := f.startOn("r2", slowList{f.store})
+		began := time.Now()
+		mustNotFind(t, next, "saved")
+		must.LessEq(t, 1200*time.Millisecond, time.Since(began))
+		time.Sleep(3 * time.Second)
+		mustFind(t, next, "saved", otherBuild)
+		mustFind(t, next, "implied", build)
+		must.True(t, next.Begin(t.Context(), "later", otherBuild))
+		f.kill()
+	})
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -18,6 +18,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/direct/confirm"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/direct/entry"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
@@ -82,6 +83,8 @@
 	Output   io.Writer
 	// ReadyPath is the URL path of the readiness check.
 	ReadyPath string
+	// Report describes how endpoints report their start time.
+	Report confirm.Report
 	// Signals delivers SIGTERM and SIGINT, which drain the router, and SIGHUP.
 	Signals <-chan os.Signal
 	// Reload reads the settings again after SIGHUP; nil if there is nothing to
@@ -100,13 +103,16 @@
 	handler    *entry.Handler
 	follower   *follow.Follower
 	origins    *origins.Origins
-	mesh       *mesh.Mesh
-	listeners  listeners
-	monitor    overload.Monitor
-	admission  overload.Admission
-	pacer      overload.Pacer
-	rotation   *overload.Rotation
-	stopping   chan struct{}
+	confirmer  *confirm.Confirmer
+	// steadySince is the beginning of the time that storeAnswered returns.
+	steadySince time.Time
+	mesh        *mesh.Mesh
+	listeners   listeners
+	monitor     overload.Monitor
+	admission   overload.Admission
+	pacer       overload.Pacer
+	rotation    *overload.Rotation
+	stopping    chan struct{}
 }
 
 type listeners struct {
@@ -175,6 +181,9 @@
 	s := &p.options.Settings
 	p.routes = &routing.Store{}
 	p.endpoints = registry.NewTable()
+	// Entries that this router reads or fetches later than that would leave too little of the bound on
+	// draining for the way of a record to it and of a request to the endpoint.
+	p.endpoints.SetMaxAge(s.StoreWait)
 	limits := retry.Limits{Floor: s.RetryFloor, Fraction: s.RetryFraction}
 	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
 	p.pool = endpointhttp.NewPool(dialTimeout)
@@ -195,10 +204,44 @@
 	})
 	p.follower.OnChange = p.updateDispatcher
 	p.origins = origins.New(origins.Options{
-		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
+		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
+		Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
 		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
 	})
 	p.handler.Origins = p.origins
+	p.confirmer = &confirm.Confirmer{
+		Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect, Report: p.options.Report,
+		StoreAnswered: p.storeAnswered, Log: p.log, Metrics: p.metrics,
+	}
+	p.pool.OnBroken = p.doubtIncarnation
+}
+
+// doubtIncarnation handles a broken connection to an endpoint. While the store answers, it tells of a
+// restart; endpoints also close idle connections while they run.
+func (p *process) doubtIncarnation(id string, idle bool) {
+	now := time.Now()
+	if !idle || p.endpoints.EntriesDue(now) > 0 {
+		p.dispatcher.DoubtIncarnation(now, id)
+	}
+}
+
+// storeAnswered returns the bounds of the latest time in which the store is known to have answered this
+// router or a peer, or zero times. A router that reads the store notices an outage when its read times
+// out. Only the confirmer calls it.
+func (p *process) storeAnswered(now time.Time) (since, until time.Time) {
+	switch {
+	case p.follower.ReadsStore():
+		until = p.follower.AnsweredAt()
+	case p.mesh.HasStoreReader():
+		until = now.Add(-p.follower.ReadTimeout() - mesh.ReaderTimeout)
+	default:
+		p.steadySince = time.Time{}
+		return time.Time{}, time.Time{}
+	}
+	if p.steadySince.IsZero() {
+		p.steadySince = now
+	}
+	return p.steadySince, until
 }
 
 // longestStream returns the longest timeout of a route whose streams may be resumed.
@@ -261,6 +304,7 @@
 	group.Go(func() error { return p.mesh.SendLimits(ctx) })
 	group.Go(func() error { return p.keepCrashes(ctx) })
 	group.Go(func() error { return p.origins.Run(ctx) })
+	group.Go(func() error { return p.confirmer.Run(ctx) })
 	group.Go(func() error { return p.mesh.Receive(ctx) })
 	group.Go(func() error {
 		return p.follower.Announce(ctx, p.options.Settings.Name, p.listeners.fleet.Addr().String())
@@ -404,6 +448,7 @@
 			metrics.GetOrRegisterGauge("direct.lateness_ms", p.metrics).Update(p.monitor.SchedulingDelay().Milliseconds())
 			metrics.GetOrRegisterGauge("direct.quarantined_prompts", p.metrics).Update(int64(p.dispatcher.QuarantinedSets()))
 			metrics.GetOrRegisterGauge("direct.limited_endpoints", p.metrics).Update(int64(p.dispatcher.LimitedEndpoints()))
+			metrics.GetOrRegisterGauge("direct.doubted_endpoints", p.metrics).Update(int64(p.dispatcher.DoubtedEndpoints()))
 			metrics.GetOrRegisterGauge("direct.stream_origins", p.metrics).Update(int64(p.origins.Len()))
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -64,6 +64,8 @@
 	// recovered is the end of the latest outage of the store.
 	recovered time.Time
 	outage    bool
+	// wasComplete is set if all live endpoints were known when the present outage began.
+	wasComplete bool
 	// reached is the first time at which the store responded.
 	reached time.Time
 	// ready caches the lists that Ready returns. It is cleared on each change.
@@ -75,11 +77,17 @@
 	suspended map[string]suspension
 	// leaving holds the start times of the instances that said that they leave, by ID.
 	leaving map[string]time.Time
+	// maxAge is the age from which the table counts as outdated; 0 if it never does.
+	maxAge time.Duration
+	// checkedAt is the latest time at which the table held all that was known to have been written.
+	checkedAt time.Time
 }
 
 type departure struct {
 	// started is the start of the instance that departed.
 	started, at time.Time
+	// lapsed is set if the entry may have expired while the instance lives.
+	lapsed bool
 }
 
 type suspension struct {
@@ -160,11 +168,11 @@
 		}
 		return
 	}
-	t.remove(id, now)
+	t.remove(id, now, false)
 }
 
-func (t *Table) remove(id string, now time.Time) {
-	t.departed[id] = departure{started: t.endpoints[id].endpoint.Started, at: now}
+func (t *Table) remove(id string, now time.Time, lapsed bool) {
+	t.departed[id] = departure{started: t.endpoints[id].endpoint.Started, at: now, lapsed: lapsed}
 	t.ready = nil
 	delete(t.endpoints, id)
 }
@@ -201,10 +209,13 @@
 	}
 }
 
-// StoreUnavailable records that the store does not respond.
-func (t *Table) StoreUnavailable() {
+// StoreUnavailable records that the store does not respond at now.
+func (t *Table) StoreUnavailable(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.outage {
+		t.wasComplete = t.entriesDue(now) == 0
+	}
 	t.outage = true
 }
 
@@ -227,6 +238,10 @@
 func (t *Table) EntriesDue(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.entriesDue(now)
+}
+
+func (t *Table) entriesDue(now time.Time) time.Duration {
 	if t.outage || t.reached.IsZero() {
 		return RecoveryTime
 	}
@@ -237,6 +252,22 @@
 	return max(latest.Add(RecoveryTime).Sub(now), 0)
 }
 
+// Complete reports whether all live endpoints are registered here, or were when the present outage
+// of the store began. No entry was removed lately that may have expired.
+func (t *Table) Complete(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range t.departed {
+		if d.lapsed {
+			return false
+		}
+	}
+	if t.outage {
+		return t.wasComplete
+	}
+	return t.entriesDue(now) == 0
+}
+
 func (t *Table) recovering(now time.Time) bool {
 	return t.outage || (!t.recovered.IsZero() && now.Before(t.recovered.Add(RecoveryTime)))
 }
@@ -257,7 +288,7 @@
 	changed := false
 	for id, e := range t.endpoints {
 		if !e.removeAt.IsZero() && now.After(e.removeAt) {
-			t.remove(id, now)
+			t.remove(id, now, true)
 			changed = true
 		}
 	}
@@ -320,6 +351,43 @@
 	return ids
 }
 
+// SetMaxAge sets the time without a check after which the table counts as outdated.
+func (t *Table) SetMaxAge(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxAge = d
+}
+
+// Checked records that the table held at a time all entries that this router knew to have been
+// written.
+func (t *Table) Checked(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.checkedAt) {
+		t.checkedAt = at
+	}
+}
+
+// Outdated reports whether entries that were written long ago may be missing, because this router is
+// late to read them or to check whether there are any.
+func (t *Table) Outdated(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maxAge > 0 && !t.checkedAt.IsZero() && now.Sub(t.checkedAt) > t.maxAge
+}
+
+// Accepting returns an endpoint by ID if it accepts requests at now. Unlike Ready, it regards the end
+// of a grace period before Expire does.
+func (t *Table) Accepting(id string, now time.Time) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || e.endpoint.State != Ready || !e.removeAt.IsZero() && now.After(e.removeAt) {
+		return Endpoint{}, false
+	}
+	return e.endpoint, true
+}
+
 // Lookup returns an endpoint by ID.
 func (t *Table) Lookup(id string) (Endpoint, bool) {
 	t.mu.Lock()
