--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// stallTimeout is how long an endpoint must remain stalled before another attempt at a
+	// hedgeStallDelay is how long an endpoint must remain stalled before another attempt at a
 	// stream begins. It is in addition to the silence after which an endpoint counts as
 	// stalled and gets no new requests.
-	stallTimeout = 400 * time.Millisecond
+	hedgeStallDelay = 400 * time.Millisecond
 	// hedgeInterval is the interval at which an attempt is checked for a silent endpoint.
 	hedgeInterval = 250 * time.Millisecond
 	// hedgeFraction is the fraction of the latency target after which another attempt at an
@@ -30,17 +30,18 @@
 )
 
 var (
-	// errSuperseded ends an attempt because the other one has something to forward.
+	// errSuperseded ends an attempt because another one has something to forward.
 	errSuperseded      = errors.New("another attempt at the request has an answer")
 	errAttemptPanicked = errors.New("attempt ended by a panic")
 )
 
-// hedge runs further attempts beside a first one whose endpoint is silent. The first of them that
-// has something to forward to the caller goes on, and the others are cancelled then. A silent
-// endpoint may still answer, and another attempt may fail, so none is ended earlier.
+// hedge runs further attempts beside a first one whose endpoint is silent or, for an idempotent
+// request, late. The first of them that has something to forward to the caller goes on, and the
+// others are cancelled then. A silent endpoint may still answer, and another attempt may fail, so
+// none is ended earlier.
 //
 // The request's goroutine uses the first attempt. Each other one runs in a goroutine of its own
-// until await takes it, or claim or stop end it. mu is locked before the dispatcher's lock. The
+// until await takes it, or settle or stop end it. mu is locked before the dispatcher's lock. The
 // methods of the request's goroutine may be called on nil, for an attempt beside which no other
 // one may run.
 type hedge struct {
@@ -336,7 +337,7 @@
 		return
 	}
 	other.resume, other.begun = resume, begun
-	h.r.h.Log.Info("another attempt started", "request", h.r.id, "silent_endpoint", h.first.assignment.Endpoint.ID,
+	h.r.h.Log.Info("another attempt started", "request", h.r.id, "first_endpoint", h.first.assignment.Endpoint.ID,
 		"endpoint", other.assignment.Endpoint.ID, "begun", begun, "after_ms", now.Sub(h.first.startedAt).Milliseconds())
 	h.run(other)
 }
@@ -349,15 +350,16 @@
 	stalled := func(a *attempt) bool { return a.assignment.Stalled(now) }
 	switch {
 	case now.Sub(h.scheduled) > maxCheckDelay, h.forwarding && !h.firstEnded, hasUnread, len(inProgress) == 0:
-		// The silence, if any, begins anew below.
+		// This process was late, or the request's goroutine doesn't read.
 	case h.r.route.Semantics == routing.Idempotent:
 		return !h.begun && now.Sub(inProgress[len(inProgress)-1].startedAt) >= h.r.hedgeDelay()
 	case h.begun && !h.hasID, slices.ContainsFunc(inProgress, func(a *attempt) bool { return !stalled(a) }):
+		// No attempt could continue the stream, or an endpoint sends.
 	default:
 		if h.silentSince.IsZero() {
 			h.silentSince = now
 		}
-		return now.Sub(h.silentSince) >= stallTimeout
+		return now.Sub(h.silentSince) >= hedgeStallDelay
 	}
 	h.silentSince = time.Time{}
 	return false
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -29,7 +29,6 @@
 var (
 	errUnsavedOrigin = errors.New("the origin of the stream can't be saved")
 	errEventTooLong  = errors.New("event in the endpoint's stream is too long")
-	errOutpaced      = errors.New("another attempt had an event first")
 )
 
 // streamState is the state of a streamed response across attempts.
@@ -137,7 +136,7 @@
 		if n > 0 {
 			writeErr := r.forwardEvents(a, s, buffer[:n], eventStream, now)
 			switch {
-			case errors.Is(writeErr, errOutpaced):
+			case errors.Is(writeErr, errSuperseded):
 				r.endSuperseded(a)
 				return failed
 			case errors.Is(writeErr, errUnsavedOrigin):
@@ -178,7 +177,7 @@
 // forwardEvents writes the events that are complete with data, or data itself if
 // the response is not an event stream. Only complete events count as received: an
 // endpoint that sends single bytes and no events is stalled. It returns errUnsavedOrigin if the
-// caller must not get the first events, and errOutpaced if another attempt goes on with the
+// caller must not get the first events, and errSuperseded if another attempt goes on with the
 // stream.
 func (r *request) forwardEvents(a *attempt, s *streamState, data []byte, eventStream bool, now time.Time) error {
 	if eventStream {
@@ -193,7 +192,7 @@
 		lastID, hasID = s.lastID, s.hasID
 	}
 	if !r.hedge.reserve() {
-		return errOutpaced
+		return errSuperseded
 	}
 	a.assignment.Begin(now)
 	if eventStream {
