A panic in the check of a hedge doesn't leave its lock held

The recovery that keeps such a panic from ending the process left the hedge's lock held, so that the request's goroutine would have waited for it without end. The decision is a function of its own now that unlocks by defer, and one recovery logs the panic instead of two.

--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -41,7 +41,8 @@
 // none is ended earlier.
 //
 // The request's goroutine uses the first attempt. Each other one runs in a goroutine of its own
-// until await takes it, or settle or stop end it. mu is locked before the dispatcher's lock. The
+// until await takes it, or settle or stop end it. mu is locked before the locks of the dispatcher
+// and of the origins. The
 // methods of the request's goroutine may be called on nil, for an attempt beside which no other
 // one may run.
 type hedge struct {
@@ -313,35 +314,49 @@
 		}
 	}()
 	now := time.Now()
-	h.mu.Lock()
-	if h.ended || h.winner != nil {
-		h.mu.Unlock()
-		return
-	}
-	if !h.due(now) {
-		h.schedule(hedgeInterval)
-		h.mu.Unlock()
+	p, due := h.plan(now)
+	if !due {
 		return
 	}
-	next, begun, settled := h.next, h.begun, h.settled
-	resume := h.r.resumeHeader(h.lastID, h.hasID)
-	h.mu.Unlock()
-	if begun {
-		next.Build, next.Continued = dispatch.BuildOf(h.first.assignment.Endpoint), true
-	} else {
-		next.Build = h.r.restrictedBuild(h.build)
-	}
-	other := h.start(now, &next, settled)
+	other := h.start(now, &p)
 	if other == nil {
 		h.rearm()
 		return
 	}
-	other.resume, other.begun = resume, begun
 	h.r.h.Log.Info("another attempt started", "request", h.r.id, "first_endpoint", h.first.assignment.Endpoint.ID,
-		"endpoint", other.assignment.Endpoint.ID, "begun", begun, "after_ms", now.Sub(h.first.startedAt).Milliseconds())
+		"endpoint", other.assignment.Endpoint.ID, "begun", other.begun, "after_ms", now.Sub(h.first.startedAt).Milliseconds())
 	h.run(other)
 }
 
+// plan is another attempt that is due.
+type plan struct {
+	request dispatch.Request
+	resume  http.Header
+	begun   bool
+	// settled is the count of hedge.settled for which the plan holds.
+	settled int
+}
+
+// plan returns another attempt if one is due, and otherwise schedules the next check.
+func (h *hedge) plan(now time.Time) (p plan, due bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended || h.winner != nil {
+		return p, false
+	}
+	if !h.due(now) {
+		h.schedule(hedgeInterval)
+		return p, false
+	}
+	p = plan{request: h.next, resume: h.r.resumeHeader(h.lastID, h.hasID), begun: h.begun, settled: h.settled}
+	if p.begun {
+		p.request.Build, p.request.Continued = dispatch.BuildOf(h.first.assignment.Endpoint), true
+	} else {
+		p.request.Build = h.r.restrictedBuild(h.build)
+	}
+	return p, true
+}
+
 // due reports whether another attempt should begin: the endpoints of those in progress have been
 // silent for long enough, and this process wasn't late to read what they sent. The caller holds mu.
 func (h *hedge) due(now time.Time) bool {
@@ -381,8 +396,8 @@
 
 // start places another attempt. It returns nil if no endpoint takes the request, the retry
 // budget is used up, or the first attempt has ended or had something to forward meanwhile.
-func (h *hedge) start(now time.Time, next *dispatch.Request, settled int) *otherAttempt {
-	d := h.r.h.Dispatcher
+func (h *hedge) start(now time.Time, p *plan) *otherAttempt {
+	d, next := h.r.h.Dispatcher, &p.request
 	// A placement counts against the endpoint's request limit, and costs more than these checks.
 	if !d.RetryAllowed(now, next.Service) || !d.HasUsable(now, next.Service, next.Exclude, next.Build) || d.Quarantine(now, next.Cost, next.Fingerprint) != nil {
 		return nil
@@ -393,14 +408,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || h.winner != nil || h.settled != settled || !d.TakeRetry(now, next.Service) {
+	if h.ended || h.winner != nil || h.settled != p.settled || !d.TakeRetry(now, next.Service) {
 		assignment.End(now, endpointload.NotSent)
 		return nil
 	}
 	h.r.h.Metrics.Hedges.Inc(1)
 	h.next.Exclude = append(slices.Clone(h.next.Exclude), assignment.Endpoint.ID)
 	h.executions++
-	other := &otherAttempt{attempt: h.r.newAttempt(assignment), finished: make(chan struct{})}
+	other := &otherAttempt{attempt: h.r.newAttempt(assignment), resume: p.resume, begun: p.begun, finished: make(chan struct{})}
 	h.others = append(h.others, other)
 	h.schedule(hedgeInterval)
 	return other
@@ -409,10 +424,10 @@
 // run runs another attempt until it has failed or has something to forward.
 func (h *hedge) run(other *otherAttempt) {
 	defer h.finish(other)
+	panicked := true
 	defer func() {
-		if cause := recover(); cause != nil {
+		if panicked {
 			other.outcome, other.err = indeterminate, errAttemptPanicked
-			h.r.h.Log.Error("panic in another attempt", "request", h.r.id, "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
 	h.r.logResumption(other.assignment, other.resume)
@@ -425,6 +440,7 @@
 		build := h.r.restrictedBuild(h.build)
 		other.withheld = build != streamorigin.AnyBuild && build != dispatch.BuildOf(other.assignment.Endpoint)
 	}
+	panicked = false
 }
 
 // finish records the end of run. If the attempt has something to forward before the others, it
