A hedge derives the request to place only when another attempt is due

Each attempt at a repeatable request prepared the request for another one, with a copy of the excluded endpoints and a second look at the origins' restriction, although few are hedged. The hedge keeps what it is derived from instead, and overwrites nothing of it later.

--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -436,10 +436,19 @@
 }
 
 func (r *request) dispatchRequest(now time.Time) *dispatch.Request {
+	d := r.dispatchRequestAt(now, r.exclude, r.placedBuild())
+	d.Continued = r.build != streamorigin.AnyBuild
+	d.Repeated = r.possibleExecutions > 0 || r.continues
+	d.Begun = r.responseBegun
+	return d
+}
+
+// dispatchRequestAt returns the request to place at an endpoint of a build that is not in exclude.
+// It uses nothing that changes while the request is being delivered.
+func (r *request) dispatchRequestAt(now time.Time, exclude []string, build streamorigin.Build) *dispatch.Request {
 	return &dispatch.Request{
 		Service: r.service.Name, Team: r.team, Cost: r.cost, Fingerprint: r.fingerprint(),
-		Target: r.latencyTarget(now), Exclude: r.exclude, Build: r.placedBuild(), Resumable: r.isResumable(), Continued: r.build != streamorigin.AnyBuild,
-		Repeated: r.possibleExecutions > 0 || r.continues, Begun: r.responseBegun,
+		Target: r.latencyTarget(now), Exclude: exclude, Build: build, Resumable: r.isResumable(),
 	}
 }
 
--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -42,21 +42,20 @@
 //
 // The request's goroutine uses the first attempt. Each other one runs in a goroutine of its own
 // until await takes it, or settle or stop end it. mu is locked before the locks of the dispatcher
-// and of the origins. The
-// methods of the request's goroutine may be called on nil, for an attempt beside which no other
-// one may run.
+// and of the origins. The methods of the request's goroutine may be called on nil, for an attempt
+// beside which no other one may run.
 type hedge struct {
 	r        *request
 	delivery delivery
 	first    *attempt
-	// next is the request to place at another endpoint. build is the only build that can run it,
-	// or streamorigin.AnyBuild, while the caller has no part of the response.
-	next  dispatch.Request
+	// build is the only build that can run the request, or streamorigin.AnyBuild, while the caller
+	// has no part of the response. tried lists the endpoints of the attempts before the first one.
 	build streamorigin.Build
+	tried []string
 
 	mu sync.Mutex
 	// changed is signaled when another attempt has finished.
-	changed *sync.Cond
+	changed sync.Cond
 	timer   *time.Timer
 	// scheduled is the time of the next check.
 	scheduled time.Time
@@ -76,6 +75,8 @@
 	// notExecuted the other attempts that certainly weren't.
 	executions, notExecuted int
 	ended                   bool
+	// usedByOthers lists the endpoints of the other attempts.
+	usedByOthers []string
 	// others holds the other attempts that run or have something to forward, winner the one that
 	// had it first.
 	others []*otherAttempt
@@ -126,11 +127,9 @@
 	if !r.route.Repeatable() || executions >= r.route.Attempts || idempotent && r.route.LatencyTarget <= 0 {
 		return nil
 	}
-	h := &hedge{r: r, delivery: d, first: a, next: *r.dispatchRequest(a.startedAt), build: r.build, begun: r.responseBegun, executions: executions}
+	h := &hedge{r: r, delivery: d, first: a, build: r.build, tried: slices.Clip(r.exclude), begun: r.responseBegun, executions: executions}
 	h.lastID, h.hasID = d.lastEvent()
-	h.changed = sync.NewCond(&h.mu)
-	h.next.Exclude = append(slices.Clone(r.exclude), a.assignment.Endpoint.ID)
-	h.next.Repeated, h.next.Begun = true, false
+	h.changed.L = &h.mu
 	delay := hedgeInterval
 	if idempotent {
 		delay = r.hedgeDelay()
@@ -330,7 +329,7 @@
 
 // plan is another attempt that is due.
 type plan struct {
-	request dispatch.Request
+	request *dispatch.Request
 	resume  http.Header
 	begun   bool
 	// settled is the count of hedge.settled for which the plan holds.
@@ -348,12 +347,13 @@
 		h.schedule(hedgeInterval)
 		return p, false
 	}
-	p = plan{request: h.next, resume: h.r.resumeHeader(h.lastID, h.hasID), begun: h.begun, settled: h.settled}
-	if p.begun {
-		p.request.Build, p.request.Continued = dispatch.BuildOf(h.first.assignment.Endpoint), true
-	} else {
-		p.request.Build = h.r.restrictedBuild(h.build)
+	build := dispatch.BuildOf(h.first.assignment.Endpoint)
+	if !h.begun {
+		build = h.r.restrictedBuild(h.build)
 	}
+	exclude := slices.Concat(h.tried, []string{h.first.assignment.Endpoint.ID}, h.usedByOthers)
+	p = plan{request: h.r.dispatchRequestAt(h.first.startedAt, exclude, build), resume: h.r.resumeHeader(h.lastID, h.hasID), begun: h.begun, settled: h.settled}
+	p.request.Repeated, p.request.Continued = true, h.begun || h.build != streamorigin.AnyBuild
 	return p, true
 }
 
@@ -397,7 +397,7 @@
 // start places another attempt. It returns nil if no endpoint takes the request, the retry
 // budget is used up, or the first attempt has ended or had something to forward meanwhile.
 func (h *hedge) start(now time.Time, p *plan) *otherAttempt {
-	d, next := h.r.h.Dispatcher, &p.request
+	d, next := h.r.h.Dispatcher, p.request
 	// A placement counts against the endpoint's request limit, and costs more than these checks.
 	if !d.RetryAllowed(now, next.Service) || !d.HasUsable(now, next.Service, next.Exclude, next.Build) || d.Quarantine(now, next.Cost, next.Fingerprint) != nil {
 		return nil
@@ -413,7 +413,7 @@
 		return nil
 	}
 	h.r.h.Metrics.Hedges.Inc(1)
-	h.next.Exclude = append(slices.Clone(h.next.Exclude), assignment.Endpoint.ID)
+	h.usedByOthers = append(h.usedByOthers, assignment.Endpoint.ID)
 	h.executions++
 	other := &otherAttempt{attempt: h.r.newAttempt(assignment), resume: p.resume, begun: p.begun, finished: make(chan struct{})}
 	h.others = append(h.others, other)
