--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -36,12 +36,10 @@
 	// splitter holds the incomplete event of the attempt in progress.
 	splitter eventstream.Splitter
 	// lastID is the identifier of the last forwarded event, if hasID is set.
-	lastID int64
-	hasID  bool
-	// headersSent is set once the response headers were sent to the caller.
-	headersSent bool
-	flusher     *http.ResponseController
-	written     int64
+	lastID  int64
+	hasID   bool
+	flusher *http.ResponseController
+	written int64
 }
 
 // streamDelivery forwards events as they arrive. Before the first event, the
@@ -55,18 +53,18 @@
 func (d streamDelivery) send(assignment *dispatch.Assignment) *attempt {
 	extra := d.r.resumeHeader(d.s.lastID, d.s.hasID)
 	d.r.logResumption(assignment, extra)
-	if d.s.headersSent {
+	if d.r.responseBegun {
 		d.r.h.Metrics.Resumed.Inc(1)
 	}
 	return d.r.sendHedged(d, assignment, extra)
 }
 func (d streamDelivery) relay(a *attempt) relayResult      { return d.r.relayStream(a, d.s) }
 func (d streamDelivery) lastEvent() (int64, bool)          { return d.s.lastID, d.s.hasID }
-func (d streamDelivery) canContinue() bool                 { return !d.s.headersSent || d.s.hasID }
+func (d streamDelivery) canContinue() bool                 { return !d.r.responseBegun || d.s.hasID }
 func (d streamDelivery) failWithoutResponse(reason string) { d.r.failStream(d.s, reason) }
 
 func (d streamDelivery) rejectUnplaced(refusal *dispatch.Refusal) {
-	if d.s.headersSent {
+	if d.r.responseBegun {
 		d.r.abortStream(d.s, "no endpoint resumes the stream")
 	}
 	d.r.rejectUnplaced(refusal)
@@ -123,8 +121,8 @@
 // relayStream forwards the events of one endpoint.
 func (r *request) relayStream(a *attempt, s *streamState) relayResult {
 	eventStream := isEventStream(a.response.Header)
-	if a.response.Status >= 300 || s.headersSent && !eventStream {
-		return r.relayErrorResponse(a, s)
+	if a.response.Status >= 300 || r.responseBegun && !eventStream {
+		return r.relayErrorResponse(a)
 	}
 	s.splitter = eventstream.Splitter{}
 	buffer := streamBuffers.get(streamBuffer)
@@ -156,7 +154,7 @@
 		case err != nil:
 			return r.endBroken(a, err)
 		}
-		if s.headersSent && r.h.Overload.PreferBatching() {
+		if r.responseBegun && r.h.Overload.PreferBatching() {
 			time.Sleep(coalesceDelay)
 		}
 	}
@@ -198,13 +196,13 @@
 	if eventStream {
 		a.assignment.Served(now)
 	}
-	if !s.headersSent && eventStream && !r.recordOrigin(a) {
+	if !r.responseBegun && eventStream && !r.recordOrigin(a) {
 		r.hedge.release()
 		return errUnsavedOrigin
 	}
 	r.hedge.settle(lastID, hasID)
-	if !s.headersSent {
-		s.headersSent, r.responseBegun = true, true
+	if !r.responseBegun {
+		r.responseBegun = true
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
 		r.copyResponseHeader(a.response.Header)
 		r.w.WriteHeader(a.response.Status)
@@ -233,8 +231,7 @@
 	}
 	r.hedge.settle(s.lastID, s.hasID)
 	a.assignment.Served(time.Now())
-	if !s.headersSent {
-		s.headersSent = true
+	if !r.responseBegun {
 		r.copyResponseHeader(a.response.Header)
 		r.w.WriteHeader(a.response.Status)
 	}
@@ -248,8 +245,8 @@
 // relayErrorResponse forwards a response with a status of 300 or above if nothing
 // was sent to the caller yet. Otherwise the response, whatever its status, does not continue
 // the stream.
-func (r *request) relayErrorResponse(a *attempt, s *streamState) relayResult {
-	if !s.headersSent {
+func (r *request) relayErrorResponse(a *attempt) relayResult {
+	if !r.responseBegun {
 		return r.relayBuffered(a)
 	}
 	r.endAttempt(a, endpointload.Failed)
@@ -268,7 +265,7 @@
 }
 
 func (r *request) failStream(s *streamState, reason string) {
-	if s.headersSent {
+	if r.responseBegun {
 		r.abortStream(s, reason)
 	}
 	r.failWithoutResponse(reason)
