--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -111,13 +111,9 @@
 func (r *request) run(d delivery, assignment *dispatch.Assignment) (*attempt, relayResult) {
 	a := d.send(assignment)
 	for {
-		result := failed
-		if a.outcome == responded {
-			result = d.relay(a)
-		} else {
+		if a.outcome != responded {
 			r.endAttempt(a, r.resultOf(a))
-		}
-		if result == done {
+		} else if d.relay(a) == done {
 			return a, done
 		}
 		other := r.hedge.await()
--- a/direct/entry/hedge.go
+++ b/direct/entry/hedge.go
@@ -186,12 +186,12 @@
 	}
 }
 
-// claim reserves and settles what isn't an event of a stream.
-func (h *hedge) claim() bool {
+// claim reserves and settles at once.
+func (h *hedge) claim(lastID int64, hasID bool) bool {
 	if !h.reserve() {
 		return false
 	}
-	h.settle(0, false)
+	h.settle(lastID, hasID)
 	return true
 }
 
@@ -480,7 +480,8 @@
 }
 
 // endSuperseded ends an attempt that another one replaces.
-func (r *request) endSuperseded(a *attempt) {
+func (r *request) endSuperseded(a *attempt) relayResult {
 	a.err = errSuperseded
 	r.endAttempt(a, endpointload.Failed)
+	return failed
 }
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -37,27 +37,25 @@
 // prefetch reads the response, or as much of it as is buffered.
 func (d plainDelivery) prefetch(a *attempt, _ bool) { a.prefetchBuffered() }
 
-// prefetchBuffered reads the response up to the size that relayBuffered buffers.
+// prefetchBuffered reads the response like relayBuffered. A server error that is too long to be
+// buffered counts as lost.
 func (a *attempt) prefetchBuffered() {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
-	if err != nil {
+	body, err := a.readBuffered()
+	if err != nil || a.failure == nil && a.response.Status >= http.StatusInternalServerError {
 		a.outcome, a.err = indeterminate, err
 		return
 	}
-	if a.response.Status >= http.StatusInternalServerError {
-		a.recordFailure(body)
-		return
-	}
 	a.response.Body = io.MultiReader(bytes.NewReader(body), a.response.Body)
 }
 
-// recordFailure keeps the body of a server error, unless it is too long to be complete.
-func (a *attempt) recordFailure(body []byte) {
-	if len(body) > maxBufferedResponse {
-		a.outcome = indeterminate
-		return
+// readBuffered reads the response, or at most one byte more than maxBufferedResponse. It records a
+// complete server error.
+func (a *attempt) readBuffered() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
+	if err == nil && len(body) <= maxBufferedResponse && a.response.Status >= http.StatusInternalServerError {
+		a.failure = &bufferedResponse{a.response.Status, a.response.Header, body}
 	}
-	a.failure = &bufferedResponse{a.response.Status, a.response.Header, body}
+	return body, err
 }
 
 func (r *request) place(now time.Time) (*dispatch.Assignment, *dispatch.Refusal) {
@@ -100,20 +98,17 @@
 // relayBuffered reads the whole response and forwards it, unless it is incomplete
 // or a server error.
 func (r *request) relayBuffered(a *attempt) relayResult {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
+	body, err := a.readBuffered()
 	if err != nil {
-		a.err = err
-		r.endAttempt(a, r.resultOf(a))
-		return failed
+		return r.endBroken(a, err)
 	}
-	if len(body) <= maxBufferedResponse && a.response.Status >= 500 {
-		r.failure = &bufferedResponse{a.response.Status, a.response.Header, body}
+	if a.failure != nil {
+		r.failure = a.failure
 		r.endAttempt(a, endpointload.Failed)
 		return failed
 	}
-	if !r.hedge.claim() {
-		r.endSuperseded(a)
-		return failed
+	if !r.hedge.claim(0, false) {
+		return r.endSuperseded(a)
 	}
 	if len(body) > maxBufferedResponse {
 		return r.relayLarge(a, body)
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -135,8 +135,7 @@
 			writeErr := r.forwardEvents(a, s, buffer[:n], eventStream, now)
 			switch {
 			case errors.Is(writeErr, errSuperseded):
-				r.endSuperseded(a)
-				return failed
+				return r.endSuperseded(a)
 			case errors.Is(writeErr, errUnsavedOrigin):
 				r.endAttempt(a, endpointload.Abandoned)
 				a.withheld = true
@@ -225,11 +224,9 @@
 			return r.endBroken(a, err)
 		}
 	}
-	if !r.hedge.reserve() {
-		r.endSuperseded(a)
-		return failed
+	if !r.hedge.claim(s.lastID, s.hasID) {
+		return r.endSuperseded(a)
 	}
-	r.hedge.settle(s.lastID, s.hasID)
 	a.assignment.Served(time.Now())
 	if !r.responseBegun {
 		r.copyResponseHeader(a.response.Header)
