--- a/agent/work.go
+++ b/agent/work.go
@@ -15,13 +15,12 @@
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
 	"github.com/acaciaspar/acaciaspar/protocol/work"
 	"github.com/acaciaspar/acaciaspar/state/objects"
+	"github.com/acaciaspar/acaciaspar/transport/httpstatus"
 )
 
 const (
 	// copyBufferBytes is the size of the buffers that responses are copied with.
 	copyBufferBytes = 32 << 10
-	// maxStatus is the highest status of a final response (RFC 9110, section 15).
-	maxStatus = 599
 	// maxNameBytes is the maximum length of the names stored for a request.
 	maxNameBytes = 256
 )
@@ -173,7 +172,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+	if !httpstatus.IsFinal(resp.StatusCode) {
 		ar.handleInvalidStatus(w, resp.StatusCode)
 		return
 	}
--- a/direct/mesh/invalid_reports_test.go
+++ b/direct/mesh/invalid_reports_test.go
@@ -15,6 +15,7 @@
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
+	"github.com/acaciaspar/acaciaspar/transport/netaddress"
 )
 
 // noStreams ignores the origins of peers' streams and fails on one without a build.
@@ -107,7 +108,7 @@
 		for address := range m.peers {
 			parsed, err := netip.ParseAddrPort(address)
 			must.NoError(t, err)
-			must.True(t, loadreport.IsRouterAddress(parsed))
+			must.True(t, netaddress.IsHost(parsed))
 		}
 	})
 }
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -26,6 +26,7 @@
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/protocol/loadreport"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
+	"github.com/acaciaspar/acaciaspar/transport/netaddress"
 )
 
 const (
@@ -167,7 +168,7 @@
 	if parsed == m.address {
 		return
 	}
-	if err != nil || !loadreport.IsRouterAddress(parsed) {
+	if err != nil || !netaddress.IsHost(parsed) {
 		m.badReports.Inc(1)
 		if m.limiter.Allow(now, address, "address") {
 			m.log.Warn("invalid address of a peer ignored", "address", address)
@@ -509,14 +510,10 @@
 	return batch, true, nil
 }
 
-// maxOffset bounds the offsets of the store's records. A record with a higher one would keep all
-// later records of its key from being applied.
-const maxOffset = 1 << 53
-
 // decodeRecords returns the records of a peer's reply. It ignores records that can't be before its
 // end.
 func (m *Mesh) decodeRecords(reply *fleetpb.RecordsReply) (mirror.Batch, error) {
-	if reply.Era < 0 || reply.Next < 0 || reply.Next > maxOffset {
+	if reply.Era < 0 || reply.Next < 0 || reply.Next > loadreport.MaxOffset {
 		return mirror.Batch{}, eris.Errorf("the end is out of range: era %d, offset %d", reply.Era, reply.Next)
 	}
 	batch := mirror.Batch{
@@ -583,17 +580,7 @@
 }
 
 // HasStoreReader reports whether a peer currently reads the store.
-func (m *Mesh) HasStoreReader() bool {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if p.readsStore && now.Sub(p.lastReport) <= ReaderTimeout {
-			return true
-		}
-	}
-	return false
-}
+func (m *Mesh) HasStoreReader() bool { return len(m.readingPeers()) > 0 }
 
 // streamSavers is the number of routers that save the origins of streams for the fleet. With
 // two, one may fail.
@@ -612,7 +599,7 @@
 
 // StoreIsRead reports whether this router or a peer currently reads the store. In an outage, that
 // ends at a router that doesn't call the store itself, too.
-func (m *Mesh) StoreIsRead() bool { return m.local.ReadsStore() || len(m.readingPeers()) > 0 }
+func (m *Mesh) StoreIsRead() bool { return m.local.ReadsStore() || m.HasStoreReader() }
 
 // readingPeers returns the addresses of the peers that currently read the store.
 func (m *Mesh) readingPeers() []string {
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -5,6 +5,8 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/acaciaspar/acaciaspar/transport/netaddress"
 )
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
@@ -221,11 +223,11 @@
 	return r, nil
 }
 
-// MaxCount bounds counts, so that sums over a fleet don't overflow. maxOffset bounds the offsets of
+// MaxCount bounds counts, so that sums over a fleet don't overflow. MaxOffset bounds the offsets of
 // the store's records.
 const (
 	MaxCount  = 1 << 30
-	maxOffset = 1 << 53
+	MaxOffset = 1 << 53
 )
 
 // noEra is the era of a sender that knows nothing of a topic yet.
@@ -314,7 +316,7 @@
 
 func (d *decoder) position() Position {
 	p := Position{Era: d.varint(), Next: d.varint()}
-	d.check(p.Era >= noEra && p.Next >= 0 && p.Next <= maxOffset)
+	d.check(p.Era >= noEra && p.Next >= 0 && p.Next <= MaxOffset)
 	return p
 }
 
@@ -343,16 +345,10 @@
 	return int(n)
 }
 
-// IsRouterAddress reports whether a is the IPv4 address and the port of a single host.
-func IsRouterAddress(a netip.AddrPort) bool {
-	ip := a.Addr()
-	return ip.Is4() && a.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip != netip.AddrFrom4([4]byte{255, 255, 255, 255})
-}
-
 func (d *decoder) address() netip.AddrPort {
 	b := d.bytes(addressBytes)
 	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
-	d.check(IsRouterAddress(a))
+	d.check(netaddress.IsHost(a))
 	return a
 }
 
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -19,7 +19,7 @@
 }
 
 func drawPosition(t *rapid.T) Position {
-	return Position{Era: rapid.Int64Min(noEra).Draw(t, "era"), Next: rapid.Int64Range(0, maxOffset).Draw(t, "next")}
+	return Position{Era: rapid.Int64Min(noEra).Draw(t, "era"), Next: rapid.Int64Range(0, MaxOffset).Draw(t, "next")}
 }
 
 func drawReport(t *rapid.T) *Report {
--- a/router/entry/dispatch.go
+++ b/router/entry/dispatch.go
@@ -4,14 +4,13 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/lifecycle"
 	"github.com/acaciaspar/acaciaspar/protocol/fleetpb"
 	"github.com/acaciaspar/acaciaspar/state/audit"
+	"github.com/acaciaspar/acaciaspar/transport/netaddress"
 )
 
 var errMalformed = errors.New("request, slot token, weight and agent address must be set")
@@ -93,13 +92,6 @@
 
 // isAgentAddress reports whether text is a host and a port, which can be put into a URL.
 func isAgentAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil || host == "" {
-		return false
-	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
-		return false
-	}
 	target, err := url.Parse("http://" + text)
-	return err == nil && target.Host == text
+	return err == nil && target.Host == text && netaddress.IsHostPort(text)
 }
--- a/router/entry/response.go
+++ b/router/entry/response.go
@@ -13,14 +13,11 @@
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
 	"github.com/acaciaspar/acaciaspar/protocol/work"
 	"github.com/acaciaspar/acaciaspar/state/audit"
+	"github.com/acaciaspar/acaciaspar/transport/httpstatus"
 )
 
-const (
-	// copyBufferSize is the size in bytes of the buffer for copying a response to the caller.
-	copyBufferSize = 32 << 10
-	// maxStatus is the highest status of a final response (RFC 9110, section 15).
-	maxStatus = 599
-)
+// copyBufferSize is the size in bytes of the buffer for copying a response to the caller.
+const copyBufferSize = 32 << 10
 
 var copyBuffers = sync.Pool{New: func() any {
 	b := make([]byte, copyBufferSize)
@@ -34,7 +31,7 @@
 func (a *attempt) forward(resp *http.Response) bool {
 	a.apply(lifecycle.ResponseBegan)
 	a.s.addToTrail(a.q, audit.Started, false, slog.Int("status", resp.StatusCode))
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+	if !httpstatus.IsFinal(resp.StatusCode) {
 		return a.handleUnknown(errors.New("the agent sent an invalid status"))
 	}
 	idle := time.AfterFunc(a.s.opts.Limits.IdleTimeout, func() { a.cancel(errIdleTimeout) })
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/acaciaspar/acaciaspar/transport/httpstatus"
 )
 
 // Target identifies an endpoint instance and its address.
@@ -59,9 +61,6 @@
 // maxStaleBytes limits the body of a skipped response.
 const maxStaleBytes = 1 << 20
 
-// maxStatus is the highest status of a response (RFC 9110, section 15).
-const maxStatus = 599
-
 var (
 	errMismatchedID  = eris.New("response identifier does not match the request")
 	errInvalidStatus = eris.New("response has a status that HTTP doesn't define")
@@ -256,7 +255,7 @@
 			}
 			continue
 		}
-		if response.StatusCode < 200 || response.StatusCode > maxStatus {
+		if !httpstatus.IsFinal(response.StatusCode) {
 			return nil, errInvalidStatus
 		}
 		if response.ProtoMajor != 1 {
