--- a/coordination/endpointload/table.go
+++ b/coordination/endpointload/table.go
@@ -161,14 +161,15 @@
 func (t *Table) View(now time.Time, id string, shared []prompt.Part) View {
 	e := t.endpoint(id)
 	peerLoad := t.peerLoads[e.hash]
+	takesRequests, stalled := e.takesRequests(now), e.stalled(now)
 	v := View{
 		Pending:              e.pending + peerLoad.pending,
 		Running:              e.running + peerLoad.running,
 		UncachedTokens:       e.uncachedTokens(now, shared),
 		Rate:                 e.rate,
 		FailureRate:          e.failureRate(now),
-		Usable:               e.takesRequests(now) && !e.stalled(now),
-		Stalled:              e.takesRequests(now) && e.stalled(now),
+		Usable:               takesRequests && !stalled,
+		Stalled:              takesRequests && stalled,
 		UnreachableFromPeers: peerLoad.unreachable >= minUnreachableReports && !e.respondedRecently(now),
 	}
 	if v.Rate == 0 {
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -388,20 +388,20 @@
 // followPeers periodically fetches missing records of a topic from peers. A peer that doesn't respond
 // delays only that topic.
 func (f *Follower) followPeers(ctx context.Context, topic Topic) error {
-	ticker := time.NewTicker(peerFetchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			f.fetchFromPeers(ctx, topic)
-		}
-	}
+	return everyInterval(ctx, func() { f.fetchFromPeers(ctx, topic) })
 }
 
 // expireEndpoints periodically removes the endpoints whose grace period has ended.
 func (f *Follower) expireEndpoints(ctx context.Context) error {
+	return everyInterval(ctx, func() {
+		if f.endpoints.Expire(time.Now()) {
+			f.OnChange()
+		}
+	})
+}
+
+// everyInterval calls f at each peerFetchInterval until ctx is done, and returns its error.
+func everyInterval(ctx context.Context, f func()) error {
 	ticker := time.NewTicker(peerFetchInterval)
 	defer ticker.Stop()
 	for {
@@ -409,9 +409,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			if f.endpoints.Expire(time.Now()) {
-				f.OnChange()
-			}
+			f()
 		}
 	}
 }
