--- a/direct/entry/begun_test.go
+++ b/direct/entry/begun_test.go
@@ -28,19 +28,7 @@
 					return
 				}
 				a.Sent(time.Now())
-				// It seems to work.
-				stop := make(chan struct{})
-				t.Cleanup(func() { close(stop) })
-				go func() {
-					for {
-						select {
-						case <-stop:
-							return
-						case <-time.After(50 * time.Millisecond):
-							a.Receive(time.Now())
-						}
-					}
-				}()
+				keepReceiving(t, a)
 			}
 		},
 		"stalled": func(t *testing.T, r *router) {
--- a/direct/entry/stall_test.go
+++ b/direct/entry/stall_test.go
@@ -34,6 +34,23 @@
 	return true
 }
 
+// keepReceiving makes the endpoint of an attempt seem to work until the end of the test.
+func keepReceiving(t *testing.T, a *dispatch.Assignment) {
+	t.Helper()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				a.Receive(time.Now())
+			}
+		}
+	}()
+}
+
 // Guards against a stream that is cut because its endpoint, which is sound, was silent for a
 // second or two, and the other endpoint that seemed usable didn't take the stream.
 func TestStreamOfASilentEndpointIsNotCut(t *testing.T) {
@@ -47,19 +64,7 @@
 			if refusal != nil {
 				break
 			}
-			// Its endpoint seems to work.
-			stop := make(chan struct{})
-			t.Cleanup(func() { close(stop) })
-			go func() {
-				for {
-					select {
-					case <-stop:
-						return
-					case <-time.After(50 * time.Millisecond):
-						a.Receive(time.Now())
-					}
-				}
-			}()
+			keepReceiving(t, a)
 		}
 		got := r.post("/resumable/1")
 		must.NoError(t, got.err)
