Calls to the store that end by their timeout are counted and logged

Only the first failed call of an outage was logged, so a call that outlived the outage looked like a store that was still down. The log also has how long the store gave no answer, and when a router begins and stops reading it.

--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -57,6 +57,10 @@
 	endpoints  *registry.Table
 	log        *slog.Logger
 	storeCalls metrics.Counter
+	// timedOut counts the calls to the store that ended by their timeout, silentMs, by topic, the
+	// milliseconds that the store didn't answer, up to the first answer after each outage.
+	timedOut   metrics.Counter
+	silentMs   [2]metrics.Counter
 	badRecords metrics.Counter
 	// OnChange is called after new records were applied.
 	OnChange func()
@@ -73,8 +77,9 @@
 	loaded [2]atomic.Bool
 	// reading is set while the store responds to this router's reads of a topic.
 	reading [2]atomic.Bool
-	// answeredAt is when the latest read of the endpoints that succeeded began, in Unix nanoseconds.
-	answeredAt atomic.Int64
+	// answeredAt is, by topic, when the latest call to the store that succeeded began, in Unix
+	// nanoseconds.
+	answeredAt [2]atomic.Int64
 	// announced is closed once the store has acknowledged the announcement.
 	announced chan struct{}
 }
@@ -100,6 +105,11 @@
 	return &Follower{
 		readWait: o.ReadWait, store: o.Store, decoder: o.Decoder, peers: o.Peers, routes: o.Routes, endpoints: o.Endpoints, log: o.Log,
 		storeCalls: metrics.GetOrRegisterCounter("direct.store_calls", o.Metrics),
+		timedOut:   metrics.GetOrRegisterCounter("direct.store_calls_timed_out", o.Metrics),
+		silentMs: [2]metrics.Counter{
+			Configuration: metrics.GetOrRegisterCounter("direct.store_silent_ms.configuration", o.Metrics),
+			Endpoints:     metrics.GetOrRegisterCounter("direct.store_silent_ms.endpoints", o.Metrics),
+		},
 		badRecords: metrics.GetOrRegisterCounter("direct.bad_records", o.Metrics),
 		OnChange:   func() {},
 		announced:  make(chan struct{}),
@@ -121,7 +131,7 @@
 
 // AnsweredAt returns when the latest read of the endpoints that succeeded began. The entries written
 // before are known here.
-func (f *Follower) AnsweredAt() time.Time { return time.Unix(0, f.answeredAt.Load()) }
+func (f *Follower) AnsweredAt() time.Time { return time.Unix(0, f.answeredAt[Endpoints].Load()) }
 
 // ReadTimeout returns the time after which a read of the store fails.
 func (f *Follower) ReadTimeout() time.Duration { return f.readWait + callMargin }
@@ -146,7 +156,7 @@
 	var relistDelay time.Duration
 	for ctx.Err() == nil {
 		if f.listed[topic].Load() && !f.peers.ShouldReadStore() {
-			f.reading[topic].Store(false)
+			f.setReading(topic, false)
 			if f.unreachable[topic].Load() && f.peers.HasStoreReader() {
 				f.markOutageEnded(topic)
 			}
@@ -163,10 +173,7 @@
 		}
 		switch {
 		case err == nil:
-			f.markStoreReachable(topic)
-			if topic == Endpoints {
-				f.answeredAt.Store(began.UnixNano())
-			}
+			f.markStoreReachable(topic, began)
 			backoff = minBackoff
 			if reading {
 				// A listing succeeds also while all reads are refused.
@@ -204,11 +211,23 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context, topic Topic) error {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
+// call makes one call to the store that fails after timeout.
+func (f *Follower) call(ctx context.Context, topic Topic, timeout time.Duration, call func(context.Context) error) error {
 	f.storeCalls.Inc(1)
-	batch, err := f.store.List(call, topic)
+	began := time.Now()
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := call(limited)
+	if err != nil && errors.Is(limited.Err(), context.DeadlineExceeded) {
+		f.timedOut.Inc(1)
+		f.log.Warn("a call to the store ended by its timeout", "topic", topic.String(), "began", began,
+			"after_ms", time.Since(began).Milliseconds(), "error", err.Error())
+	}
+	return err
+}
+
+func (f *Follower) list(ctx context.Context, topic Topic) error {
+	batch, err := f.listRecords(ctx, topic)
 	if err != nil {
 		return err
 	}
@@ -224,9 +243,6 @@
 }
 
 func (f *Follower) read(ctx context.Context, topic Topic) error {
-	call, cancel := context.WithTimeout(ctx, f.readWait+callMargin)
-	defer cancel()
-	f.storeCalls.Inc(1)
 	wait := f.readWait
 	if f.unreachable[topic].Load() {
 		// A read without a wait detects the end of an outage at once instead of with
@@ -234,7 +250,11 @@
 		wait = 0
 	}
 	known := f.mirrors[topic].Position()
-	batch, err := f.store.Read(call, topic, known.Next, wait)
+	var batch mirror.Batch
+	err := f.call(ctx, topic, f.ReadTimeout(), func(ctx context.Context) (err error) {
+		batch, err = f.store.Read(ctx, topic, known.Next, wait)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -364,17 +384,31 @@
 	if topic == Endpoints {
 		f.endpoints.StoreUnavailable(time.Now())
 	}
-	f.reading[topic].Store(false)
+	f.setReading(topic, false)
 	if !f.unreachable[topic].Swap(true) {
 		f.log.Warn("the store does not answer", "topic", topic.String(), "error", err.Error())
 	}
 }
 
-func (f *Follower) markStoreReachable(topic Topic) {
-	f.reading[topic].Store(true)
+// markStoreReachable records that a call which began at a time succeeded.
+func (f *Follower) markStoreReachable(topic Topic, began time.Time) {
+	if previous := f.answeredAt[topic].Swap(began.UnixNano()); previous > 0 && f.unreachable[topic].Load() {
+		silent := time.Since(time.Unix(0, previous))
+		f.silentMs[topic].Inc(silent.Milliseconds())
+		f.log.Info("first answer of the store after an outage", "topic", topic.String(), "since_last_call_answered_ms", silent.Milliseconds(),
+			"after_ms", time.Since(began).Milliseconds())
+	}
+	f.setReading(topic, true)
 	f.markOutageEnded(topic)
 }
 
+// setReading records whether this router reads a topic from the store.
+func (f *Follower) setReading(topic Topic, reading bool) {
+	if f.reading[topic].Swap(reading) != reading {
+		f.log.Info("reading from the store changed", "topic", topic.String(), "reading", reading)
+	}
+}
+
 // markOutageEnded records that the store answers this router or a peer that reads it.
 func (f *Follower) markOutageEnded(topic Topic) {
 	if topic == Endpoints {
@@ -486,10 +520,7 @@
 // announceOnce returns the era to which the acknowledged record belongs.
 func (f *Follower) announceOnce(ctx context.Context, name, address string) (era int64) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, callMargin)
-		f.storeCalls.Inc(1)
-		era, err := f.store.Write(call, Members, name, []byte(address))
-		cancel()
+		era, err := f.write(ctx, Members, name, []byte(address))
 		if err == nil {
 			return era
 		}
@@ -507,18 +538,30 @@
 // SaveCrashes writes what is known about requests that crash engines to the store. It
 // returns the era to which the record belongs.
 func (f *Follower) SaveCrashes(ctx context.Context, value []byte) (era int64, err error) {
-	call, cancel := context.WithTimeout(ctx, callMargin)
-	defer cancel()
-	f.storeCalls.Inc(1)
-	return f.store.Write(call, Crashes, crashesKey, value)
+	return f.write(ctx, Crashes, crashesKey, value)
+}
+
+// write appends a record to a topic and returns the era to which it belongs.
+func (f *Follower) write(ctx context.Context, topic Topic, key string, value []byte) (era int64, err error) {
+	err = f.call(ctx, topic, callMargin, func(ctx context.Context) (err error) {
+		era, err = f.store.Write(ctx, topic, key, value)
+		return err
+	})
+	return era, err
+}
+
+// listRecords lists a topic.
+func (f *Follower) listRecords(ctx context.Context, topic Topic) (batch mirror.Batch, err error) {
+	err = f.call(ctx, topic, listTimeout, func(ctx context.Context) (err error) {
+		batch, err = f.store.List(ctx, topic)
+		return err
+	})
+	return batch, err
 }
 
 // LoadCrashes returns what SaveCrashes wrote last, or nil.
 func (f *Follower) LoadCrashes(ctx context.Context) ([]byte, error) {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	f.storeCalls.Inc(1)
-	batch, err := f.store.List(call, Crashes)
+	batch, err := f.listRecords(ctx, Crashes)
 	if err != nil {
 		return nil, err
 	}
@@ -532,19 +575,17 @@
 
 // SaveStreams implements origins.Store.
 func (f *Follower) SaveStreams(ctx context.Context, key string, value []byte) error {
-	call, cancel := context.WithTimeout(ctx, callMargin)
-	defer cancel()
-	f.storeCalls.Inc(1)
-	_, err := f.store.Write(call, Streams, key, value)
+	_, err := f.write(ctx, Streams, key, value)
 	return err
 }
 
 // SaveStreamsAt implements origins.Store.
 func (f *Follower) SaveStreamsAt(ctx context.Context, key string, value []byte, end mirror.Position) error {
-	call, cancel := context.WithTimeout(ctx, callMargin)
-	defer cancel()
-	f.storeCalls.Inc(1)
-	era, err := f.store.WriteAt(call, Streams, key, value, end.Next)
+	var era int64
+	err := f.call(ctx, Streams, callMargin, func(ctx context.Context) (err error) {
+		era, err = f.store.WriteAt(ctx, Streams, key, value, end.Next)
+		return err
+	})
 	if err == nil && era != end.Era {
 		return eris.Errorf("the store was restored: era %d after %d", era, end.Era)
 	}
@@ -567,10 +608,7 @@
 
 // ListMembers returns the addresses that routers announced in the store.
 func (f *Follower) ListMembers(ctx context.Context) ([]string, error) {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	f.storeCalls.Inc(1)
-	batch, err := f.store.List(call, Members)
+	batch, err := f.listRecords(ctx, Members)
 	if err != nil {
 		return nil, err
 	}
