--- /dev/null
+++ b/direct/follow/lost_calls_test.go
@@ -0,0 +1,293 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciaspar/acaciaspar/direct/directtest"
+	"github.com/acaciaspar/acaciaspar/direct/follow"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
+	"github.com/acaciaspar/acaciaspar/state/registry"
+	"github.com/acaciaspar/acaciaspar/state/routing"
+)
+
+// lossyStore is a store that swallows calls: one that begins or is in progress while the store is
+// silent is never answered.
+type lossyStore struct {
+	*directtest.Store
+	silent atomic.Bool
+	// silences is closed and replaced at the begin of a silence.
+	silences atomic.Pointer[chan struct{}]
+	calls    atomic.Int64
+}
+
+func newLossyStore() *lossyStore {
+	s := &lossyStore{Store: directtest.NewStore()}
+	s.silences.Store(new(make(chan struct{})))
+	return s
+}
+
+func (s *lossyStore) setSilent(silent bool) {
+	s.silent.Store(silent)
+	if silent {
+		close(*s.silences.Swap(new(make(chan struct{}))))
+	}
+}
+
+// answer returns what call returns, unless the store was silent meanwhile.
+func (s *lossyStore) answer(ctx context.Context, call func(context.Context) (mirror.Batch, error)) (mirror.Batch, error) {
+	s.calls.Add(1)
+	silence := *s.silences.Load()
+	if s.silent.Load() {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	type reply struct {
+		batch mirror.Batch
+		err   error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		batch, err := call(ctx)
+		replies <- reply{batch, err}
+	}()
+	select {
+	case r := <-replies:
+		return r.batch, r.err
+	case <-silence:
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+}
+
+func (s *lossyStore) List(ctx context.Context, topic follow.Topic) (mirror.Batch, error) {
+	return s.answer(ctx, func(ctx context.Context) (mirror.Batch, error) { return s.Store.List(ctx, topic) })
+}
+
+func (s *lossyStore) Read(ctx context.Context, topic follow.Topic, from int64, wait time.Duration) (mirror.Batch, error) {
+	return s.answer(ctx, func(ctx context.Context) (mirror.Batch, error) { return s.Store.Read(ctx, topic, from, wait) })
+}
+
+// fleet is a set of followers that are each other's peers.
+type fleet struct {
+	store   *lossyStore
+	members []*member
+}
+
+// member is a router of a fleet. It reports its state to its peers with a delay, as load reports do.
+type member struct {
+	fleet     *fleet
+	rank      int
+	routes    *routing.Store
+	endpoints *registry.Table
+	follower  *follow.Follower
+	// reported is what peers know of this router; nil while it is down.
+	reported atomic.Pointer[report]
+	stop     context.CancelFunc
+	stopped  chan struct{}
+}
+
+type report struct {
+	ends  [2]mirror.Position
+	reads bool
+	at    time.Time
+}
+
+const (
+	// reportInterval is the longest interval between two load reports of an idle router.
+	reportInterval = 400 * time.Millisecond
+	// reportTimeout is the time after which a peer counts as down.
+	reportTimeout = time.Second
+)
+
+func (m *member) start(ctx context.Context) {
+	ctx, m.stop = context.WithCancel(ctx)
+	m.stopped = make(chan struct{})
+	m.routes, m.endpoints = &routing.Store{}, registry.NewTable()
+	m.follower = follow.New(follow.Options{
+		ReadWait: readWait, Store: m.fleet.store, Decoder: directtest.Decoder{}, Peers: m, Routes: m.routes,
+		Endpoints: m.endpoints, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+	})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.follower.Run(ctx) })
+	group.Go(func() error { return m.report(ctx) })
+	go func() {
+		defer close(m.stopped)
+		_ = group.Wait()
+		m.reported.Store(nil)
+	}()
+}
+
+func (m *member) kill() {
+	m.stop()
+	<-m.stopped
+}
+
+func (m *member) report(ctx context.Context) error {
+	for ctx.Err() == nil {
+		m.reported.Store(&report{
+			ends:  [2]mirror.Position{m.follower.Mirror(follow.Configuration).Position(), m.follower.Mirror(follow.Endpoints).Position()},
+			reads: m.follower.ReadsStore(), at: time.Now(),
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(reportInterval):
+		}
+	}
+	return ctx.Err()
+}
+
+// live returns this router and the peers whose reports it has, and their reports.
+func (m *member) live() (members []*member, reports []*report) {
+	for _, other := range m.fleet.members {
+		r := other.reported.Load()
+		if other == m || r == nil || time.Since(r.at) > reportTimeout {
+			continue
+		}
+		members, reports = append(members, other), append(reports, r)
+	}
+	return members, reports
+}
+
+func (m *member) Records(_ context.Context, topic follow.Topic, known mirror.Position) (mirror.Batch, bool, error) {
+	members, reports := m.live()
+	for i, r := range reports {
+		if known.Before(r.ends[topic]) {
+			return members[i].follower.Mirror(topic).Since(known), true, nil
+		}
+	}
+	return mirror.Batch{}, false, nil
+}
+
+func (m *member) ShouldReadStore() bool { return true }
+
+func (m *member) HasStoreReader() bool {
+	_, reports := m.live()
+	for _, r := range reports {
+		if r.reads {
+			return true
+		}
+	}
+	return false
+}
+
+// runFleet runs a fleet in a synctest bubble.
+func runFleet(t *testing.T, routers int, test func(f *fleet, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{store: newLossyStore()}
+		for rank := range routers {
+			f.members = append(f.members, &member{fleet: f, rank: rank})
+		}
+		for _, m := range f.members {
+			m.start(ctx)
+		}
+		test(f, ctx)
+		cancel()
+		for _, m := range f.members {
+			<-m.stopped
+		}
+	})
+}
+
+// version returns the lowest version in force in the fleet.
+func (f *fleet) version() uint64 {
+	lowest := uint64(1 << 62)
+	for _, m := range f.members {
+		table := m.routes.Current()
+		if table == nil {
+			return 0
+		}
+		lowest = min(lowest, table.Version)
+	}
+	return lowest
+}
+
+// knowsEndpoints reports whether all routers know n ready endpoints.
+func (f *fleet) knowsEndpoints(n int) bool {
+	for _, m := range f.members {
+		if len(m.endpoints.Ready("s")) != n {
+			return false
+		}
+	}
+	return true
+}
+
+// catchUpBound is how long after the end of an outage every router has what the store acknowledged.
+const catchUpBound = time.Second
+
+// Guards against configurations and endpoints that come into force late because a call that began
+// in an outage of the store outlives it: whenever the outage ends in the life of a call, the
+// routers that ran all the time and those that started in it have what the store acknowledged, within a
+// second.
+func TestLostCallsDoNotOutliveTheOutage(t *testing.T) {
+	const seed = 48
+	for _, killed := range []int{0, 3, 5} {
+		t.Run(fmt.Sprintf("killed=%d", killed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, uint64(killed)))
+			var latest time.Duration
+			var late []string
+			for length := 6 * time.Second; length <= 11*time.Second; length += 100 * time.Millisecond {
+				o := outage{
+					length: length, killed: killed,
+					calm:   3*time.Second + time.Duration(random.Int64N(int64(readWait))),
+					killAt: 2500*time.Millisecond + time.Duration(random.Int64N(int64(time.Second))),
+				}
+				took := o.catchUp(t)
+				latest = max(latest, took)
+				if took > catchUpBound {
+					late = append(late, fmt.Sprintf("%+v: %v", o, took))
+				}
+			}
+			must.SliceEmpty(t, late, must.Sprintf("seed %d, latest %v", seed, latest))
+		})
+	}
+}
+
+// outage is an outage of the store after calm, in which some routers are killed; they start again a
+// second later.
+type outage struct {
+	calm, length, killAt time.Duration
+	killed               int
+}
+
+// catchUp plays an outage and returns how long after its end all routers have what the store
+// acknowledged at the end.
+func (o outage) catchUp(t *testing.T) time.Duration {
+	var took time.Duration
+	runFleet(t, 5, func(f *fleet, ctx context.Context) {
+		f.store.Append(follow.Configuration, "c", config(1))
+		f.store.Append(follow.Endpoints, "a", endpoint("a"))
+		time.Sleep(o.calm)
+		must.Eq(t, 1, f.version())
+		f.store.setSilent(true)
+		time.Sleep(o.killAt)
+		for _, m := range f.members[:o.killed] {
+			m.kill()
+		}
+		time.Sleep(time.Second)
+		for _, m := range f.members[:o.killed] {
+			m.start(ctx)
+		}
+		time.Sleep(o.length - o.killAt - time.Second)
+		f.store.setSilent(false)
+		f.store.Append(follow.Configuration, "c", config(2))
+		f.store.Append(follow.Endpoints, "b", endpoint("b"))
+		ended := time.Now()
+		for (f.version() != 2 || !f.knowsEndpoints(2)) && time.Since(ended) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		took = time.Since(ended)
+	})
+	return took
+}
