Calls lost in an outage of the store no longer delay its news

Callers saw 404 for a route that had been acknowledged seconds before. A call that began while the store was silent is never answered; a router waited for its timeout (2.7 or 4 s) and a backoff before it asked again, and nothing else asked meanwhile.

A call now counts as overdue 400 ms after the store should have answered. From then on calls begin whether or not earlier ones have ended: in turns of 250 ms that the fleet shares, while the store answers nobody, and at once when it answers another call of the router or a peer. Readers tell peers at once when they have news or begin to read. A router that got a topic from a peer reads on from there instead of listing it. In fleets of over 80 routers peers counted as gone between two reports, so that the readers changed all the time; the limit follows the interval now.

--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -38,6 +38,17 @@
 	// readerCheckInterval is the interval at which a router that does not read the
 	// store, because its peers do, checks whether it must read it itself.
 	readerCheckInterval = 100 * time.Millisecond
+	// probeCheckInterval is the interval at which a router that got no answer checks whether to call
+	// the store again.
+	probeCheckInterval = 50 * time.Millisecond
+	// minProbeInterval is the shortest interval between two probes of a router, also in a fleet so
+	// small that its turns come more often.
+	minProbeInterval = 700 * time.Millisecond
+	// probeFollowUp is how long a router tries to read both topics after a probe for one was answered.
+	probeFollowUp = time.Second
+	// overdueDelay is the delay after which a call counts as overdue, in addition to the time that the
+	// store may hold it. The store answers within some dozens of milliseconds.
+	overdueDelay = 400 * time.Millisecond
 	// announceRetryDelay is the delay before a failed announcement is retried.
 	announceRetryDelay = 2 * time.Second
 	// announceCheckInterval is the mean interval at which a router checks whether the
@@ -64,6 +75,9 @@
 	badRecords metrics.Counter
 	// OnChange is called after new records were applied.
 	OnChange func()
+	// OnStoreNews is called after records from the store were applied, and when this router begins or
+	// stops reading it. Peers should learn both without delay.
+	OnStoreNews func()
 
 	mu      sync.Mutex
 	limiter observability.LogLimiter
@@ -80,6 +94,8 @@
 	// answeredAt is, by topic, when the latest call to the store that succeeded began, in Unix
 	// nanoseconds.
 	answeredAt [2]atomic.Int64
+	// probes are the calls of this router to a store that answers nobody.
+	probes probes
 	// announced is closed once the store has acknowledged the announcement.
 	announced chan struct{}
 }
@@ -111,9 +127,9 @@
 			Endpoints:     metrics.GetOrRegisterCounter("direct.store_silent_ms.endpoints", o.Metrics),
 		},
 		badRecords: metrics.GetOrRegisterCounter("direct.bad_records", o.Metrics),
-		OnChange:   func() {},
-		announced:  make(chan struct{}),
-		mirrors:    [2]*mirror.Topic{mirror.NewTopic(), mirror.NewTopic()},
+		OnChange:   func() {}, OnStoreNews: func() {},
+		announced: make(chan struct{}),
+		mirrors:   [2]*mirror.Topic{mirror.NewTopic(), mirror.NewTopic()},
 	}
 }
 
@@ -147,58 +163,6 @@
 	return group.Wait()
 }
 
-// followTopic lists a topic and then reads new records for as long as this
-// router should read the store.
-func (f *Follower) followTopic(ctx context.Context, topic Topic) error {
-	backoff := minBackoff
-	// relistDelay is the delay before the topic is listed because a read was refused. The
-	// first such listing is immediate.
-	var relistDelay time.Duration
-	for ctx.Err() == nil {
-		if f.listed[topic].Load() && !f.peers.ShouldReadStore() {
-			f.setReading(topic, false)
-			if f.unreachable[topic].Load() && f.peers.HasStoreReader() {
-				f.markOutageEnded(topic)
-			}
-			sleep(ctx, readerCheckInterval)
-			continue
-		}
-		began := time.Now()
-		reading := f.listed[topic].Load()
-		var err error
-		if reading {
-			err = f.read(ctx, topic)
-		} else {
-			err = f.list(ctx, topic)
-		}
-		switch {
-		case err == nil:
-			f.markStoreReachable(topic, began)
-			backoff = minBackoff
-			if reading {
-				// A listing succeeds also while all reads are refused.
-				relistDelay = 0
-			}
-			sleep(ctx, minReadInterval-time.Since(began))
-		case errors.Is(err, mirror.ErrLaterEra):
-			f.listed[topic].Store(false)
-		case errors.Is(err, ErrCompacted):
-			f.log.Info("the store doesn't hold the next records; listing the topic again", "topic", topic.String())
-			f.listed[topic].Store(false)
-			sleep(ctx, jitter(relistDelay))
-			relistDelay = min(max(2*relistDelay, minBackoff), maxBackoff)
-		default:
-			f.markStoreUnreachable(topic, err)
-			sleep(ctx, jitter(backoff))
-			backoff = min(2*backoff, maxBackoff)
-		}
-	}
-	return ctx.Err()
-}
-
-// jitter returns a random duration from half of d to one and a half of it.
-func jitter(d time.Duration) time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(d)) }
-
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -226,44 +190,37 @@
 	return err
 }
 
-func (f *Follower) list(ctx context.Context, topic Topic) error {
-	batch, err := f.listRecords(ctx, topic)
-	if err != nil {
-		return err
-	}
-	known := f.mirrors[topic].Position()
-	f.log.Info("topic listed", "topic", topic.String(), "era", batch.End.Era, "end", batch.End.Next, "records", len(batch.Records),
-		"known_era", known.Era, "known_end", known.Next)
-	if err := f.Apply(topic, batch); err != nil {
-		return err
-	}
-	f.listed[topic].Store(true)
-	f.loaded[topic].Store(true)
-	return nil
-}
-
-func (f *Follower) read(ctx context.Context, topic Topic) error {
-	wait := f.readWait
-	if f.unreachable[topic].Load() {
-		// A read without a wait detects the end of an outage at once instead of with
-		// the next record.
-		wait = 0
-	}
-	known := f.mirrors[topic].Position()
-	var batch mirror.Batch
-	err := f.call(ctx, topic, f.ReadTimeout(), func(ctx context.Context) (err error) {
+func (f *Follower) read(ctx context.Context, topic Topic, known mirror.Position, wait time.Duration) (batch mirror.Batch, err error) {
+	err = f.call(ctx, topic, f.ReadTimeout(), func(ctx context.Context) (err error) {
 		batch, err = f.store.Read(ctx, topic, known.Next, wait)
 		return err
 	})
-	if err != nil {
-		return err
-	}
-	if batch.End.Era > known.Era {
+	return batch, err
+}
+
+// applyFromStore applies the batch that a call to the store returned.
+func (f *Follower) applyFromStore(topic Topic, r callResult) error {
+	if r.isRead && r.batch.End.Era > r.known.Era {
 		// The offset from which was read is of another era, so records may be missing,
 		// even if a peer's records have moved the mirror to this era meanwhile.
 		return mirror.ErrLaterEra
 	}
-	return f.Apply(topic, batch)
+	if !r.isRead {
+		known := f.mirrors[topic].Position()
+		f.log.Info("topic listed", "topic", topic.String(), "era", r.batch.End.Era, "end", r.batch.End.Next, "records", len(r.batch.Records),
+			"known_era", known.Era, "known_end", known.Next)
+	}
+	if err := f.Apply(topic, r.batch); err != nil {
+		return err
+	}
+	if !r.isRead {
+		f.listed[topic].Store(true)
+		f.loaded[topic].Store(true)
+	}
+	if len(r.batch.Records) > 0 {
+		f.OnStoreNews()
+	}
+	return nil
 }
 
 // Apply applies a batch from the store or from a peer. Records older than those in the
@@ -406,6 +363,7 @@
 func (f *Follower) setReading(topic Topic, reading bool) {
 	if f.reading[topic].Swap(reading) != reading {
 		f.log.Info("reading from the store changed", "topic", topic.String(), "reading", reading)
+		f.OnStoreNews()
 	}
 }
 
@@ -475,6 +433,9 @@
 	if len(batch.Records) > 0 {
 		f.loaded[topic].Store(true)
 	}
+	if err == nil && batch.Complete {
+		f.listed[topic].Store(true)
+	}
 }
 
 // markChecked records that this router had the records of a topic, at a time, that its peers had.
@@ -484,6 +445,9 @@
 	}
 }
 
+// readsOther reports whether this router reads the other topic from the store.
+func (f *Follower) readsOther(topic Topic) bool { return f.reading[1-topic].Load() }
+
 // Era returns the latest era of the store that is known here. Records written in an
 // earlier one may be lost.
 func (f *Follower) Era() int64 {
--- a/direct/follow/follower_test.go
+++ b/direct/follow/follower_test.go
@@ -37,8 +37,9 @@
 	return batch, err == nil, err
 }
 
-func (p peers) ShouldReadStore() bool { return !p.peersReadStore }
-func (p peers) HasStoreReader() bool  { return p.peersReadStore }
+func (p peers) ShouldReadStore() bool  { return !p.peersReadStore }
+func (p peers) HasStoreReader() bool   { return p.peersReadStore }
+func (p peers) ShouldProbeStore() bool { return !p.peersReadStore }
 
 const readWait = 1200 * time.Millisecond
 
--- a/direct/follow/lost_calls_test.go
+++ b/direct/follow/lost_calls_test.go
@@ -171,6 +171,20 @@
 
 func (m *member) ShouldReadStore() bool { return true }
 
+// turnLength is the length of a router's turn to probe the store.
+const turnLength = 250 * time.Millisecond
+
+func (m *member) ShouldProbeStore() bool {
+	members, _ := m.live()
+	rank := 0
+	for _, other := range members {
+		if other.rank < m.rank {
+			rank++
+		}
+	}
+	return !m.HasStoreReader() && time.Now().UnixNano()/int64(turnLength)%int64(len(members)+1) == int64(rank)
+}
+
 func (m *member) HasStoreReader() bool {
 	_, reports := m.live()
 	for _, r := range reports {
--- a/direct/follow/outage_end_test.go
+++ b/direct/follow/outage_end_test.go
@@ -18,8 +18,9 @@
 	alone *atomic.Bool
 }
 
-func (p switchingPeers) ShouldReadStore() bool { return p.alone.Load() }
-func (p switchingPeers) HasStoreReader() bool  { return !p.alone.Load() }
+func (p switchingPeers) ShouldReadStore() bool  { return p.alone.Load() }
+func (p switchingPeers) HasStoreReader() bool   { return !p.alone.Load() }
+func (p switchingPeers) ShouldProbeStore() bool { return p.alone.Load() }
 
 // Guards against an outage that doesn't end for a router which tried the store in it and whose peers
 // read the store afterwards: for as long as it runs, it would keep each endpoint that left for the
--- /dev/null
+++ b/direct/follow/schedule.go
@@ -0,0 +1,123 @@
+package follow
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// schedule decides when the calls to the store for one topic begin. It holds no calls itself. It isn't safe
+// for concurrent use.
+type schedule struct {
+	// inProgress is the number of calls without an answer.
+	inProgress int
+	// suspect is set while a call has failed or is overdue and none has succeeded since.
+	suspect bool
+	// overdueAt is when the call in progress is overdue; only used while not suspect.
+	overdueAt time.Time
+	// notBefore is when the next call may begin, unless it is a probe.
+	notBefore time.Time
+	// wasAnswering is set if the store was known to answer someone at the latest decision while suspect.
+	wasAnswering bool
+	backoff      time.Duration
+	// relistDelay is the delay before the topic is listed because a read was refused. The
+	// first such listing is immediate.
+	relistDelay time.Duration
+}
+
+// surroundings is what a decision depends on besides the topic's own calls.
+type surroundings struct {
+	// wanted is set if this router should read the topic from the store.
+	wanted bool
+	// answering is set if the store answers calls for this router's other topic, or those of a peer.
+	answering bool
+	// mayProbe reports whether this router may probe the store now.
+	mayProbe func() bool
+}
+
+// shouldBegin reports whether a call should begin now. While the store answers nobody, calls begin in
+// the turns that the fleet shares, whether or not earlier ones have ended: a call that began in an
+// outage may be lost. Once it answers someone, a call begins at once.
+func (s *schedule) shouldBegin(now time.Time, around surroundings) bool {
+	due := s.inProgress == 0 && !now.Before(s.notBefore)
+	if !s.suspect {
+		return due && (around.wanted || around.mayProbe())
+	}
+	if !around.answering {
+		s.wasAnswering = false
+		return around.mayProbe()
+	}
+	answersAgain := !s.wasAnswering
+	s.wasAnswering = true
+	return around.wanted && (due || answersAgain)
+}
+
+// began records that a call has begun that the store may hold for wait.
+func (s *schedule) began(now time.Time, wait time.Duration) {
+	s.inProgress++
+	if !s.suspect {
+		s.overdueAt = now.Add(wait + overdueDelay)
+	}
+}
+
+// checkOverdue reports whether the call in progress has become overdue.
+func (s *schedule) checkOverdue(now time.Time) bool {
+	if s.suspect || s.inProgress == 0 || now.Before(s.overdueAt) {
+		return false
+	}
+	s.suspectNow()
+	return true
+}
+
+func (s *schedule) suspectNow() {
+	if !s.suspect {
+		s.suspect, s.wasAnswering, s.backoff = true, true, minBackoff
+	}
+}
+
+// succeeded records that a call which began at a time succeeded. All others have been given up.
+func (s *schedule) succeeded(began time.Time, wasRead bool) {
+	s.inProgress, s.suspect = 0, false
+	s.notBefore = began.Add(minReadInterval)
+	if wasRead {
+		// A listing succeeds also while all reads are refused.
+		s.relistDelay = 0
+	}
+}
+
+// failed records that a call failed.
+func (s *schedule) failed(now time.Time) {
+	s.inProgress--
+	s.suspectNow()
+	s.notBefore = now.Add(jitter(s.backoff))
+	s.backoff = min(2*s.backoff, maxBackoff)
+}
+
+// refused records that the store answered a read, but doesn't hold the next records. All other calls
+// have been given up.
+func (s *schedule) refused(now time.Time) {
+	s.inProgress, s.suspect = 0, false
+	s.notBefore = now.Add(jitter(s.relistDelay))
+	s.relistDelay = min(max(2*s.relistDelay, minBackoff), maxBackoff)
+}
+
+// outdated records that the store answered, from a later era. All other calls have been given up.
+func (s *schedule) outdated() { s.inProgress, s.suspect, s.notBefore = 0, false, time.Time{} }
+
+// idle records that this router doesn't read the topic any more. All calls have been given up.
+func (s *schedule) idle() { s.inProgress, s.suspect = 0, false }
+
+// pause returns how long no decision is due unless a call ends.
+func (s *schedule) pause(now time.Time) time.Duration {
+	switch {
+	case s.suspect:
+		return probeCheckInterval
+	case s.inProgress > 0:
+		return max(s.overdueAt.Sub(now), 0)
+	case now.Before(s.notBefore):
+		return s.notBefore.Sub(now)
+	}
+	return readerCheckInterval
+}
+
+// jitter returns a random duration from half of d to one and a half of it.
+func jitter(d time.Duration) time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(d)) }
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -70,6 +70,9 @@
 	Records(ctx context.Context, topic Topic, known mirror.Position) (batch mirror.Batch, found bool, err error)
 	// ShouldReadStore reports whether this router should read the store itself.
 	ShouldReadStore() bool
+	// ShouldProbeStore reports whether too few peers read the store and it is this router's turn to
+	// try.
+	ShouldProbeStore() bool
 	// HasStoreReader reports whether a peer currently reads the store.
 	HasStoreReader() bool
 }
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -38,6 +38,8 @@
 	reportIntervalPerPeer = 5 * time.Millisecond
 	// idleReportInterval is the interval while there is no load to report.
 	idleReportInterval = 400 * time.Millisecond
+	// newsDelay is the delay of a report that is sent because of news from the store.
+	newsDelay = 20 * time.Millisecond
 	// teamsInterval is the shortest interval between two reports with the usage of
 	// teams, which is counted over a window of 4 s.
 	teamsInterval = 250 * time.Millisecond
@@ -92,6 +94,9 @@
 	badReports      metrics.Counter
 	limiter         observability.LogLimiter
 
+	// news wakes Send because peers should have a report without delay.
+	news chan struct{}
+
 	// teamsSentAt is the time of the latest report with teams; only Send uses it.
 	teamsSentAt time.Time
 
@@ -151,6 +156,15 @@
 		reportBytesSent: metrics.GetOrRegisterCounter("direct.report_bytes_sent", registry),
 		badReports:      metrics.GetOrRegisterCounter("direct.bad_reports", registry),
 		peers:           map[string]*peer{},
+		news:            make(chan struct{}, 1),
+	}
+}
+
+// SendSoon makes Send send a report without waiting for its interval.
+func (m *Mesh) SendSoon() {
+	select {
+	case m.news <- struct{}{}:
+	default:
 	}
 }
 
@@ -223,20 +237,24 @@
 	defer timer.Stop()
 	var sequence uint64
 	var lastSent time.Time
-	wasActive := false
+	wasActive, hasNews := false, false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
+		case <-m.news:
+			// Bounds the rate, and collects what becomes known at about the same time.
+			time.Sleep(newsDelay)
+			hasNews = true
 		}
 		now := time.Now()
 		report := m.dispatcher.Report(now)
 		active := len(report.Loads) > 0
-		if active || wasActive || now.Sub(lastSent) >= idleReportInterval {
+		if active || wasActive || hasNews || now.Sub(lastSent) >= idleReportInterval {
 			sequence++
 			m.broadcast(now, sequence, &report)
-			lastSent = now
+			lastSent, hasNews = now, false
 		}
 		wasActive = active
 		timer.Reset(m.reportInterval())
@@ -543,40 +561,69 @@
 	minActiveReaders = 2
 	// smallFleet is the largest fleet in which every router reads the store.
 	smallFleet = 8
-	// ReaderTimeout is the time without a report after which a peer no longer
-	// counts as reading the store; reports are sent at least every 400 ms.
-	ReaderTimeout = time.Second
+	// minReaderTimeout is the shortest time without a report after which a peer no longer
+	// counts as reading the store; small fleets send reports at least every 400 ms.
+	minReaderTimeout = time.Second
+	// readerTimeoutReports is the number of report intervals after which it no longer counts in a
+	// large fleet.
+	readerTimeoutReports = 2.5
 )
 
 // ShouldReadStore implements follow.Peers. In a large fleet a few routers read
 // the store for all others, because calls to the store are billed. Rendezvous
-// hashing makes all routers select the same readers. While too few routers can read
-// the store, the others try in turn: the store may be down for all routers or refuse
-// only some of them.
+// hashing makes all routers select the same readers. A router that has begun to read in place of
+// a reader goes on until enough peers do.
 func (m *Mesh) ShouldReadStore() bool {
-	now := time.Now()
 	readsStore := m.local.ReadsStore()
+	fleet, reading := m.fleet(time.Now())
+	return len(fleet) <= smallFleet || m.rank(fleet) < storeReaders || readsStore && reading < minActiveReaders
+}
+
+// ShouldProbeStore implements follow.Peers. While too few routers can read the store, all try
+// in turn: the store may be down for all routers or refuse only some of them.
+func (m *Mesh) ShouldProbeStore() bool {
+	now := time.Now()
+	fleet, reading := m.fleet(now)
+	needed := 1
+	if len(fleet) > smallFleet {
+		needed = minActiveReaders
+	}
+	return reading < needed && isProbeTurn(now, m.rank(fleet), len(fleet))
+}
+
+// fleet returns the addresses of this router and its live peers, and how many of these peers read the
+// store.
+func (m *Mesh) fleet(now time.Time) (addresses []string, reading int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	fleet := []string{m.address.String()}
-	reading := 0
+	timeout := m.readerTimeout()
+	addresses = []string{m.address.String()}
 	for address, p := range m.peers {
-		if now.Sub(p.lastReport) > ReaderTimeout {
+		if now.Sub(p.lastReport) > timeout {
 			continue
 		}
-		fleet = append(fleet, address)
+		addresses = append(addresses, address)
 		if p.readsStore {
 			reading++
 		}
 	}
-	if len(fleet) <= smallFleet {
-		return true
-	}
-	rank := slices.Index(rendezvous.Rank(readersKey, fleet), m.address.String())
-	if rank < storeReaders {
-		return true
-	}
-	return reading < minActiveReaders && (readsStore || isProbeTurn(now, rank, len(fleet)))
+	return addresses, reading
+}
+
+func (m *Mesh) rank(fleet []string) int {
+	return slices.Index(rendezvous.Rank(readersKey, fleet), m.address.String())
+}
+
+// ReaderTimeout returns the time without a report after which a peer no longer counts as reading the
+// store.
+func (m *Mesh) ReaderTimeout() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.readerTimeout()
+}
+
+func (m *Mesh) readerTimeout() time.Duration {
+	return max(minReaderTimeout, time.Duration(readerTimeoutReports*float64(len(m.peers))*float64(reportIntervalPerPeer)))
 }
 
 // HasStoreReader reports whether a peer currently reads the store.
@@ -606,9 +653,10 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	timeout := m.readerTimeout()
 	var readers []string
 	for address, p := range m.peers {
-		if p.readsStore && now.Sub(p.lastReport) <= ReaderTimeout {
+		if p.readsStore && now.Sub(p.lastReport) <= timeout {
 			readers = append(readers, address)
 		}
 	}
@@ -617,7 +665,7 @@
 
 // probeInterval is the interval between the turns of two routers that try to read the
 // store.
-const probeInterval = 200 * time.Millisecond
+const probeInterval = 250 * time.Millisecond
 
 // isProbeTurn reports whether it is the turn of the router with this rank to try to read
 // the store. The number of calls to a store that is down then doesn't grow with the
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -30,8 +30,9 @@
 func (noPeers) Records(context.Context, follow.Topic, mirror.Position) (mirror.Batch, bool, error) {
 	return mirror.Batch{}, false, nil
 }
-func (noPeers) ShouldReadStore() bool { return true }
-func (noPeers) HasStoreReader() bool  { return false }
+func (noPeers) ShouldReadStore() bool  { return true }
+func (noPeers) HasStoreReader() bool   { return false }
+func (noPeers) ShouldProbeStore() bool { return true }
 
 // builds holds the builds of the endpoints of the service "engines".
 type builds struct {
--- a/direct/process.go
+++ b/direct/process.go
@@ -215,7 +215,7 @@
 		ReadWait: s.StoreWait, Store: p.options.Store, Decoder: p.options.Decoder, Peers: p.mesh,
 		Routes: p.routes, Endpoints: p.endpoints, Log: p.log, Metrics: p.metrics,
 	})
-	p.follower.OnChange = p.updateDispatcher
+	p.follower.OnChange, p.follower.OnStoreNews = p.updateDispatcher, p.mesh.SendSoon
 	p.origins = origins.New(origins.Options{
 		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
 		Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
@@ -246,7 +246,7 @@
 	case p.follower.ReadsStore():
 		until = p.follower.AnsweredAt()
 	case p.mesh.HasStoreReader():
-		until = now.Add(-p.follower.ReadTimeout() - mesh.ReaderTimeout)
+		until = now.Add(-p.follower.ReadTimeout() - p.mesh.ReaderTimeout())
 	default:
 		p.steadySince = time.Time{}
 		return time.Time{}, time.Time{}
