A router no longer stops calling the store after an answer it can't apply

The number of calls in progress was counted beside the calls themselves. An answer that overtook a lost call removed that call without the count, and if it then couldn't be applied (an era earlier than one that a peer had told), the count stayed above zero: the router made no more calls of its own. The count is now derived from the calls. TestAnswerOfAnEarlierEraDoesNotEndCalls fails before.

Reports that are sent because of news are limited to 1,000 a second in a large fleet.

--- a/direct/follow/lost_calls_test.go
+++ b/direct/follow/lost_calls_test.go
@@ -392,3 +392,33 @@
 	must.LessEq(t, 25, calls[71])
 	must.LessEq(t, 25, calls[300])
 }
+
+// Guards against a router that stops calling the store after an answer which overtook a lost call
+// couldn't be applied: with its peers it stays up to date, but after them it has no news.
+func TestAnswerOfAnEarlierEraDoesNotEndCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newLossyStore()
+		routes, log := &routing.Store{}, slog.New(slog.DiscardHandler)
+		f := follow.New(follow.Options{
+			ReadWait: readWait, Store: store, Decoder: directtest.Decoder{}, Peers: peers{}, Routes: routes,
+			Endpoints: registry.NewTable(), Log: log, Metrics: metrics.NewRegistry(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.setSilent(true)
+		time.Sleep(5 * time.Second)
+		later := mirror.Batch{End: mirror.Position{Era: 2, Next: 0}, Complete: true}
+		must.NoError(t, f.Apply(follow.Configuration, later))
+		store.setSilent(false)
+		time.Sleep(10 * time.Second)
+		store.Restore(store.Copy())
+		store.Append(follow.Configuration, "c", config(7))
+		time.Sleep(5 * time.Second)
+		must.NotNil(t, routes.Current())
+		must.Eq(t, 7, routes.Current().Version)
+		cancel()
+		must.ErrorIs(t, <-done, context.Canceled)
+	})
+}
--- a/direct/follow/schedule.go
+++ b/direct/follow/schedule.go
@@ -8,8 +8,6 @@
 // schedule decides when the calls to the store for one topic begin. It holds no calls itself. It isn't safe
 // for concurrent use.
 type schedule struct {
-	// inProgress is the number of calls without an answer.
-	inProgress int
 	// suspect is set while a call has failed or is overdue and none has succeeded since.
 	suspect bool
 	// overdueAt is when the call in progress is overdue; only used while not suspect.
@@ -29,6 +27,8 @@
 
 // surroundings is what a decision depends on besides the topic's own calls.
 type surroundings struct {
+	// busy is set while a call for the topic is in progress.
+	busy bool
 	// wanted is set if this router should read the topic from the store.
 	wanted bool
 	// answering is set if the store answers calls for this router's other topic, or those of a peer.
@@ -41,7 +41,7 @@
 // the turns that the fleet shares, whether or not earlier ones have ended: a call that began in an
 // outage may be lost. Once it answers someone, a call begins at once.
 func (s *schedule) shouldBegin(now time.Time, around surroundings) bool {
-	due := s.inProgress == 0 && !now.Before(s.notBefore)
+	due := !around.busy && !now.Before(s.notBefore)
 	if !s.suspect {
 		return due && (around.wanted || around.mayProbe())
 	}
@@ -56,16 +56,15 @@
 
 // began records that a call has begun that the store may hold for wait.
 func (s *schedule) began(now time.Time, wait time.Duration) {
-	s.inProgress++
 	s.recheck = false
 	if !s.suspect {
 		s.overdueAt = now.Add(wait + overdueDelay)
 	}
 }
 
-// checkOverdue reports whether the call in progress has become overdue.
-func (s *schedule) checkOverdue(now time.Time) bool {
-	if s.suspect || s.inProgress == 0 || now.Before(s.overdueAt) {
+// checkOverdue reports whether a call has become overdue; busy is set while one is in progress.
+func (s *schedule) checkOverdue(now time.Time, busy bool) bool {
+	if s.suspect || !busy || now.Before(s.overdueAt) {
 		return false
 	}
 	s.suspectNow()
@@ -81,7 +80,7 @@
 
 // succeeded records that a call which began at a time succeeded. All others have been given up.
 func (s *schedule) succeeded(began time.Time, wasRead bool) {
-	s.inProgress, s.suspect = 0, false
+	s.suspect = false
 	s.notBefore = began.Add(minReadInterval)
 	if wasRead {
 		// A listing succeeds also while all reads are refused.
@@ -91,7 +90,6 @@
 
 // failed records that a call failed.
 func (s *schedule) failed(now time.Time) {
-	s.inProgress--
 	s.suspectNow()
 	s.notBefore = now.Add(jitter(s.backoff))
 	s.backoff = min(2*s.backoff, maxBackoff)
@@ -100,23 +98,23 @@
 // refused records that the store answered a read, but doesn't hold the next records. All other calls
 // have been given up.
 func (s *schedule) refused(now time.Time) {
-	s.inProgress, s.suspect = 0, false
+	s.suspect = false
 	s.notBefore = now.Add(jitter(s.relistDelay))
 	s.relistDelay = min(max(2*s.relistDelay, minBackoff), maxBackoff)
 }
 
 // outdated records that the store answered, from a later era. All other calls have been given up.
-func (s *schedule) outdated() { s.inProgress, s.suspect, s.notBefore = 0, false, time.Time{} }
+func (s *schedule) outdated() { s.suspect, s.notBefore = false, time.Time{} }
 
 // idle records that this router doesn't read the topic any more. All calls have been given up.
-func (s *schedule) idle() { s.inProgress, s.suspect = 0, false }
+func (s *schedule) idle() { s.suspect = false }
 
-// pause returns how long no decision is due unless a call ends.
-func (s *schedule) pause(now time.Time) time.Duration {
+// pause returns how long no decision is due unless a call ends; busy is set while one is in progress.
+func (s *schedule) pause(now time.Time, busy bool) time.Duration {
 	switch {
 	case s.suspect:
 		return probeCheckInterval
-	case s.inProgress > 0:
+	case busy:
 		return max(s.overdueAt.Sub(now), minPause)
 	case now.Before(s.notBefore):
 		return max(s.notBefore.Sub(now), minPause)
--- a/direct/follow/schedule_test.go
+++ b/direct/follow/schedule_test.go
@@ -11,9 +11,10 @@
 var (
 	never        = func() bool { return false }
 	always       = func() bool { return true }
-	silentAround = surroundings{wanted: true, mayProbe: never}
-	probeAround  = surroundings{wanted: true, mayProbe: always}
-	answerAround = surroundings{wanted: true, answering: true, mayProbe: never}
+	calmAround   = surroundings{wanted: true, answering: true, mayProbe: never}
+	silentAround = surroundings{busy: true, wanted: true, mayProbe: never}
+	probeAround  = surroundings{busy: true, wanted: true, mayProbe: always}
+	answerAround = surroundings{busy: true, wanted: true, answering: true, mayProbe: never}
 )
 
 // Guards against a router that waits for a lost call: as soon as the store answers anybody, it calls
@@ -21,10 +22,10 @@
 func TestCallBeginsWhenTheStoreAnswersAgain(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	s := &schedule{}
-	must.True(t, s.shouldBegin(now, silentAround))
+	must.True(t, s.shouldBegin(now, calmAround))
 	s.began(now, time.Second)
-	must.False(t, s.checkOverdue(now.Add(time.Second)))
-	must.True(t, s.checkOverdue(now.Add(time.Second+overdueDelay)))
+	must.False(t, s.checkOverdue(now.Add(time.Second), true))
+	must.True(t, s.checkOverdue(now.Add(time.Second+overdueDelay), true))
 	must.False(t, s.shouldBegin(now.Add(2*time.Second), silentAround))
 	must.True(t, s.shouldBegin(now.Add(2*time.Second), probeAround), must.Sprint("its turn"))
 	s.began(now.Add(2*time.Second), 0)
@@ -43,10 +44,10 @@
 	s.began(now, time.Second)
 	now = now.Add(time.Second + overdueDelay)
 	must.False(t, s.shouldBegin(now, answerAround))
-	must.True(t, s.checkOverdue(now))
+	must.True(t, s.checkOverdue(now, true))
 	must.True(t, s.shouldBegin(now, answerAround))
 	s.began(now, 0)
-	must.False(t, s.checkOverdue(now.Add(time.Second)))
+	must.False(t, s.checkOverdue(now.Add(time.Second), true))
 	must.False(t, s.shouldBegin(now.Add(time.Second), answerAround))
 }
 
@@ -57,7 +58,7 @@
 	s := &schedule{}
 	calls := 0
 	for end := now.Add(time.Minute); now.Before(end); now = now.Add(10 * time.Millisecond) {
-		if s.shouldBegin(now, answerAround) {
+		if s.shouldBegin(now, calmAround) {
 			calls++
 			s.began(now, time.Second)
 			s.failed(now)
--- a/direct/follow/topic.go
+++ b/direct/follow/topic.go
@@ -50,7 +50,7 @@
 	defer cancel()
 	for {
 		t.step(ctx, time.Now())
-		timer := time.NewTimer(t.schedule.pause(time.Now()))
+		timer := time.NewTimer(t.schedule.pause(time.Now(), t.busy()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -63,14 +63,17 @@
 	}
 }
 
+func (t *topicCalls) busy() bool { return len(t.pending) > 0 }
+
+// step decides whether this router goes on reading the topic and whether a call begins.
 func (t *topicCalls) step(ctx context.Context, now time.Time) {
 	f := t.follower
 	wanted := !f.listed[t.topic].Load() || f.peers.ShouldReadStore() || f.probes.answeredRecently(now)
-	if t.schedule.checkOverdue(now) {
+	if t.schedule.checkOverdue(now, t.busy()) {
 		f.setReading(t.topic, false)
 	}
 	answering := f.readsOther(t.topic) || f.peers.HasStoreReader()
-	if !wanted && (answering || !t.schedule.suspect) && (len(t.pending) == 0 || t.schedule.suspect) {
+	if !wanted && (answering || !t.schedule.suspect) && (!t.busy() || t.schedule.suspect) {
 		t.giveUp()
 		t.schedule.idle()
 		f.setReading(t.topic, false)
@@ -78,7 +81,7 @@
 			f.markOutageEnded(t.topic)
 		}
 	}
-	around := surroundings{wanted: wanted, answering: answering, mayProbe: func() bool {
+	around := surroundings{busy: t.busy(), wanted: wanted, answering: answering, mayProbe: func() bool {
 		return f.peers.ShouldProbeStore() && f.probes.claim(now, t.topic)
 	}}
 	if t.schedule.shouldBegin(now, around) {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -38,8 +38,10 @@
 	reportIntervalPerPeer = 5 * time.Millisecond
 	// idleReportInterval is the interval while there is no load to report.
 	idleReportInterval = 400 * time.Millisecond
-	// newsDelay is the delay of a report that is sent because of news from the store.
-	newsDelay = 20 * time.Millisecond
+	// minNewsDelay is the shortest delay of a report that is sent because of news from the store, and
+	// newsDelayPerPeer lengthens it, so that a router sends at most 1,000 of them a second.
+	minNewsDelay     = 20 * time.Millisecond
+	newsDelayPerPeer = time.Millisecond
 	// teamsInterval is the shortest interval between two reports with the usage of
 	// teams, which is counted over a window of 4 s.
 	teamsInterval = 250 * time.Millisecond
@@ -245,7 +247,7 @@
 		case <-timer.C:
 		case <-m.news:
 			// Bounds the rate, and collects what becomes known at about the same time.
-			time.Sleep(newsDelay)
+			time.Sleep(m.newsDelay())
 			hasNews = true
 		}
 		now := time.Now()
@@ -267,6 +269,12 @@
 	return max(minReportInterval, time.Duration(len(m.peers))*reportIntervalPerPeer)
 }
 
+func (m *Mesh) newsDelay() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(minNewsDelay, time.Duration(len(m.peers))*newsDelayPerPeer)
+}
+
 func (m *Mesh) broadcast(now time.Time, sequence uint64, report *dispatch.Report) {
 	message := m.encodeReport(now, sequence, report)
 	targets, routers := m.targets(now, sequence)
