Routers tell each other new members with the next report

So some saw other fleets than others, took the same turn to probe the store and left others unused. Now the report after a peer was added lists the members.

--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -45,7 +45,8 @@
 	// teamsInterval is the shortest interval between two reports with the usage of
 	// teams, which is counted over a window of 4 s.
 	teamsInterval = 250 * time.Millisecond
-	// membersEvery is the period, in reports, at which a report lists the members.
+	// membersEvery is the period, in reports, at which a report lists the members. The report after a
+	// peer was added lists them, too.
 	membersEvery = 16
 	// maxMembers bounds the addresses in one report.
 	maxMembers = 64
@@ -105,6 +106,8 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	leaving bool
+	// hasNewMembers is set if a peer was added since the latest report with the members.
+	hasNewMembers bool
 }
 
 // LocalState gives access to this router's state for its reports and peers.
@@ -197,6 +200,7 @@
 	added := !known && len(m.peers) < maxPeers
 	if added {
 		m.peers[address] = &peer{address: net.UDPAddrFromAddrPort(parsed), addedAt: now}
+		m.hasNewMembers = true
 	}
 	m.mu.Unlock()
 	if !added {
@@ -279,7 +283,7 @@
 	message := m.encodeReport(now, sequence, report)
 	targets, routers := m.targets(now, sequence)
 	m.dispatcher.SetRouters(routers)
-	if sequence%membersEvery == 1 {
+	if hasNew := m.takeNewMembers(); hasNew || sequence%membersEvery == 1 {
 		message.Members = m.members(now)
 	}
 	m.sendToPeers(message.Append(nil), targets)
@@ -331,6 +335,15 @@
 	return b
 }
 
+// takeNewMembers reports whether a peer was added since its latest call.
+func (m *Mesh) takeNewMembers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	hasNew := m.hasNewMembers
+	m.hasNewMembers = false
+	return hasNew
+}
+
 func (m *Mesh) members(now time.Time) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
