An answer counts before the call is found overdue

On a host without CPU time both are noticed at once, and the choice between them was random: one more call to the store, and a report that this router stopped reading it.

--- a/direct/follow/topic.go
+++ b/direct/follow/topic.go
@@ -56,6 +56,7 @@
 			timer.Stop()
 			return ctx.Err()
 		case <-timer.C:
+			t.finishReady()
 		case r := <-t.results:
 			t.finish(r)
 		}
@@ -63,6 +64,16 @@
 	}
 }
 
+// finishReady finishes a call that has been answered. On a host without CPU time the answer of a
+// call and the time at which it is overdue are noticed together.
+func (t *topicCalls) finishReady() {
+	select {
+	case r := <-t.results:
+		t.finish(r)
+	default:
+	}
+}
+
 func (t *topicCalls) busy() bool { return len(t.pending) > 0 }
 
 // step decides whether this router goes on reading the topic and whether a call begins.
