Routers with agents repeat reads of a silent log

A read or a question for the offsets that has no answer is now repeated beside the first, each 1.5 s, in large fleets as seldom as routers read a log that answers. The first result counts.

TestLostReadDoesNotOutliveTheSilence and TestFirstAnswerEndsTheOtherCalls fail without the repetition. Not shown with real processes.

--- a/router/configfollow/follower.go
+++ b/router/configfollow/follower.go
@@ -245,15 +245,24 @@
 }
 
 func (f *Follower) read(ctx context.Context, offset int64, count int, timeout time.Duration) ([]logclient.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return f.options.Log.Read(ctx, publication.Topic, offset, count)
+	return firstAnswer(ctx, timeout, f.repeatInterval(), func(ctx context.Context) ([]logclient.Record, error) {
+		return f.options.Log.Read(ctx, publication.Topic, offset, count)
+	})
+}
+
+// repeatInterval returns the interval at which a call to the log that isn't answered is repeated: all
+// routers together then make no more calls than while the log answers.
+func (f *Follower) repeatInterval() time.Duration {
+	return max(minReadTimeout, pollInterval(f.options.PollInterval, len(f.options.Peers())+1))
 }
 
 func (f *Follower) offsets(ctx context.Context) (beginning, end int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
-	return f.options.Log.Offsets(ctx, publication.Topic)
+	type offsets struct{ beginning, end int64 }
+	o, err := firstAnswer(ctx, logTimeout, f.repeatInterval(), func(ctx context.Context) (o offsets, err error) {
+		o.beginning, o.end, err = f.options.Log.Offsets(ctx, publication.Topic)
+		return o, err
+	})
+	return o.beginning, o.end, err
 }
 
 // isExpired reports whether the record at offset is no longer retained.
