--- a/direct/follow/topic.go
+++ b/direct/follow/topic.go
@@ -84,7 +84,12 @@
 		f.setReading(t.topic, false)
 	}
 	answering := f.readsOther(t.topic) || f.peers.HasStoreReader()
-	if !wanted && (answering || !t.schedule.suspect) && (!t.busy() || t.schedule.suspect) {
+	// A call in progress is awaited, unless it seems lost.
+	mayStop := !t.busy()
+	if t.schedule.suspect {
+		mayStop = answering
+	}
+	if !wanted && mayStop {
 		t.giveUp()
 		t.schedule.idle()
 		f.setReading(t.topic, false)
