Evacuation of an availability zone: table, decoding, application, placement

Operators write evacuate/ZONE to the configuration topic to take a zone's endpoints out of use. Until now routers ignored the record and sent on.

state/evacuation.Table holds the zones. The follower applies the records and their tombstones, before the configurations of the same batch, so that a router isn't ready without them. The dispatcher leaves the zone's endpoints out, rejects them in the last check before a request is written, and refuses requests whose endpoints are all evacuated with a reason of its own. Endpoints of the zone aren't asked for their incarnation; a due question is asked after the return. A mirror no longer keeps a derived tombstone at offset 0 of a topic that was restored to an empty one: it hid the next record.

--- a/coordination/incarnation/table.go
+++ b/coordination/incarnation/table.go
@@ -178,6 +178,13 @@
 	e.backoff = min(2*e.backoff, maxAskBackoff)
 }
 
+// Postpone records that a question was not asked. It stays due.
+func (t *Table) Postpone(id string) {
+	if e := t.endpoints[id]; e != nil {
+		e.asking = false
+	}
+}
+
 // Evict deletes the endpoints for which keep returns false.
 func (t *Table) Evict(keep func(id string) bool) {
 	for id, e := range t.endpoints {
--- a/direct/confirm/confirm.go
+++ b/direct/confirm/confirm.go
@@ -85,6 +85,8 @@
 	}
 }
 
+var errEvacuated = eris.New("the zone of the endpoint is evacuated")
+
 // startTime asks an endpoint on a new connection. reached is set if it responded, though perhaps
 // not with a report.
 func (c *Confirmer) startTime(ctx context.Context, e registry.Endpoint) (started time.Time, reached bool, err error) {
@@ -92,6 +94,12 @@
 	response, err := c.Pool.DoNew(ctx, target, &endpointhttp.Request{
 		Method: http.MethodGet, URI: c.Report.Path, Host: e.Address,
 		Header: http.Header{c.Dialect.ExpectedInstance: {e.ID}}, IDHeader: c.Dialect.RequestID,
+		Recheck: func(func() bool) error {
+			if c.Dispatcher.Evacuated(e) {
+				return errEvacuated
+			}
+			return nil
+		},
 	})
 	if err != nil {
 		return time.Time{}, false, err
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
+	"github.com/acaciaspar/acaciaspar/state/evacuation"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
@@ -44,6 +45,8 @@
 	policy   placement.Policy
 	zone     string
 	registry *registry.Table
+	// evacuations holds the zones whose endpoints get nothing new.
+	evacuations *evacuation.Table
 
 	mu    sync.Mutex
 	loads *endpointload.Table
@@ -127,6 +130,7 @@
 		requestLimits: requestlimit.NewTable(),
 		limitNews:     make(chan struct{}, 1),
 		incarnations:  incarnation.NewTable(),
+		evacuations:   evacuation.NewTable(),
 	}
 }
 
@@ -197,6 +201,9 @@
 const (
 	// NoEndpoint means that the service has no usable endpoint.
 	NoEndpoint Reason = "no usable endpoint"
+	// Evacuated means that all endpoints of the service that could run the request are in evacuated
+	// zones.
+	Evacuated Reason = "all endpoints are in evacuated zones"
 	// Paused means that all endpoints of the service have asked for a pause.
 	Paused Reason = "all endpoints want no requests"
 	// Saturated means that no endpoint can start the request within the
@@ -404,7 +411,7 @@
 }
 
 func (d *Dispatcher) readyEndpoints(request *Request) []registry.Endpoint {
-	ready := d.registry.Ready(request.Service)
+	ready := d.notEvacuated(d.registry.Ready(request.Service))
 	if request.Resumable || request.Build != streamorigin.AnyBuild {
 		ready = d.confirmed(ready)
 	}
@@ -431,9 +438,14 @@
 }
 
 // HasReady reports whether a service has an endpoint that accepts requests and is certainly of a
-// build.
+// build, or one in an evacuated zone that is registered with it: it is not gone, so what only its
+// build may do can't be done elsewhere.
 func (d *Dispatcher) HasReady(service string, build streamorigin.Build) bool {
-	ready := d.confirmed(d.registry.Ready(service))
+	ready := d.registry.Ready(service)
+	if d.hasEvacuated(ready, build) {
+		return true
+	}
+	ready = d.confirmed(ready)
 	return slices.ContainsFunc(ready, func(e registry.Endpoint) bool { return runs(e, build) })
 }
 
--- a/direct/dispatch/incarnations.go
+++ b/direct/dispatch/incarnations.go
@@ -13,7 +13,7 @@
 func (d *Dispatcher) Accepting(chosen registry.Endpoint, resumable bool) bool {
 	now := time.Now()
 	e, ok := d.registry.Accepting(chosen.ID, now)
-	if !ok {
+	if !ok || d.Evacuated(e) {
 		return false
 	}
 	d.mu.Lock()
@@ -74,14 +74,17 @@
 	return kept
 }
 
-// TakeQuestions returns the endpoints that should be asked now which incarnation they are.
-// Reported, Reached or Unanswered must be called for each of them.
+// TakeQuestions returns the endpoints that should be asked now which incarnation they are. Those in
+// evacuated zones are asked after their return. Reported, Reached or Unanswered must be called for each of them.
 func (d *Dispatcher) TakeQuestions(now time.Time) []registry.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var endpoints []registry.Endpoint
+	zones := d.evacuations.Zones()
 	for _, id := range d.incarnations.TakeQuestions(now) {
-		if e, ok := d.registry.Lookup(id); ok {
+		if e, ok := d.registry.Lookup(id); ok && zones.Has(e.Zone) {
+			d.incarnations.Postpone(id)
+		} else if ok {
 			endpoints = append(endpoints, e)
 		} else {
 			d.incarnations.Asked(now, id)
--- a/direct/dispatch/statements.go
+++ b/direct/dispatch/statements.go
@@ -20,11 +20,18 @@
 const pauseSpread = 0.25
 
 // refuseUnusable refuses a request for which no endpoint is usable. If all of the service have
-// asked for a pause, the caller should retry when the first pause ends.
+// asked for a pause, the caller should retry when the first pause ends. Endpoints in evacuated zones
+// don't count.
 func (d *Dispatcher) refuseUnusable(now time.Time, request *Request, allowance float64) *Refusal {
 	refusal := &Refusal{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter, Allowance: allowance}
+	ready := d.registry.Ready(request.Service)
+	open := d.notEvacuated(ready)
+	if len(open) < len(ready) && !hasBuild(open, request.Build) && hasBuild(ready, request.Build) {
+		refusal.Reason = Evacuated
+		return refusal
+	}
 	var first time.Time
-	for _, e := range d.registry.Ready(request.Service) {
+	for _, e := range open {
 		until := d.loads.PausedUntil(now, e.ID)
 		if until.IsZero() {
 			return refusal
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciaspar/acaciaspar/observability"
+	"github.com/acaciaspar/acaciaspar/state/evacuation"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
@@ -60,8 +61,8 @@
 	announceCheckInterval = 5 * time.Second
 )
 
-// Follower applies records from the store and from peers to the routing and
-// endpoint tables. It is safe for use by several goroutines. Its mutex
+// Follower applies records from the store and from peers to the routing,
+// endpoint and evacuation tables. It is safe for use by several goroutines. Its mutex
 // serializes the application of records and is taken before those of the tables.
 type Follower struct {
 	readWait   time.Duration
@@ -82,10 +83,15 @@
 	// OnStoreNews is called after records from the store were applied, and when this router begins or
 	// stops reading it. Peers should learn both without delay.
 	OnStoreNews func()
+	// OnZoneReturned is called right before the evacuation of a zone ends. It must not call the
+	// follower.
+	OnZoneReturned func(zone string)
 
 	mu      sync.Mutex
 	limiter observability.LogLimiter
 	mirrors [2]*mirror.Topic
+	// evacuations changes only while mu is held.
+	evacuations *evacuation.Table
 	// unreachable is set, by topic, while the latest call to the store failed.
 	unreachable [2]atomic.Bool
 	// listed is set while a topic can be read from the mirror's next offset on,
@@ -116,13 +122,19 @@
 	Peers     Peers
 	Routes    *routing.Store
 	Endpoints *registry.Table
-	Log       *slog.Logger
-	Metrics   metrics.Registry
+	// Evacuations gets the evacuated zones. A nil table is replaced by a new one.
+	Evacuations *evacuation.Table
+	Log         *slog.Logger
+	Metrics     metrics.Registry
 }
 
 // New returns a follower, which Run starts.
 func New(o Options) *Follower {
+	if o.Evacuations == nil {
+		o.Evacuations = evacuation.NewTable()
+	}
 	return &Follower{
+		evacuations: o.Evacuations, OnZoneReturned: func(string) {},
 		readWait: o.ReadWait, store: o.Store, decoder: o.Decoder, peers: o.Peers, routes: o.Routes, endpoints: o.Endpoints, log: o.Log,
 		storeCalls: metrics.GetOrRegisterCounter("direct.store_calls", o.Metrics),
 		timedOut:   metrics.GetOrRegisterCounter("direct.store_calls_timed_out", o.Metrics),
@@ -227,13 +239,16 @@
 	return nil
 }
 
-// Apply applies a batch from the store or from a peer. Records older than those in the
-// mirror are ignored. It returns the error of mirror.Topic.Apply.
-func (f *Follower) Apply(topic Topic, batch mirror.Batch) error {
+// Apply applies a batch from the store. Records older than those in the mirror are ignored. It returns the error of mirror.Topic.Apply.
+func (f *Follower) Apply(topic Topic, batch mirror.Batch) error { return f.apply(topic, batch, false) }
+
+// apply implements Apply. fromPeer is set if a peer sent the batch.
+func (f *Follower) apply(topic Topic, batch mirror.Batch, fromPeer bool) error {
 	f.mu.Lock()
 	var tables map[uint64]*routing.Table
 	if topic == Configuration {
 		batch.Records, tables = f.compileConfigs(batch.Records)
+		f.keepValidEvacuations(batch.Records)
 	}
 	known := f.mirrors[topic].Position()
 	change, err := f.mirrors[topic].Apply(batch)
@@ -244,6 +259,10 @@
 			f.endpoints.StoreRestored(time.Now())
 		}
 	}
+	if topic == Configuration {
+		// The router is ready once a configuration is in force, so the evacuations come first.
+		f.applyEvacuations(batch, change, fromPeer)
+	}
 	for _, r := range change.Applied {
 		switch {
 		case topic == Endpoints:
@@ -387,10 +406,13 @@
 	return everyInterval(ctx, func() { f.fetchFromPeers(ctx, topic) })
 }
 
-// expireEndpoints periodically removes the endpoints whose grace period has ended.
+// expireEndpoints periodically removes the endpoints whose grace period has ended, and ends the
+// evacuations that were kept for a time.
 func (f *Follower) expireEndpoints(ctx context.Context) error {
 	return everyInterval(ctx, func() {
-		if f.endpoints.Expire(time.Now()) {
+		now := time.Now()
+		f.endHeldEvacuations(now)
+		if f.endpoints.Expire(now) {
 			f.OnChange()
 		}
 	})
@@ -428,7 +450,7 @@
 	if len(batch.Records) > 0 {
 		f.log.Info("records taken from a peer", "topic", topic.String(), "records", len(batch.Records), "era", batch.End.Era)
 	}
-	err = f.Apply(topic, batch)
+	err = f.apply(topic, batch, true)
 	if err != nil && !errors.Is(err, mirror.ErrEarlierEra) {
 		f.log.Warn("apply records from peer failed", "topic", topic.String(), "error", err.Error())
 		return
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -14,7 +14,7 @@
 type Topic int
 
 const (
-	// Configuration holds the operators' latest configuration.
+	// Configuration holds the operators' latest configuration and the evacuations of zones.
 	Configuration Topic = iota
 	// Endpoints holds one record per registered endpoint.
 	Endpoints
@@ -61,6 +61,9 @@
 	Config(r mirror.Record) (*routing.Config, error)
 	// Endpoint decodes the entry of an endpoint.
 	Endpoint(r mirror.Record) (registry.Endpoint, error)
+	// Evacuation decodes a record of Configuration that evacuates an availability zone or, as a
+	// tombstone, ends its evacuation. isEvacuation is false, without an error, for other records.
+	Evacuation(r mirror.Record) (zone string, isEvacuation bool, err error)
 }
 
 // Peers gives access to other routers' mirrors.
--- a/direct/process.go
+++ b/direct/process.go
@@ -29,6 +29,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
+	"github.com/acaciaspar/acaciaspar/state/evacuation"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
@@ -115,6 +116,7 @@
 	// steadySince is the beginning of the time that storeAnswered returns.
 	steadySince time.Time
 	mesh        *mesh.Mesh
+	evacuations *evacuation.Table
 	listeners   listeners
 	// callers accepts the connections of callers.
 	callers *conns.Listener
@@ -199,6 +201,8 @@
 	p.endpoints.SetMaxAge(s.StoreWait)
 	limits := retry.Limits{Floor: s.RetryFloor, Fraction: s.RetryFraction}
 	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
+	p.evacuations = evacuation.NewTable()
+	p.dispatcher.UseEvacuations(p.evacuations)
 	p.pool = endpointhttp.NewPool(dialTimeout)
 	p.handler = &entry.Handler{
 		Routes: p.routes, Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect,
@@ -213,7 +217,7 @@
 	p.mesh.Add(s.peerList()...)
 	p.follower = follow.New(follow.Options{
 		ReadWait: s.StoreWait, Store: p.options.Store, Decoder: p.options.Decoder, Peers: p.mesh,
-		Routes: p.routes, Endpoints: p.endpoints, Log: p.log, Metrics: p.metrics,
+		Routes: p.routes, Endpoints: p.endpoints, Evacuations: p.evacuations, Log: p.log, Metrics: p.metrics,
 	})
 	p.follower.OnChange, p.follower.OnStoreNews = p.updateDispatcher, p.mesh.SendSoon
 	p.origins = origins.New(origins.Options{
@@ -465,6 +469,8 @@
 			metrics.GetOrRegisterGauge("direct.quarantined_prompts", p.metrics).Update(int64(p.dispatcher.QuarantinedSets()))
 			metrics.GetOrRegisterGauge("direct.limited_endpoints", p.metrics).Update(int64(p.dispatcher.LimitedEndpoints()))
 			metrics.GetOrRegisterGauge("direct.doubted_endpoints", p.metrics).Update(int64(p.dispatcher.DoubtedEndpoints()))
+			metrics.GetOrRegisterGauge("direct.evacuated_zones", p.metrics).Update(int64(len(p.evacuations.Zones())))
+			metrics.GetOrRegisterGauge("direct.evacuated_in_progress", p.metrics).Update(int64(p.dispatcher.EvacuatedInProgress(now)))
 			metrics.GetOrRegisterGauge("direct.stream_origins", p.metrics).Update(int64(p.origins.Len()))
 			metrics.GetOrRegisterGauge("direct.in_flight", p.metrics).Update(p.handler.InFlight())
 		}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -169,7 +169,10 @@
 	for key, r := range earlier {
 		if _, ok := t.records[key]; !ok && !r.IsTombstone() {
 			tombstone := Record{Key: key, Offset: max(b.End.Next-1, 0)}
-			t.set(tombstone)
+			if b.End.Next > 0 {
+				// In an empty topic, the next record gets the offset 0 itself.
+				t.set(tombstone)
+			}
 			applied = append(applied, tombstone)
 		}
 	}
@@ -185,6 +188,14 @@
 	t.tombstones = 0
 }
 
+// Lookup returns the stored record of a key, which may be a tombstone.
+func (t *Topic) Lookup(key string) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records[key]
+	return r, ok
+}
+
 // Position returns the position after the newest known record.
 func (t *Topic) Position() Position {
 	t.mu.Lock()
