--- a/direct/confirm/confirm_test.go
+++ b/direct/confirm/confirm_test.go
@@ -20,6 +20,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
+	"github.com/acaciaspar/acaciaspar/state/evacuation"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
@@ -32,6 +33,9 @@
 	pool       *endpointhttp.Pool
 	endpoint   *directtest.Endpoint
 	steady     atomic.Pointer[time.Time]
+
+	confirmer   *Confirmer
+	evacuations *evacuation.Table
 }
 
 func newFixture(t *testing.T, script directtest.Script) *fixture {
@@ -39,8 +43,10 @@
 	f := &fixture{endpoint: directtest.NewEndpoint(t, script), pool: endpointhttp.NewPool(time.Second)}
 	f.steady.Store(&time.Time{})
 	endpoints := registry.NewTable()
-	endpoints.Put(registry.Endpoint{ID: "e", Service: "s", Address: f.endpoint.Address, Version: "v1", Slots: 4, Started: registeredStart})
+	endpoints.Put(registry.Endpoint{ID: "e", Service: "s", Address: f.endpoint.Address, Zone: "z", Version: "v1", Slots: 4, Started: registeredStart})
 	f.dispatcher = dispatch.New("", endpoints, placement.DefaultPolicy(), retry.DefaultLimits())
+	f.evacuations = evacuation.NewTable()
+	f.dispatcher.UseEvacuations(f.evacuations)
 	f.dispatcher.Restarted("e", registeredStart)
 	c := &Confirmer{
 		Dispatcher: f.dispatcher, Pool: f.pool, Dialect: dialect.Default(), Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
@@ -55,6 +61,7 @@
 			return time.UnixMilli(ms), eris.Wrap(err, "decode")
 		}},
 	}
+	f.confirmer = c
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -144,3 +151,21 @@
 	must.False(t, f.place())
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f.place), wait.Timeout(2*confirmTime), wait.Gap(10*time.Millisecond)))
 }
+
+// Guards against questions to an endpoint in an evacuated zone, also one that was due before, and against
+// an endpoint that stays unused after the return of its zone because it was never asked.
+func TestEndpointInAnEvacuatedZoneIsAskedAfterItsReturn(t *testing.T) {
+	f := newFixture(t, report(registeredStart))
+	f.dispatcher.DoubtIncarnation(time.Now(), "e")
+	must.False(t, f.place(), must.Sprint("in doubt, and wanted from now on"))
+	f.evacuations.Begin("z")
+	e := registry.Endpoint{ID: "e", Address: f.endpoint.Address, Zone: "z"}
+	f.confirmer.ask(t.Context(), e)
+	for end := time.Now().Add(quietTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		must.False(t, f.place())
+	}
+	must.SliceEmpty(t, f.endpoint.Calls())
+	f.evacuations.End("z")
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f.place), wait.Timeout(confirmTime), wait.Gap(10*time.Millisecond)))
+	must.Len(t, 1, f.endpoint.Calls())
+}
