--- a/direct/follow/evacuation_test.go
+++ b/direct/follow/evacuation_test.go
@@ -212,6 +212,26 @@
 	})
 }
 
+// Guards against an evacuation of the older copy that is ignored, or can't be taken back again: while its
+// record exists in the store, it holds.
+func TestEvacuationOfAnOlderCopyHoldsUntilItsRemoval(t *testing.T) {
+	runFollower(t, nil, func(f *fixture) {
+		f.store.Append(follow.Configuration, "config", config(1))
+		evacuate(f.store, "a")
+		older := f.store.Copy()
+		time.Sleep(time.Second)
+		takeBack(f.store, "a")
+		time.Sleep(time.Second)
+		must.Eq(t, []string{}, f.evacuated())
+		f.restore(older)
+		time.Sleep(1500 * time.Millisecond)
+		must.Eq(t, []string{"a"}, f.evacuated())
+		takeBack(f.store, "a")
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(t, []string{}, f.evacuated())
+	})
+}
+
 // newFollower returns a follower that isn't running, for batches in a given order, and its fixture.
 func newFollower(t *testing.T, handler slog.Handler) *fixture {
 	t.Helper()
--- a/testbed/soak/fleet_test.go
+++ b/testbed/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -79,9 +80,14 @@
 
 type endpoint struct {
 	id, service, version string
-	proxy                *faultproxy.Proxy
+	// zone is the availability zone, routerZone if it is empty.
+	zone  string
+	proxy *faultproxy.Proxy
 }
 
+// routerZone is the availability zone of the routers.
+const routerZone = "z"
+
 func newFleet(t *testing.T) *fleet {
 	return startFleet(t, func(f *fleet) {
 		for i := range numEngines {
@@ -185,7 +191,11 @@
 const defaultVersion = "v1"
 
 func (f *fleet) addWorker(service, version string, w *platformtest.Worker) {
-	e := &endpoint{id: w.ID, service: service, version: version}
+	f.addWorkerInZone(service, version, "", w)
+}
+
+func (f *fleet) addWorkerInZone(service, version, zone string, w *platformtest.Worker) {
+	e := &endpoint{id: w.ID, service: service, version: version, zone: zone}
 	e.proxy = f.newProxy(f.serve(w))
 	f.endpoints = append(f.endpoints, e)
 	f.register(e, "ready")
@@ -193,7 +203,7 @@
 
 func (f *fleet) register(e *endpoint, state string) {
 	entry, err := json.Marshal(map[string]any{
-		"service": e.service, "address": e.proxy.Address(), "zone": "z", "version": e.version, "slots": 16, "state": state, "born": time.Now().UnixMilli(),
+		"service": e.service, "address": e.proxy.Address(), "zone": cmp.Or(e.zone, routerZone), "version": e.version, "slots": 16, "state": state, "born": time.Now().UnixMilli(),
 		"coldRemainingMs": 0, "sequence": 1,
 	})
 	must.NoError(f.t, err)
