Direct router: warm-up admission of cold endpoints

Endpoints that have just started, that come back with their zone, or that may have crashed get requests only from the members of their set, in turns. Entries, services and settings name the cold time, the rate and the bounds; without them nothing changes. The last check before a request is sent counts it and rejects one whose turn has passed. Peers' reports and broken connections are suspicions, which end with a confirmation of the incarnation.

--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -219,6 +219,7 @@
 	for _, l := range r.Loads {
 		if l.Unreachable {
 			d.recordEndpointDown(now, l.Endpoint)
+			d.suspectUnreachable(now, r.Instance, l.Endpoint)
 		}
 	}
 }
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/requestlimit"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
+	"github.com/acaciaspar/acaciaspar/coordination/warmup"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
@@ -83,6 +84,7 @@
 	limitNews     chan struct{}
 	// incarnations holds the endpoints that may have restarted since their entries were read.
 	incarnations *incarnation.Table
+	cold         coldState
 	// candidateBuffer and usableBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
@@ -127,6 +129,7 @@
 		requestLimits: requestlimit.NewTable(),
 		limitNews:     make(chan struct{}, 1),
 		incarnations:  incarnation.NewTable(),
+		cold:          newColdState(),
 	}
 }
 
@@ -147,7 +150,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.ContainsFunc(endpoints, func(e registry.Endpoint) bool {
-		return d.loads.View(now, e.ID, nil).Usable && d.allowed(now, e.ID)
+		if !d.loads.View(now, e.ID, nil).Usable || !d.allowed(now, e.ID) {
+			return false
+		}
+		allowed, _ := d.allowedCold(now, &e)
+		return allowed
 	})
 }
 
@@ -226,6 +233,8 @@
 	sharedParts []uint64
 	served      bool
 	fingerprint uint64
+	// turn is the turn that was taken for the request at a cold endpoint, until it is sent.
+	turn warmup.Turn
 	// cancel ends the attempt if the request is quarantined; quarantined is set if it did.
 	cancel      func()
 	quarantined bool
@@ -282,7 +291,7 @@
 	}
 	switch {
 	case len(candidates) == 0 && limited > 0:
-		return nil, refuse(request, 1, 0, limited)
+		return nil, d.refuseLimited(now, request, endpoints, limited)
 	case len(candidates) == 0:
 		return nil, d.refuseUnusable(now, request, allowance)
 	}
@@ -307,6 +316,7 @@
 	return &Assignment{
 		Endpoint: chosen, ExpectedWait: c.Wait(), UncachedTokens: c.UncachedTokens, dispatcher: d, attempt: attempt,
 		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint, charge: d.charge(now, request),
+		turn: d.takeTurn(now, &chosen),
 	}, nil
 }
 
@@ -333,7 +343,7 @@
 
 // candidates returns the usable engines and their indexes in endpoints. Engines
 // that peers report as unreachable are omitted while there are others. limited is the
-// number of engines that would be usable without their request limit. With stalled, stalled
+// number of engines that would be usable without their request limit or if they weren't cold. With stalled, stalled
 // engines count as usable.
 func (d *Dispatcher) candidates(now time.Time, endpoints []registry.Endpoint, shared []prompt.Part, home string, stalled bool) (_ []placement.Candidate, _ []int, limited int) {
 	candidates, usable := d.candidateBuffer[:0], d.usableBuffer[:0]
@@ -347,7 +357,13 @@
 				limited++
 				continue
 			}
-			if e.ID == home {
+			allowed, cold := d.allowedCold(now, &endpoints[i])
+			if !allowed {
+				limited++
+				continue
+			}
+			// A cold engine has just started, and has no parts of its previous incarnation.
+			if e.ID == home && !cold {
 				v.UncachedTokens = 0
 			}
 			usable = append(usable, i)
@@ -476,6 +492,9 @@
 		if full && !request.Begun || !d.allowed(now, e.ID) {
 			continue
 		}
+		if allowed, _ := d.allowedCold(now, &endpoints[i]); !allowed {
+			continue
+		}
 		score := float64(v.Running) + v.FailureRate*failurePenalty
 		if v.UnreachableFromPeers || v.Stalled {
 			score += failurePenalty
@@ -491,13 +510,13 @@
 		return nil, d.refuseUnusable(now, request, 1)
 	}
 	if best < 0 {
-		return nil, refuse(request, 1, 0, usable)
+		return nil, d.refuseLimited(now, request, endpoints, usable)
 	}
 	d.requestLimits.Take(now, endpointload.Hash(endpoints[best].ID))
 	attempt := d.loads.StartAttempt(now, endpoints[best].ID, prompt.Cost{}, 0)
 	return &Assignment{
 		Endpoint: endpoints[best], dispatcher: d, attempt: attempt,
-		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint,
+		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint, turn: d.takeTurn(now, &endpoints[best]),
 	}, nil
 }
 
@@ -548,6 +567,7 @@
 		}
 		a.attempt.End(now, r)
 		delete(a.dispatcher.waiting, a)
+		a.returnTurn()
 		if r == endpointload.ConnectFailed {
 			a.dispatcher.recordEndpointDown(now, endpointload.Hash(a.Endpoint.ID))
 		}
@@ -633,6 +653,7 @@
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
 	d.expireLimits(now)
+	d.expireCold(now)
 	d.incarnations.Evict(d.registry.Remembers)
 	for name, t := range d.teams {
 		if now.Sub(t.lastRequest) > usageIdleTimeout {
--- a/direct/dispatch/incarnations.go
+++ b/direct/dispatch/incarnations.go
@@ -54,6 +54,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.incarnations.Doubt(now, id)
+	d.suspectRestart(now, id)
 }
 
 // confirmed returns the endpoints whose incarnation is not in doubt.
@@ -100,6 +101,7 @@
 		return false
 	}
 	d.setIncarnation(id, started)
+	d.suspectRestart(now, id)
 	return true
 }
 
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -569,6 +569,7 @@
 	errEndpointGone   = errors.New("the endpoint stopped accepting requests")
 	// errOutdatedEntries is an errEndpointGone: the endpoint may have left.
 	errOutdatedEntries = fmt.Errorf("%w, or this router is late to learn it", errEndpointGone)
+	errTurnPassed      = errors.New("the endpoint is cold and the turn for the request has passed")
 )
 
 // recheck is called immediately before the request is sent to an endpoint. On a busy
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -80,6 +80,9 @@
 			if err := r.recheck(a.assignment.Endpoint); err != nil {
 				return err
 			}
+			if !a.assignment.MaySend(time.Now()) {
+				return errTurnPassed
+			}
 			r.handedOver.Store(true)
 			return nil
 		},
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -148,6 +148,7 @@
 	configVersion uint64
 	readsStore    bool
 	outOfRotation bool
+	leaving       bool
 }
 
 // New returns a mesh that sends and receives reports on conn. instance
@@ -283,6 +284,7 @@
 	message := m.encodeReport(now, sequence, report)
 	targets, routers := m.targets(now, sequence)
 	m.dispatcher.SetRouters(routers)
+	m.dispatcher.SetFleet(now, m.fleetView(now))
 	if hasNew := m.takeNewMembers(); hasNew || sequence%membersEvery == 1 {
 		message.Members = m.members(now)
 	}
@@ -455,6 +457,7 @@
 		p.configVersion = report.ConfigVersion
 		p.readsStore = report.ReadsStore && !report.Leaving
 		p.outOfRotation = report.OutOfRotation || report.Leaving
+		p.leaving = report.Leaving
 	}
 	m.mu.Unlock()
 	m.dispatcher.ApplyPeerReport(now, decodeReport(report))
--- a/direct/process.go
+++ b/direct/process.go
@@ -19,6 +19,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/coordination/warmup"
 	"github.com/acaciaspar/acaciaspar/direct/confirm"
 	"github.com/acaciaspar/acaciaspar/direct/conns"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
@@ -199,6 +200,7 @@
 	p.endpoints.SetMaxAge(s.StoreWait)
 	limits := retry.Limits{Floor: s.RetryFloor, Fraction: s.RetryFraction}
 	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
+	p.dispatcher.SetColdBounds(warmup.Bounds{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack})
 	p.pool = endpointhttp.NewPool(dialTimeout)
 	p.handler = &entry.Handler{
 		Routes: p.routes, Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect,
@@ -287,6 +289,7 @@
 		}
 	}
 	p.dispatcher.SetCapacity(table.Limits.TokensPerSecond, engines)
+	p.dispatcher.UpdateCold(time.Now(), coldServices(table))
 }
 
 // errStopped is returned by the goroutine that completed a drain. It ends the
@@ -456,6 +459,7 @@
 				return ok
 			})
 			p.dispatcher.EvictExpired(now)
+			p.reportCold(now)
 			p.logShares(now)
 			last = p.logLoad(last)
 			idle, dialed := p.pool.Stats()
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"strings"
 	"time"
@@ -25,6 +26,8 @@
 	Descriptors       int           `flag:"descriptors" default:"4096" usage:"file descriptors that this process may use"`
 	RetryFraction     float64       `flag:"retry-fraction" default:"0.1" usage:"fraction of a service's requests that may be retried, in addition to the retry floor"`
 	RetryFloor        float64       `flag:"retry-floor" default:"10" usage:"retries of a service per 10 s that the whole fleet may make regardless of the number of requests"`
+	ColdOvershoot     float64       `flag:"cold-overshoot" default:"1.5" usage:"factor of the rate that a cold endpoint sustains in the bound on its requests per second, to which cold-slack is added"`
+	ColdSlack         float64       `flag:"cold-slack" default:"5" usage:"requests per second that a cold endpoint may get in addition to cold-overshoot times its rate, from all routers together"`
 	FirstStart        bool          `flag:"first-start" default:"false" usage:"whether the whole fleet starts for the first time, so that no stream began before"`
 	LogLinesPerSecond int           `flag:"log-lines-per-second" default:"500" usage:"maximum log lines per second of each message; further lines are only counted"`
 	LogLevel          slog.Level    `flag:"log-level" default:"INFO" usage:"DEBUG, INFO, WARN or ERROR"`
@@ -71,6 +74,12 @@
 	if s.RetryFloor < 0 {
 		errs = append(errs, errors.New("retry-floor: must not be negative"))
 	}
+	if !(s.ColdOvershoot >= 0) || math.IsInf(s.ColdOvershoot, 1) {
+		errs = append(errs, errors.New("cold-overshoot: must be a number that isn't negative"))
+	}
+	if !(s.ColdSlack >= 0) || math.IsInf(s.ColdSlack, 1) {
+		errs = append(errs, errors.New("cold-slack: must be a number that isn't negative"))
+	}
 	return errs
 }
 
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -37,6 +37,9 @@
 	// Started is the time at which the instance started. A change means that it
 	// restarted and lost its in-memory state.
 	Started time.Time
+	// ColdUntil is the time until which the instance sustains only the rate of a cold endpoint; zero if it
+	// isn't cold.
+	ColdUntil time.Time
 }
 
 const (
--- a/state/routing/config.go
+++ b/state/routing/config.go
@@ -66,6 +66,10 @@
 	// ConnectionLimit is the maximum number of connections to one endpoint from
 	// all callers.
 	ConnectionLimit int
+	// ColdStart is how long an endpoint is cold after its start, and ColdRate is the number of requests per
+	// second that a cold endpoint sustains. If ColdRate is 0, no endpoint is ever cold.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil unless the endpoints are model engines.
 	Engine *Engine
 }
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -101,6 +101,15 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services returns all services.
+func (t *Table) Services() []*Service {
+	list := make([]*Service, 0, len(t.services))
+	for _, s := range t.services {
+		list = append(list, s)
+	}
+	return list
+}
+
 // TeamOf returns the team that an API key belongs to, or nil.
 func (t *Table) TeamOf(key string) *Team { return t.keys[key] }
 
