--- a/direct/dispatch/warmup_test.go
+++ b/direct/dispatch/warmup_test.go
@@ -102,6 +102,8 @@
 	request := &Request{Service: "s", Cost: prompt.Cost{UnsharedTokens: 10}, Target: time.Second}
 	_, refusal := f.PlaceEngine(f.now, request)
 	must.Eq(t, Saturated, refusal.Reason)
+	// The only router gives turns for 0.9 of the rate.
+	must.Between(t, 111*time.Millisecond, refusal.RetryAfter, 112*time.Millisecond)
 	f.now = f.now.Add(refusal.RetryAfter)
 	_, refusal = f.PlaceEngine(f.now, request)
 	must.Nil(t, refusal)
@@ -156,6 +158,12 @@
 	f.now = f.now.Add(5 * time.Second)
 	must.False(t, late.MaySend(f.now))
 	late.End(f.now, endpointload.NotSent)
+
+	// The turn of a request that wasn't sent is used by the next one.
+	unsent, refusal := f.PlaceEngine(f.now, request)
+	must.Nil(t, refusal)
+	must.Eq(t, map[string]int{"refused": 1}, f.place(1))
+	unsent.End(f.now, endpointload.NotSent)
 	must.Eq(t, 1, f.place(1)["sent to e0"])
 }
 
--- a/direct/mesh/view.go
+++ b/direct/mesh/view.go
@@ -12,7 +12,7 @@
 const knownTimeout = 30 * time.Second
 
 // fleetView returns the view of the fleet by which routers agree which of them use a cold endpoint. If
-// all routers are out of rotation, all that are heard are candidates.
+// all routers are out of rotation, all that are heard and not leaving are candidates.
 func (m *Mesh) fleetView(now time.Time) warmup.Fleet {
 	self := m.address.String()
 	out := m.local.OutOfRotation()
@@ -21,7 +21,10 @@
 	out = out || m.leaving
 	f := warmup.Fleet{Self: self, Candidates: make([]string, 0, len(m.peers)+1)}
 	timeout := m.readerTimeout()
-	heard := []string{self}
+	var heard []string
+	if !m.leaving {
+		heard = append(heard, self)
+	}
 	if !out {
 		f.Candidates = append(f.Candidates, self)
 	}
@@ -39,9 +42,10 @@
 		if sinceReport >= timeout {
 			continue
 		}
-		if !p.leaving {
-			f.Heard++
+		if p.leaving {
+			continue
 		}
+		f.Heard++
 		heard = append(heard, address)
 		if !p.outOfRotation {
 			f.Candidates = append(f.Candidates, address)
