--- a/direct/process.go
+++ b/direct/process.go
@@ -19,6 +19,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
+	"github.com/acaciaspar/acaciaspar/coordination/warmup"
 	"github.com/acaciaspar/acaciaspar/direct/confirm"
 	"github.com/acaciaspar/acaciaspar/direct/conns"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
@@ -203,6 +204,7 @@
 	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
 	p.evacuations = evacuation.NewTable()
 	p.dispatcher.UseEvacuations(p.evacuations)
+	p.dispatcher.SetColdBounds(warmup.Bounds{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack})
 	p.pool = endpointhttp.NewPool(dialTimeout)
 	p.handler = &entry.Handler{
 		Routes: p.routes, Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect,
@@ -220,6 +222,7 @@
 		Routes: p.routes, Endpoints: p.endpoints, Evacuations: p.evacuations, Log: p.log, Metrics: p.metrics,
 	})
 	p.follower.OnChange, p.follower.OnStoreNews = p.updateDispatcher, p.mesh.SendSoon
+	p.follower.OnZoneReturned = func(zone string) { p.dispatcher.ZoneReturned(time.Now(), zone) }
 	p.origins = origins.New(origins.Options{
 		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
 		Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
@@ -291,6 +294,7 @@
 		}
 	}
 	p.dispatcher.SetCapacity(table.Limits.TokensPerSecond, engines)
+	p.dispatcher.UpdateCold(time.Now(), coldServices(table))
 }
 
 // errStopped is returned by the goroutine that completed a drain. It ends the
@@ -460,6 +464,7 @@
 				return ok
 			})
 			p.dispatcher.EvictExpired(now)
+			p.reportCold(now)
 			p.logShares(now)
 			last = p.logLoad(last)
 			idle, dialed := p.pool.Stats()
