Take turns for a silent topic although the store answers the other one

Cause: after an outage in which only the configuration's partitions stop responding, a configuration was in force 4.05 s late. While the store answered calls for the endpoints, a router began a call for the configuration only if none was in progress, so a lost listing decided for its timeout of 4 s when the next call began. A listing also counted as proof that reads are answered.

Change: while no peer reads both topics, calls for a topic without an answer begin in the fleet's turns, beside calls in progress and in all phases. Retries on each router's own backoff are left to routers whose peers read. The turns of a router whose other topic is answered all go to the silent one; a call that begins because the other topic is answered again takes the place of a turn's. A listing counts as reading only while a peer reads; otherwise a first read without a wait decides.

--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -351,15 +351,19 @@
 	}
 }
 
-// markStoreReachable records that a call which began at a time succeeded.
-func (f *Follower) markStoreReachable(topic Topic, began time.Time) {
+// markStoreReachable records that a call which began at a time succeeded. A listing doesn't show that reads
+// are answered: while no peer reads the store, the first read does, without a wait. Otherwise a lost read of
+// the router that listed the topic would keep the fleet from calling for as long as the store may hold it.
+func (f *Follower) markStoreReachable(topic Topic, began time.Time, wasRead bool) {
 	if previous := f.answeredAt[topic].Swap(began.UnixNano()); previous > 0 && f.unreachable[topic].Load() {
 		silent := time.Since(time.Unix(0, previous))
 		f.silentMs[topic].Inc(silent.Milliseconds())
 		f.log.Info("first answer of the store after an outage", "topic", topic.String(), "since_last_call_answered_ms", silent.Milliseconds(),
 			"after_ms", time.Since(began).Milliseconds())
 	}
-	f.setReading(topic, true)
+	if wasRead || f.peers.HasStoreReader() {
+		f.setReading(topic, true)
+	}
 	f.markOutageEnded(topic)
 }
 
--- a/direct/follow/lost_calls_test.go
+++ b/direct/follow/lost_calls_test.go
@@ -29,6 +29,8 @@
 	// silences is closed and replaced at the begin of a silence.
 	silences atomic.Pointer[chan struct{}]
 	calls    atomic.Int64
+	// isAffected selects the calls that a silence concerns; nil selects all.
+	isAffected atomic.Pointer[func(topic follow.Topic, isList bool) bool]
 }
 
 func newLossyStore() *lossyStore {
@@ -45,7 +47,10 @@
 }
 
 // answer returns what call returns, unless the store was silent meanwhile.
-func (s *lossyStore) answer(ctx context.Context, call func(context.Context) (mirror.Batch, error)) (mirror.Batch, error) {
+func (s *lossyStore) answer(ctx context.Context, topic follow.Topic, isList bool, call func(context.Context) (mirror.Batch, error)) (mirror.Batch, error) {
+	if isAffected := s.isAffected.Load(); isAffected != nil && !(*isAffected)(topic, isList) {
+		return call(ctx)
+	}
 	s.calls.Add(1)
 	silence := *s.silences.Load()
 	if s.silent.Load() {
@@ -71,7 +76,7 @@
 }
 
 func (s *lossyStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte) (era int64, err error) {
-	_, err = s.answer(ctx, func(ctx context.Context) (mirror.Batch, error) {
+	_, err = s.answer(ctx, topic, false, func(ctx context.Context) (mirror.Batch, error) {
 		era, err = s.Store.Write(ctx, topic, key, value)
 		return mirror.Batch{}, err
 	})
@@ -79,11 +84,11 @@
 }
 
 func (s *lossyStore) List(ctx context.Context, topic follow.Topic) (mirror.Batch, error) {
-	return s.answer(ctx, func(ctx context.Context) (mirror.Batch, error) { return s.Store.List(ctx, topic) })
+	return s.answer(ctx, topic, true, func(ctx context.Context) (mirror.Batch, error) { return s.Store.List(ctx, topic) })
 }
 
 func (s *lossyStore) Read(ctx context.Context, topic follow.Topic, from int64, wait time.Duration) (mirror.Batch, error) {
-	return s.answer(ctx, func(ctx context.Context) (mirror.Batch, error) { return s.Store.Read(ctx, topic, from, wait) })
+	return s.answer(ctx, topic, false, func(ctx context.Context) (mirror.Batch, error) { return s.Store.Read(ctx, topic, from, wait) })
 }
 
 // fleet is a set of followers that are each other's peers.
--- a/direct/follow/probes.go
+++ b/direct/follow/probes.go
@@ -7,9 +7,11 @@
 
 // probes limits a router's calls to a store that answers nobody. It is safe for concurrent use.
 type probes struct {
-	mu     sync.Mutex
-	latest time.Time
-	// next is the topic of the next probe: they alternate, as the store may answer for one only.
+	mu sync.Mutex
+	// latest is, by topic, when the latest call that counts as a probe began.
+	latest [2]time.Time
+	// next is the topic of the next probe while neither is answered: they alternate, as the store may
+	// answer for one only.
 	next Topic
 	// answeredAt is when a probe was last answered.
 	answeredAt time.Time
@@ -19,13 +21,36 @@
 func (p *probes) claim(now time.Time, topic Topic) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if topic != p.next || now.Sub(p.latest) < minProbeInterval {
+	return topic == p.next && !p.isSoon(now, 1-topic) && p.take(now, topic)
+}
+
+// claimAlone does the same for a topic whose other one is answered, so that it needs no probes.
+func (p *probes) claimAlone(now time.Time, topic Topic) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.take(now, topic)
+}
+
+func (p *probes) take(now time.Time, topic Topic) bool {
+	if p.isSoon(now, topic) {
 		return false
 	}
-	p.latest, p.next = now, 1-topic
+	p.latest[topic], p.next = now, 1-topic
 	return true
 }
 
+func (p *probes) isSoon(now time.Time, topic Topic) bool {
+	return now.Sub(p.latest[topic]) < minProbeInterval
+}
+
+// began records a call for a topic without an answer that began because the other one is answered. It takes
+// the place of a probe.
+func (p *probes) began(now time.Time, topic Topic) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latest[topic] = now
+}
+
 // answered records that a probe was answered.
 func (p *probes) answered(now time.Time) {
 	p.mu.Lock()
--- a/direct/follow/schedule.go
+++ b/direct/follow/schedule.go
@@ -17,7 +17,7 @@
 	// recheck is set when a call becomes overdue, until another has begun: the store may answer, and only
 	// this call be lost.
 	recheck bool
-	// wasAnswering is set if the store was known to answer someone at the latest decision while suspect.
+	// wasAnswering is set if the store was known to answer anything at the latest decision while suspect.
 	wasAnswering bool
 	backoff      time.Duration
 	// relistDelay is the delay before the topic is listed because a read was refused. The
@@ -31,27 +31,31 @@
 	busy bool
 	// wanted is set if this router should read the topic from the store.
 	wanted bool
-	// answering is set if the store answers calls for this router's other topic, or those of a peer.
+	// answering is set if the store answers the calls of a peer for both topics.
 	answering bool
+	// otherAnswers is set if the store answers calls for this router's other topic. The topic itself may be
+	// silent: the store is partitioned.
+	otherAnswers bool
 	// mayProbe reports whether this router may probe the store now.
 	mayProbe func() bool
 }
 
-// shouldBegin reports whether a call should begin now. While the store answers nobody, calls begin in
-// the turns that the fleet shares, whether or not earlier ones have ended: a call that began in an
-// outage may be lost. Once it answers someone, a call begins at once.
+// shouldBegin reports whether a call should begin now. While the store answers nobody for this topic,
+// calls begin in the turns that the fleet shares, whether or not earlier ones have ended: a call that
+// began in an outage may be lost. Once it answers a peer, a call begins at once, and also, a single time, when
+// it begins to answer for the other topic: retries at the pace of each router would grow with the fleet.
 func (s *schedule) shouldBegin(now time.Time, around surroundings) bool {
 	due := !around.busy && !now.Before(s.notBefore)
 	if !s.suspect {
 		return due && (around.wanted || around.mayProbe())
 	}
-	if !around.answering {
-		s.wasAnswering = false
-		return around.mayProbe()
+	answers := around.answering || around.otherAnswers
+	answersAgain := answers && !s.wasAnswering
+	s.wasAnswering = answers
+	if around.wanted && (answersAgain || around.answering && (due || s.recheck)) {
+		return true
 	}
-	answersAgain := !s.wasAnswering
-	s.wasAnswering = true
-	return around.wanted && (due || answersAgain || s.recheck)
+	return !around.answering && around.mayProbe()
 }
 
 // began records that a call has begun that the store may hold for wait.
--- a/direct/follow/topic.go
+++ b/direct/follow/topic.go
@@ -83,7 +83,7 @@
 	if t.schedule.checkOverdue(now, t.busy()) {
 		f.setReading(t.topic, false)
 	}
-	answering := f.readsOther(t.topic) || f.peers.HasStoreReader()
+	answering, otherAnswers := f.peers.HasStoreReader(), f.readsOther(t.topic)
 	// A call in progress is awaited, unless it seems lost.
 	mayStop := !t.busy()
 	if t.schedule.suspect {
@@ -97,10 +97,17 @@
 			f.markOutageEnded(t.topic)
 		}
 	}
-	around := surroundings{busy: t.busy(), wanted: wanted, answering: answering, mayProbe: func() bool {
-		return f.peers.ShouldProbeStore() && f.probes.claim(now, t.topic)
+	around := surroundings{busy: t.busy(), wanted: wanted, answering: answering, otherAnswers: otherAnswers, mayProbe: func() bool {
+		claim := f.probes.claim
+		if otherAnswers {
+			claim = f.probes.claimAlone
+		}
+		return f.peers.ShouldProbeStore() && claim(now, t.topic)
 	}}
 	if t.schedule.shouldBegin(now, around) {
+		if t.schedule.suspect && !answering {
+			f.probes.began(now, t.topic)
+		}
 		t.begin(ctx, now, !wanted)
 	}
 }
@@ -161,7 +168,7 @@
 		if call.isProbe {
 			f.probes.answered(now)
 		}
-		f.markStoreReachable(t.topic, call.began)
+		f.markStoreReachable(t.topic, call.began, r.isRead)
 	case errors.Is(err, mirror.ErrLaterEra):
 		t.giveUp()
 		t.schedule.outdated()
