Endpoint responses: a lost reset is no end of a response

A socket returns its pending error once. If an endpoint resets a connection while the request is still being written, the writing goroutine may get the error, and the reader then sees a normal end of the connection.

A response that ends with its connection is now complete only if the whole request was written without an error and the endpoint has acknowledged it (SIOCOUTQ). An endpoint that answers first, ends its sending half and reads the rest of the request later still gives a complete response. Two related faults: the check for unread bytes of a response peeked at the socket and took its error as well (SIOCINQ does not), and TCP_USER_TIMEOUT was set again once the response headers had been read, which ended requests whose endpoint paused for longer than 2.5 s while reading the rest of the body.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -80,7 +80,7 @@
 		_ = conn.Close()
 		return nil, errStartDeadlineExceeded
 	}
-	return conn, nil
+	return newEndpointConn(conn), nil
 }
 
 // reachable reports whether the endpoint accepts connections.
@@ -154,11 +154,14 @@
 func (e *endpointClient) do(ctx context.Context, er endpointRequest) (resp *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	ctx = context.WithValue(ctx, startDeadlineKey{}, er.startDeadline)
+	var conn *endpointConn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
+			conn = endpointConnOf(info.Conn)
 			er.onSend()
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { conn.wroteRequest(info.Err) },
 	})
 	req, err := e.request(ctx, er)
 	if err != nil {
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,6 +33,9 @@
 	// userTimeoutMs is the time in milliseconds that sent data may stay
 	// unacknowledged before the connection is closed (TCP_USER_TIMEOUT).
 	userTimeoutMs = 2500
+	// acknowledgeInterval is the interval at which a socket is checked for data that isn't
+	// acknowledged; round trips take 0.1 to 10 ms.
+	acknowledgeInterval = 2 * time.Millisecond
 )
 
 // errHeadTooLarge reports that an endpoint sent more than maxHeadBytes before the
@@ -64,6 +69,8 @@
 	net.Conn
 	head   *headReader
 	reader *bufio.Reader
+	// patient is set while TCP_USER_TIMEOUT is off.
+	patient bool
 	// requestsSent is the number of requests sent on the connection so far.
 	requestsSent int
 	// idleSince is the time at which the connection was put into the pool.
@@ -93,11 +100,7 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT of the connection, if it has a socket.
 func (c *conn) setUserTimeout(ms int) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if raw, err := sc.SyscallConn(); err == nil {
+	if raw, ok := c.raw(); ok {
 		// A closed connection needs no timeout.
 		_ = setUserTimeout(raw, ms)
 	}
@@ -117,8 +120,46 @@
 	return c.reader.Buffered() == 0 && sockpeek.Peek(c.Conn) == sockpeek.Idle
 }
 
-// hasUnread reports whether bytes that the endpoint sent wait in the socket.
-func (c *conn) hasUnread() bool { return sockpeek.Peek(c.Conn) == sockpeek.Readable }
+// hasUnread reports whether bytes that the endpoint sent wait in the socket. It may be called while the
+// response is read: unlike a read or peek, it leaves a pending error of the socket to the reader.
+func (c *conn) hasUnread() bool {
+	unread := 0
+	if raw, ok := c.raw(); ok {
+		// The error is that the connection is closed already.
+		_ = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	}
+	return unread > 0
+}
+
+// awaitAcknowledged waits until the endpoint has acknowledged all that was written, and returns io.EOF
+// then. It returns an error if the connection breaks or ctx ends before. An endpoint that ends the
+// connection after it has received the request has acknowledged it with that.
+func (c *conn) awaitAcknowledged(ctx context.Context) error {
+	for {
+		received, err := sockpeek.Acknowledged(c.Conn)
+		switch {
+		case err != nil:
+			return fmt.Errorf("%w: %w", errRequestCut, err)
+		case received:
+			return io.EOF
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(acknowledgeInterval):
+		}
+	}
+}
+
+// raw returns the socket of the connection, and false if it has none.
+func (c *conn) raw() (syscall.RawConn, bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := sc.SyscallConn()
+	return raw, err == nil
+}
 
 // keepAliveTimeout returns the timeout of a Keep-Alive header, or 0 if it has none.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -66,6 +67,8 @@
 	errInvalidStatus = eris.New("response has a status that HTTP doesn't define")
 	errOtherProtocol = eris.New("response is not in HTTP/1")
 	errTooManyStale  = eris.New("too many responses to other requests on the connection")
+	// errRequestCut is the end of a response that may have been cut off together with its request.
+	errRequestCut = eris.New("the connection ended before the endpoint had the whole request")
 )
 
 // Response is the response to one request. Close must be called.
@@ -92,6 +95,10 @@
 	failed bool
 	// early is set if the response arrived before the whole request was written.
 	early bool
+	// written delivers the result of writing the request; nil once it is known.
+	written <-chan error
+	// writeErr is that result; it is valid while written is nil.
+	writeErr error
 }
 
 // Do sends a request and returns once the response headers have been read.
@@ -169,8 +176,9 @@
 	if len(rest) > 0 {
 		// TCP_USER_TIMEOUT also ends a connection whose receiver reads nothing for so long, as an
 		// endpoint that pauses may do.
+		// It may also answer first and read the rest of the body later.
 		c.setUserTimeout(0)
-		defer c.setUserTimeout(userTimeoutMs)
+		c.patient = true
 	}
 	reused := c.requestsSent > 0
 	c.requestsSent++
@@ -184,20 +192,22 @@
 		}()
 	}
 	response, err := c.readResponse(r, reused)
-	early := false
+	early, pending := false, (<-chan error)(nil)
+	var writeErr error
 	select {
-	case werr := <-written:
-		if err != nil && werr != nil {
-			return nil, eris.Wrap(werr, "send request")
+	case writeErr = <-written:
+		if err != nil && writeErr != nil {
+			return nil, eris.Wrap(writeErr, "send request")
 		}
-		early = werr != nil
+		early = writeErr != nil
 	default:
-		early = true
+		early, pending = true, written
 	}
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{Status: response.StatusCode, Header: response.Header, raw: response, conn: c, Reused: reused, early: early}
+	resp := &Response{Status: response.StatusCode, Header: response.Header, raw: response, conn: c, Reused: reused, early: early,
+		written: pending, writeErr: writeErr, ctx: ctx}
 	resp.Body = &body{response: resp}
 	return resp, nil
 }
@@ -281,6 +291,9 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.raw.Body.Read(p)
+	if errors.Is(err, io.EOF) && !b.response.complete && b.response.endsWithConnection() {
+		err = b.response.confirmEnd()
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.response.complete = true
@@ -291,6 +304,28 @@
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection gives the end of the body.
+func (r *Response) endsWithConnection() bool { return !r.Framed() && r.raw.Body != http.NoBody }
+
+// confirmEnd returns io.EOF if the end of the connection is that of a complete body, and otherwise an
+// error. A socket returns its error only once: if the connection is reset while the request is still
+// being written, the writer gets the error and the reader a normal end. So the body is complete only if
+// the endpoint has received the whole request, without an error.
+func (r *Response) confirmEnd() error {
+	if r.written != nil {
+		select {
+		case r.writeErr = <-r.written:
+			r.written = nil
+		case <-r.ctx.Done():
+			return r.ctx.Err()
+		}
+	}
+	if r.writeErr != nil {
+		return fmt.Errorf("%w: %w", errRequestCut, r.writeErr)
+	}
+	return r.conn.awaitAcknowledged(r.ctx)
+}
+
 // Complete reports whether the whole body was read.
 func (r *Response) Complete() bool { return r.complete }
 
@@ -314,6 +349,10 @@
 		_ = c.Close()
 		return
 	}
+	if c.patient {
+		c.setUserTimeout(userTimeoutMs)
+		c.patient = false
+	}
 	c.idleTimeout = keepAliveTimeout(r.Header)
 	r.pool.put(r.instance, c)
 }
--- a/transport/sockpeek/peek.go
+++ b/transport/sockpeek/peek.go
@@ -1,5 +1,6 @@
 // Package sockpeek reports whether a connection is idle, readable or closed by
-// its remote end, without consuming data. It owns no state.
+// its remote end, and whether that has received everything, without consuming
+// data. It owns no state.
 package sockpeek
 
 import (
@@ -52,6 +53,39 @@
 	return state
 }
 
+// Acknowledged reports whether the remote end has acknowledged all that was written to a connection. It
+// returns an error, and clears that of the socket, if the connection broke. It returns true for a
+// connection without a file descriptor.
+func Acknowledged(c net.Conn) (bool, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true, nil
+	}
+	raw, err := sc.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	pending, socketErr := 0, 0
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		if socketErr, optErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); optErr == nil {
+			pending, optErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		}
+	})
+	switch {
+	case err != nil:
+		return false, err
+	case optErr != nil:
+		return false, optErr
+	case socketErr != 0:
+		return false, syscall.Errno(socketErr)
+	}
+	return pending == 0, nil
+}
+
 // peek derives the state from the result of receive.
 func peek(receive func([]byte) (int, error)) State {
 	var b [1]byte
