Router memory: slow callers don't delay endpoints, and a budget bounds what waits

A stream's events were written by the goroutine that reads the endpoint, so a caller that read slowly kept the endpoint's response unread, and what a router held for callers was bounded for request bodies only.

A write to a caller now tries the socket once without blocking, with the same single system call. What the socket doesn't take waits in a queue of at most 4 MiB of the connection, and a goroutine that runs only then writes it. Bodies, buffered responses and queues count toward one budget, 0.3 of the memory. Above it, the stream that holds most is reset, first of all those whose callers have read nothing for 10 s or are past their deadline (coordination/memorybudget). Metrics direct.held_bytes and direct.streams_ended_for_memory, line "stream ended for memory", cause memory_exceeded.

Callers' sockets get buffers of 40 KiB, inherited from the listener, and the numbers of connections that wait unread (1,024 and 512 before) and of requests in progress follow from the memory: 1,536 default buffers of 128 KiB are more than a host of 144 or 184 MB has.

--- a/direct/conns/conn.go
+++ b/direct/conns/conn.go
@@ -33,6 +33,11 @@
 	request           atomic.Pointer[string]
 	// starting is set from when the server gets the connection until it begins to read.
 	starting atomic.Bool
+	// queue holds what waits for the caller; nil until QueueWrites is called.
+	queue atomic.Pointer[writeQueue]
+	// hasDeadline is set while there is a write deadline, deadlineRemoved if that is to be removed once
+	// nothing waits.
+	hasDeadline, deadlineRemoved atomic.Bool
 }
 
 // ConnState records that connections become idle. It must be set as ConnState of the http.Server.
@@ -44,6 +49,9 @@
 	if state == http.StateIdle {
 		c.handled.Store(false)
 		c.answering.Store(false)
+		if q := c.queue.Load(); q != nil {
+			q.deactivate()
+		}
 	}
 	c.SetState(state)
 }
@@ -93,14 +101,25 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.answering.Store(true)
-	n, err := c.Conn.Write(p)
+	var n int
+	var err error
+	if q := c.queue.Load(); q != nil {
+		n, err = q.write(p)
+	} else {
+		n, err = c.Conn.Write(p)
+	}
+	c.recordWriteError(err)
+	return n, err
+}
+
+// recordWriteError records how a write failed, if it did.
+func (c *Conn) recordWriteError(err error) {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.late.Store(true)
-	case err != nil && !errors.Is(err, net.ErrClosed):
+	case err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, ErrMemory):
 		c.remoteEnded.Store(true)
 	}
-	return n, err
 }
 
 // Answered records that the request in progress has its complete answer, or will have it when the
@@ -121,6 +140,16 @@
 		return c.Conn.Close()
 	}
 	c.begin()
+	if q := c.queue.Load(); q != nil {
+		abandoned := Cause(c.cause.Load()) != unstated || c.remoteEnded.Load()
+		if !abandoned && !c.hasDeadline.Load() {
+			// A connection that is closed already needs no deadline.
+			_ = c.Conn.SetWriteDeadline(time.Now().Add(closeTime))
+		}
+		if q.finish(abandoned) {
+			return nil
+		}
+	}
 	if c.hasUnreadRequest() && c.listener.refuse(c) == refusedEarly && c.listener.linger() {
 		go func() {
 			defer c.listener.lingering.Add(-1)
@@ -169,6 +198,8 @@
 func (c *Conn) endCause() Cause {
 	stated := Cause(c.cause.Load())
 	switch {
+	case c.EndedForMemory():
+		return MemoryExceeded
 	case c.late.Load():
 		return WriteTimedOut
 	case stated == unstated && c.handled.Load():
@@ -204,13 +235,15 @@
 	CutInAnswer
 	// CallerLeft: the caller closed or reset the connection.
 	CallerLeft
+	// MemoryExceeded: too much was held for callers that read slowly.
+	MemoryExceeded
 	// answered: there is no unanswered request.
 	answered
 )
 
 // String implements fmt.Stringer.
 func (c Cause) String() string {
-	return [...]string{"unstated", "stopped", "panicked", "write_timed_out", "cut_in_answer", "caller_left"}[c]
+	return [...]string{"unstated", "stopped", "panicked", "write_timed_out", "cut_in_answer", "caller_left", "memory_exceeded"}[c]
 }
 
 // recordEnd counts and logs a connection that ends without a complete answer.
--- a/direct/conns/listener.go
+++ b/direct/conns/listener.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"runtime"
@@ -14,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"github.com/acaciaspar/acaciaspar/coordination/memorybudget"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/transport/callerconn"
 )
@@ -63,6 +65,8 @@
 	ends              [answered]metrics.Counter
 	stopping          atomic.Bool
 	maxOpen           int
+	// maxWaiting is the number of connections that may wait for the server as far as memory goes.
+	maxWaiting int
 	// idleAllowed is set while connections are kept alive after their response.
 	idleAllowed atomic.Bool
 	refusals    *refuser
@@ -94,11 +98,30 @@
 	Rotation  *overload.Rotation
 }
 
-// New returns a Listener that accepts from l as many connections as can be served with this number of
-// file descriptors, and starts to accept. Close ends it.
-func New(l net.Listener, descriptors int, load Load, log *slog.Logger, registry metrics.Registry) *Listener {
+// Limits bound the connections of a Listener.
+type Limits struct {
+	// Descriptors is the number of file descriptors for connections and those to endpoints.
+	Descriptors int
+	// SocketMemory is the memory, in bytes, for what the kernel has received on connections and wasn't
+	// read; 0 if it isn't limited.
+	SocketMemory int64
+}
+
+// unread returns how many connections may wait for the server, and how many in the kernel.
+func (l Limits) unread() (waiting, backlog int) {
+	if l.SocketMemory <= 0 {
+		return math.MaxInt, listenBacklog
+	}
+	half := max(memorybudget.UnreadConnections(l.SocketMemory)/2, 1)
+	return half, min(half, listenBacklog)
+}
+
+// New returns a Listener that accepts from l as many connections as the limits allow, and starts to
+// accept. Close ends it.
+func New(l net.Listener, limits Limits, load Load, log *slog.Logger, registry metrics.Registry) *Listener {
+	waiting, backlog := limits.unread()
 	listener := &Listener{
-		Listener: l, maxOpen: max(descriptors/descriptorsPerRequest, 1), load: load, log: log,
+		Listener: l, maxOpen: max(limits.Descriptors/descriptorsPerRequest, 1), maxWaiting: waiting, load: load, log: log,
 		accepted: metrics.GetOrRegisterCounter("direct.connections_accepted", registry),
 		refused:  metrics.GetOrRegisterCounter("direct.refused_unread", registry),
 		open:     map[*Conn]struct{}{}, refusals: newRefuser(),
@@ -109,26 +132,49 @@
 	for cause := range listener.ends {
 		listener.ends[cause] = metrics.GetOrRegisterCounter("direct.unanswered_"+Cause(cause).String(), registry)
 	}
-	if err := setBacklog(l); err != nil {
+	if err := setBacklog(l, backlog); err != nil {
 		log.Warn("limit the backlog of the listener failed", "error", err.Error())
 	}
+	if limits.SocketMemory > 0 {
+		if err := setBuffers(l, memorybudget.SocketBuffer); err != nil {
+			log.Warn("limit the buffers of connections failed", "error", err.Error())
+		}
+	}
 	go listener.acceptAll()
 	return listener
 }
 
 // setBacklog limits the number of connections that wait in the kernel.
-func setBacklog(l net.Listener) error {
+func setBacklog(l net.Listener, backlog int) error {
 	raw, err := callerconn.RawConn(l)
 	if err != nil {
 		return err
 	}
 	var listenErr error
-	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), listenBacklog) }); err != nil {
+	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) }); err != nil {
 		return eris.Wrap(err, "use the listener's socket")
 	}
 	return eris.Wrap(listenErr, "listen")
 }
 
+// setBuffers sets the size of the buffers of the connections that will be accepted, which inherit it.
+func setBuffers(l net.Listener, size int) error {
+	raw, err := callerconn.RawConn(l)
+	if err != nil {
+		return err
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		if optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size); optErr == nil {
+			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+		}
+	})
+	if err != nil {
+		return eris.Wrap(err, "use the listener's socket")
+	}
+	return eris.Wrap(optErr, "set the size of buffers")
+}
+
 // Counts describes the connections of a process.
 type Counts struct {
 	// Open is the number of connections, Waiting the number of those that the server hasn't got.
@@ -238,7 +284,7 @@
 // takeExcess removes the waiting connections that can't be served in time, and sees to it that those
 // which are left will be. The caller holds mu.
 func (l *Listener) takeExcess(now time.Time) []*Conn {
-	surplus := len(l.open) - l.maxOpen
+	surplus := max(len(l.open)-l.maxOpen, l.waiting.Len()-l.maxWaiting)
 	if l.closed {
 		surplus = l.waiting.Len()
 	}
--- a/direct/conns/listener_test.go
+++ b/direct/conns/listener_test.go
@@ -32,7 +32,7 @@
 func newListener(t *testing.T, inner net.Listener, descriptors int) *Listener {
 	t.Helper()
 	load := Load{Monitor: &overload.Monitor{}, Admission: &overload.Admission{}, Rotation: overload.NewRotation(time.Now())}
-	l := New(inner, descriptors, load, slog.New(slog.DiscardHandler), metrics.NewRegistry())
+	l := New(inner, Limits{Descriptors: descriptors}, load, slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -194,6 +194,8 @@
 	withheld bool
 	// failure is the response if it is complete and a server error.
 	failure *bufferedResponse
+	// hold counts bytes of the response as held until the end of the request.
+	hold func(n int)
 	// unread reports whether bytes of the response wait in the socket; nil before there is a
 	// connection.
 	unread atomic.Pointer[func() bool]
@@ -201,7 +203,7 @@
 
 // newAttempt returns an attempt that ends with the request.
 func (r *request) newAttempt(assignment *dispatch.Assignment) *attempt {
-	a := &attempt{assignment: assignment, outcome: notSent, startedAt: time.Now()}
+	a := &attempt{assignment: assignment, outcome: notSent, startedAt: time.Now(), hold: r.holdResponse}
 	a.ctx, a.cancel = context.WithCancelCause(r.ctx)
 	return a
 }
--- a/direct/entry/bench_test.go
+++ b/direct/entry/bench_test.go
@@ -4,8 +4,12 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/acaciaspar/acaciaspar/direct/conns"
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
@@ -47,3 +51,34 @@
 		}
 	}
 }
+
+// BenchmarkStreamOnOwnConnections measures the same stream on a connection of the process, with and without
+// a budget for what waits for its caller.
+func BenchmarkStreamOnOwnConnections(b *testing.B) {
+	for name, limit := range map[string]int64{"queue": 64 << 20, "no queue": 0} {
+		b.Run(name, func(b *testing.B) {
+			r := newRouter(b)
+			e := directtest.NewEndpoint(b, func(c net.Conn, call *directtest.Call) bool {
+				directtest.BeginStream(c, call)
+				for i := range 50 {
+					directtest.Chunk(c, directtest.Event(i))
+				}
+				directtest.Chunk(c, "")
+				return true
+			})
+			r.endpoints.Put(registry.Endpoint{ID: "e", Service: "engines", Address: e.Address, Zone: "z", Slots: 64})
+			if limit > 0 {
+				r.handler.Memory = conns.NewMemory(limit, r.handler.Log, metrics.NewRegistry())
+			}
+			address := r.serveOwnConns(b)
+			in := r.request("POST", "/stream/1", "body")
+			in.URL.Host = address
+			for b.Loop() {
+				in.Body = io.NopCloser(strings.NewReader("body"))
+				if got := r.do(in); got.err != nil || got.status != 200 {
+					b.Fatal(got)
+				}
+			}
+		})
+	}
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -60,6 +60,8 @@
 	Metrics    *Metrics
 	// MaxHeldBytes bounds the total size of request bodies in memory.
 	MaxHeldBytes int64
+	// Memory counts what is held for callers and endpoints; nil if that isn't limited.
+	Memory *conns.Memory
 	// MaxInFlight is the maximum number of requests in progress.
 	MaxInFlight int64
 	// Overload reports how short of CPU time and file descriptors the process is.
@@ -168,6 +170,8 @@
 	handedOver atomic.Bool
 	// heldBytes is the part of the handler's held bytes that belongs to this request.
 	heldBytes int64
+	// heldResponses is the number of bytes of buffered responses that are counted as held.
+	heldResponses atomic.Int64
 	// possibleExecutions counts the attempts that may have executed the request.
 	possibleExecutions int
 	exclude            []string
@@ -420,7 +424,7 @@
 	control := http.NewResponseController(&r.w)
 	// A server without read deadlines is still bounded by the request's context.
 	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyTimeout), r.deadline))
-	in := &heldReader{in: r.in.Body, held: &r.h.heldBytes, limit: r.h.MaxHeldBytes, added: &r.heldBytes}
+	in := &heldReader{in: r.in.Body, held: &r.h.heldBytes, memory: r.h.Memory, limit: r.h.MaxHeldBytes, added: &r.heldBytes}
 	body, err := readAll(in, r.in.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	r.body = body
@@ -442,16 +446,19 @@
 // heldReader counts the bytes that it reads as held and fails above the limit. The
 // length of a chunked body is unknown until its end.
 type heldReader struct {
-	in    io.Reader
-	held  *atomic.Int64
-	limit int64
-	added *int64
+	in   io.Reader
+	held *atomic.Int64
+	// memory counts the same bytes with all others that are held.
+	memory *conns.Memory
+	limit  int64
+	added  *int64
 }
 
 // Read implements io.Reader.
 func (h *heldReader) Read(p []byte) (int, error) {
 	n, err := h.in.Read(p)
 	*h.added += int64(n)
+	h.memory.Add(int64(n))
 	if h.held.Add(int64(n)) > h.limit {
 		return n, errTooManyHeldBytes
 	}
@@ -461,6 +468,7 @@
 // releaseBody returns the memory of the body to the pool.
 func (r *request) releaseBody() {
 	r.h.heldBytes.Add(-r.heldBytes)
+	r.h.Memory.Add(-r.heldBytes - r.heldResponses.Swap(0))
 	bodyBuffers.put(r.body)
 	r.body, r.heldBytes = nil, 0
 }
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -53,6 +53,7 @@
 // complete server error.
 func (a *attempt) readBuffered() ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
+	a.hold(len(body))
 	if err == nil && len(body) <= maxBufferedResponse && a.response.Status >= http.StatusInternalServerError {
 		a.failure = &bufferedResponse{a.response.Status, a.response.Header, body}
 	}
@@ -130,6 +131,7 @@
 	r.h.Metrics.Latency.Update(time.Since(r.receivedAt))
 	r.logRequestEnd(b.status, "answered")
 	r.renewWriteDeadline(time.Now())
+	r.queueWrites()
 	r.copyResponseHeader(b.header)
 	if r.in.Method == http.MethodHead {
 		r.w.Header()["Content-Length"] = b.header["Content-Length"]
@@ -156,6 +158,7 @@
 		a.assignment.Begin(time.Now())
 	}
 	r.renewWriteDeadline(time.Now())
+	r.queueWrites()
 	r.w.WriteHeader(a.response.Status)
 	caller := &callerWriter{w: &r.w}
 	rest := io.LimitReader(a.response.Body, maxResponse-int64(len(start))+1)
--- a/direct/entry/refusal_test.go
+++ b/direct/entry/refusal_test.go
@@ -25,12 +25,12 @@
 )
 
 // serveOwnConns serves the router with the connections of the process, and returns the address.
-func (r *router) serveOwnConns(t *testing.T) string {
+func (r *router) serveOwnConns(t testing.TB) string {
 	t.Helper()
 	const descriptors = 1000
 	s := httptest.NewUnstartedServer(r.handler)
 	s.Config.ConnContext, s.Config.ConnState = entry.ConnContext, conns.ConnState
-	s.Listener = conns.New(s.Listener, descriptors, conns.Load{
+	s.Listener = conns.New(s.Listener, conns.Limits{Descriptors: descriptors}, conns.Load{
 		Monitor: &load.Monitor{}, Admission: &load.Admission{}, Rotation: load.NewRotation(time.Now()),
 	}, r.handler.Log, metrics.NewRegistry())
 	s.Start()
--- a/direct/entry/stream.go
+++ b/direct/entry/stream.go
@@ -202,6 +202,7 @@
 	r.hedge.settle(lastID, hasID)
 	if !r.responseBegun {
 		r.responseBegun = true
+		r.queueWrites()
 		r.h.Metrics.FirstEvent.Update(now.Sub(r.receivedAt))
 		r.copyResponseHeader(a.response.Header)
 		r.w.WriteHeader(a.response.Status)
@@ -290,8 +291,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// abortDisconnected ends a request whose caller has disconnected.
+// abortDisconnected ends a request whose caller has disconnected, or whose connection was ended for
+// memory.
 func (r *request) abortDisconnected(err error) {
+	if r.endedForMemory() {
+		r.h.Metrics.Failed.Inc(1)
+		r.logRequestEnd(0, conns.ErrMemory.Error())
+		panic(http.ErrAbortHandler)
+	}
 	r.h.Metrics.CallerDisconnected.Inc(1)
 	r.logRequestEnd(0, "caller left")
 	r.abandon(conns.CallerLeft)
--- a/direct/process.go
+++ b/direct/process.go
@@ -60,6 +60,16 @@
 	memoryFraction = 0.6
 	// bodyMemoryFraction is the fraction of the memory for request bodies.
 	bodyMemoryFraction = 0.2
+	// heldMemoryFraction is the fraction of the memory for bodies, buffered responses and events that
+	// wait for callers: half of what the Go runtime may use, which also holds the tables and garbage.
+	heldMemoryFraction = 0.3
+	// socketMemoryFraction is the fraction of the memory for the receive buffers of callers' connections
+	// that aren't read yet. With memoryFraction, it leaves a twentieth for the rest.
+	socketMemoryFraction = 0.35
+	// inFlightBytes is the memory of a request in progress without its body, in bytes: 32 KB for
+	// goroutines, headers and the HTTP server's buffers, 80 KB for the send buffer of the caller's
+	// connection and the rest for the receive buffer of the one to the endpoint.
+	inFlightBytes = 160 << 10
 	// loggedUtilization is the CPU utilization from which the load is logged once a second.
 	loggedUtilization = 0.8
 	// rotationInterval is the interval between checks whether this router should
@@ -204,7 +214,8 @@
 		Routes: p.routes, Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect,
 		Log: p.log, Metrics: entry.NewMetrics(p.metrics),
 		MaxHeldBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
-		MaxInFlight:  int64(s.Descriptors-reservedDescriptors) / 3,
+		MaxInFlight:  min(int64(s.Descriptors-reservedDescriptors)/3, s.MemoryBytes/inFlightBytes),
+		Memory:       conns.NewMemory(int64(heldMemoryFraction*float64(s.MemoryBytes)), p.log, p.metrics),
 	}
 	localState := mesh.LocalState{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) },
 		ReadsStore: func() bool { return p.follower.ReadsStore() }, OutOfRotation: p.rotation.Out, Streams: func() mesh.Streams { return p.origins }}
@@ -301,7 +312,9 @@
 		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
 	}
 	load := conns.Load{Monitor: &p.monitor, Admission: &p.admission, Rotation: p.rotation}
-	p.callers = conns.New(p.listeners.traffic, p.options.Settings.Descriptors-reservedDescriptors, load, p.log, p.metrics)
+	s := &p.options.Settings
+	limits := conns.Limits{Descriptors: s.Descriptors - reservedDescriptors, SocketMemory: int64(socketMemoryFraction * float64(s.MemoryBytes))}
+	p.callers = conns.New(p.listeners.traffic, limits, load, p.log, p.metrics)
 	p.handler.Overload = p.callers
 	serve(ctx, group, traffic, p.callers)
 	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
