Cold endpoints: a crash that only a peer reports is a suspicion until the endpoint is asked

An endpoint that is down for longer and starts again got all requests of the routers without a connection to it until its new entry arrived.

--- a/coordination/warmup/table.go
+++ b/coordination/warmup/table.go
@@ -182,10 +182,10 @@
 	}
 }
 
-// Suspected reports whether this router's own broken connections make an endpoint count as cold.
+// Suspected reports whether an endpoint counts as cold because it may have restarted.
 func (t *Table) Suspected(now time.Time, endpoint uint32) bool {
 	s := t.endpoints[endpoint]
-	return s != nil && now.Before(s.until[Connection])
+	return s != nil && (now.Before(s.until[Connection]) || now.Before(s.until[Peer]))
 }
 
 // Remove drops an endpoint whose service has no cold endpoints any more.
--- a/direct/dispatch/warmup.go
+++ b/direct/dispatch/warmup.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
-	"github.com/acaciaspar/acaciaspar/coordination/incarnation"
 	"github.com/acaciaspar/acaciaspar/coordination/warmup"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
@@ -220,8 +219,8 @@
 	}
 }
 
-// suspectUnreachable records that a peer could not reach an endpoint. While the store answers, the entry
-// of an endpoint that has restarted says so within incarnation.EntryTime.
+// suspectUnreachable records that a peer could not reach an endpoint. It may restart at any time after that,
+// and this router may have no connection to it that breaks, so that it must be asked before it is used.
 func (d *Dispatcher) suspectUnreachable(now time.Time, instance string, hash uint32) {
 	e, ok := d.cold.endpoints[hash]
 	if !ok {
@@ -234,11 +233,8 @@
 		return
 	}
 	s := d.cold.services[e.Service]
-	suspicion := s.Start
-	if d.registry.EntriesDue(now) == 0 {
-		suspicion = min(suspicion, incarnation.EntryTime)
-	}
-	d.cold.table.Set(now, hash, s.Rate, warmup.Peer, now.Add(suspicion))
+	d.incarnations.Doubt(now, e.ID)
+	d.cold.table.Set(now, hash, s.Rate, warmup.Peer, now.Add(s.Start))
 }
 
 // ZoneReturned records that the evacuation of a zone has ended. Its endpoints have had no requests, and
--- a/direct/dispatch/warmup_test.go
+++ b/direct/dispatch/warmup_test.go
@@ -8,7 +8,6 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/acaciaspar/acaciaspar/coordination/endpointload"
-	"github.com/acaciaspar/acaciaspar/coordination/incarnation"
 	"github.com/acaciaspar/acaciaspar/coordination/placement"
 	"github.com/acaciaspar/acaciaspar/coordination/prompt"
 	"github.com/acaciaspar/acaciaspar/coordination/retry"
@@ -222,36 +221,48 @@
 	must.Eq(t, 1, f.place(1)["e0"])
 }
 
+// reportUnreachable applies a peer's report that it can't reach the endpoints.
+func (f *coldFixture) reportUnreachable(peer string, sequence uint64, ids ...string) {
+	var loads []endpointload.PeerLoad
+	for _, id := range ids {
+		loads = append(loads, endpointload.PeerLoad{Endpoint: endpointload.Hash(id), Load: endpointload.Load{Unreachable: true}})
+	}
+	f.ApplyPeerReport(f.now, PeerReport{Instance: peer, Sequence: sequence, Loads: loads})
+}
+
 // Guards against a fleet in which all treat all endpoints as cold because one router can't reach them and
-// reports it after each try.
+// reports it after each try, and against a question to each endpoint after each report.
 func TestPeerThatCannotReachEndpointsDoesNotKeepThemCold(t *testing.T) {
 	f := newColdFixture(2)
 	f.makeMemberOfNone()
-	refused := 0
+	refused, asked := 0, 0
 	for sequence := range uint64(300) {
-		f.ApplyPeerReport(f.now, PeerReport{Instance: "p", Sequence: sequence + 1, Loads: []endpointload.PeerLoad{
-			{Endpoint: endpointload.Hash("e0"), Load: endpointload.Load{Unreachable: true}},
-			{Endpoint: endpointload.Hash("e1"), Load: endpointload.Load{Unreachable: sequence > 0}},
-		}})
-		got := f.place(1)["refused"]
-		refused += got
-		if sequence == 1 {
-			must.Eq(t, 1, got)
-		}
+		f.reportUnreachable("p", sequence+1, "e0", "e1")
+		refused += f.place(1)["refused"]
 		f.now = f.now.Add(100 * time.Millisecond)
+		for _, e := range f.TakeQuestions(f.now) {
+			asked++
+			must.False(t, f.Reported(f.now, f.now.Add(-time.Millisecond), e.ID, e.Started))
+		}
 	}
-	must.LessEq(t, int(incarnation.EntryTime/(100*time.Millisecond))+1, refused)
+	must.Eq(t, 1, refused)
+	must.Eq(t, 2, asked)
 }
 
-// Guards against a suspicion that ends before a restarted endpoint can have a new entry: while the store is
-// down.
-func TestReportOfAPeerCountsLongerWhileTheStoreIsDown(t *testing.T) {
+// Guards against a router that knows of a crash only from a peer, because it had no connection to the
+// endpoint, and that sends all its requests once it is up again and before its new entry arrives. The
+// endpoint may be down for some seconds.
+func TestCrashThatAPeerReportsIsASuspicion(t *testing.T) {
 	f := newColdFixture(1)
 	f.makeMemberOfNone()
-	f.table.StoreUnavailable(f.now)
-	f.ApplyPeerReport(f.now, PeerReport{Instance: "p", Sequence: 1, Loads: []endpointload.PeerLoad{
-		{Endpoint: endpointload.Hash("e0"), Load: endpointload.Load{Unreachable: true}},
-	}})
+	f.reportUnreachable("p", 1, "e0")
+	must.Eq(t, map[string]int{"refused": 1}, f.place(1))
+	f.now = f.now.Add(5 * time.Second)
+	f.reportUnreachable("q", 1, "e0")
+	f.now = f.now.Add(coldStart - time.Millisecond)
+	must.Eq(t, map[string]int{"refused": 1}, f.place(1))
+	must.Len(t, 1, f.TakeQuestions(f.now))
+	must.True(t, f.Reported(f.now, f.now.Add(-time.Millisecond), "e0", f.now))
 	f.now = f.now.Add(coldStart - time.Millisecond)
 	must.Eq(t, map[string]int{"refused": 1}, f.place(1))
 	f.now = f.now.Add(time.Millisecond)
