Add acaciaspar explain: where a request would be sent, and why

Cause: operators could see where requests went, but not why an endpoint got none or a team was refused, without sending a request.

Change: dispatch.Explain returns the team's share, each endpoint of the service with its state and cost, and the decision. It shares its code with PlaceEngine and PlacePlain, which are split into choosing, which records nothing, and starting. Rules that leave out endpoints add a check to stateChecks; without one their endpoints are shown as excluded. The listener for metrics serves GET /explain; the command prints text or JSON and exits with 4 if the request would be refused. Asking charges, counts and probes nothing: it works on a copy of the request limits, peeks at quarantines and restores the cached levels. A team's allowance no longer records a use of the team; RecordRequest does.

Measured: each guard was seen red with its mechanism broken (a turn taken, a charge, a wanted incarnation, levels not restored, a wrong state, a trial begun by Peek, a shared limit in Clone). Tests of the touched packages pass with -race.

--- a/direct/dispatch/allowance.go
+++ b/direct/dispatch/allowance.go
@@ -46,7 +46,7 @@
 		return 1
 	}
 	hash := TeamHash(name)
-	usage := d.team(now, name).window.Sum(now).Add(d.peerTeams[hash])
+	usage := d.teamUsage(now, name)
 	used := usage.Started
 	a := 1.0
 	if used > d.configuredLevel {
@@ -60,6 +60,15 @@
 	return a
 }
 
+// teamUsage returns the usage of a team at all routers.
+func (d *Dispatcher) teamUsage(now time.Time, name string) fairshare.Usage {
+	usage := d.peerTeams[TeamHash(name)]
+	if t := d.teams[name]; t != nil {
+		usage = usage.Add(t.window.Sum(now))
+	}
+	return usage
+}
+
 // leastServed returns the team with the smallest number of begun tokens, and that
 // number, among those that request more than level and get less than half of it. ok is
 // false if there is no such team.
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -83,9 +83,10 @@
 	limitNews     chan struct{}
 	// incarnations holds the endpoints that may have restarted since their entries were read.
 	incarnations *incarnation.Table
-	// candidateBuffer and usableBuffer are reused across placements.
+	// candidateBuffer, usableBuffer and choiceBuffer are reused across placements.
 	candidateBuffer []placement.Candidate
 	usableBuffer    []int
+	choiceBuffer    engineChoice
 }
 
 type team struct {
@@ -275,6 +276,24 @@
 		allowance = d.allowance(now, request.Team)
 	}
 	d.countRequest(now, request)
+	choice, refusal := d.chooseEngine(now, request, endpoints, allowance, nil)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return d.startEngine(now, request, choice), nil
+}
+
+// engineChoice is the engine that chooseEngine chose for a request.
+type engineChoice struct {
+	endpoint  registry.Endpoint
+	candidate placement.Candidate
+	// home is the ID of the endpoint that prompts with these shared parts are preferably sent to.
+	home string
+}
+
+// chooseEngine chooses an engine and records nothing. It leaves the candidates and the choice in the buffers, and
+// what the candidates were asked for in asked, if that isn't nil and there is any.
+func (d *Dispatcher) chooseEngine(now time.Time, request *Request, endpoints []registry.Endpoint, allowance float64, asked *placement.Request) (*engineChoice, *Refusal) {
 	home := homeEndpoint(request.Cost.Affinity(), endpoints)
 	candidates, usable, limited := d.candidates(now, endpoints, request.Cost.SharedParts, home, false)
 	if len(candidates) == 0 && request.Begun {
@@ -293,21 +312,29 @@
 	if request.Continued {
 		demand.Allowance *= continuedStreamFactor
 	}
+	if asked != nil {
+		*asked = demand
+	}
 	index, wait, ok := placement.Choose(d.policy, demand, candidates)
 	if !ok {
 		return nil, refuse(request, allowance, wait, len(candidates))
 	}
-	chosen := endpoints[usable[index]]
-	if chosen.ID != home && request.Cost.Affinity() != 0 {
+	d.choiceBuffer = engineChoice{endpoint: endpoints[usable[index]], candidate: candidates[index], home: home}
+	return &d.choiceBuffer, nil
+}
+
+// startEngine records that a request is about to be sent to the engine that was chosen.
+func (d *Dispatcher) startEngine(now time.Time, request *Request, choice *engineChoice) *Assignment {
+	chosen, c := choice.endpoint, &choice.candidate
+	if chosen.ID != choice.home && request.Cost.Affinity() != 0 {
 		d.recordPlaced(chosen.ID, request.Cost)
 	}
-	c := &candidates[index]
 	d.requestLimits.Take(now, endpointload.Hash(chosen.ID))
 	attempt := d.loads.StartAttempt(now, chosen.ID, request.Cost, c.Pending)
 	return &Assignment{
 		Endpoint: chosen, ExpectedWait: c.Wait(), UncachedTokens: c.UncachedTokens, dispatcher: d, attempt: attempt,
 		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint, charge: d.charge(now, request),
-	}, nil
+	}
 }
 
 // continuedStreamFactor scales the limits of placement for a stream whose first events its
@@ -465,6 +492,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.countRequest(now, request)
+	best, refusal := d.choosePlain(now, request, endpoints, nil)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return d.startPlain(now, request, endpoints, best), nil
+}
+
+// choosePlain returns the index of the chosen endpoint and records nothing. If scores isn't nil, it gets
+// the score of each endpoint that could be chosen, by ID.
+func (d *Dispatcher) choosePlain(now time.Time, request *Request, endpoints []registry.Endpoint, scores map[string]float64) (int, *Refusal) {
 	best, bestScore, usable := -1, 0.0, 0
 	for i, e := range endpoints {
 		v := d.loads.View(now, e.ID, nil)
@@ -483,22 +520,30 @@
 		if e.Zone != d.zone {
 			score += zonePenalty
 		}
+		if scores != nil {
+			scores[e.ID] = score
+		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
 	if usable == 0 {
-		return nil, d.refuseUnusable(now, request, 1)
+		return -1, d.refuseUnusable(now, request, 1)
 	}
 	if best < 0 {
-		return nil, refuse(request, 1, 0, usable)
+		return -1, refuse(request, 1, 0, usable)
 	}
+	return best, nil
+}
+
+// startPlain records that a request is about to be sent to the endpoint that was chosen.
+func (d *Dispatcher) startPlain(now time.Time, request *Request, endpoints []registry.Endpoint, best int) *Assignment {
 	d.requestLimits.Take(now, endpointload.Hash(endpoints[best].ID))
 	attempt := d.loads.StartAttempt(now, endpoints[best].ID, prompt.Cost{}, 0)
 	return &Assignment{
 		Endpoint: endpoints[best], dispatcher: d, attempt: attempt,
 		sharedParts: request.Cost.SharedIDs(), fingerprint: request.Fingerprint,
-	}, nil
+	}
 }
 
 const (
--- a/direct/entry/plain.go
+++ b/direct/entry/plain.go
@@ -82,11 +82,15 @@
 		r.failWithoutResponse("no other endpoint takes the request")
 		return
 	}
-	status := http.StatusServiceUnavailable
+	r.refuse(statusOf(refusal), string(refusal.Reason), refusal.RetryAfter, r.refusalAttrs(refusal)...)
+}
+
+// statusOf returns the status of a request that was not placed.
+func statusOf(refusal *dispatch.Refusal) int {
 	if refusal.Reason == dispatch.OverShare {
-		status = http.StatusTooManyRequests
+		return http.StatusTooManyRequests
 	}
-	r.refuse(status, string(refusal.Reason), refusal.RetryAfter, r.refusalAttrs(refusal)...)
+	return http.StatusServiceUnavailable
 }
 
 // bufferedResponse is a complete response of an endpoint.
--- a/direct/process.go
+++ b/direct/process.go
@@ -29,6 +29,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/overload"
 	"github.com/acaciaspar/acaciaspar/observability"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
+	"github.com/acaciaspar/acaciaspar/protocol/explanation"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
 	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
@@ -307,7 +308,7 @@
 	serve(ctx, group, p.server(p.readiness()), p.listeners.ready)
 	serve(ctx, group, p.server(p.mesh.Handler()), p.listeners.fleet)
 	if p.listeners.metrics != nil {
-		serve(ctx, group, p.server(observability.Handler(p.metrics)), p.listeners.metrics)
+		serve(ctx, group, p.server(p.operatorHandler()), p.listeners.metrics)
 	}
 	group.Go(func() error { observability.TuneGC(ctx); return ctx.Err() })
 	group.Go(func() error { return p.monitor.Run(ctx) })
@@ -335,6 +336,14 @@
 	return err
 }
 
+// operatorHandler serves operators' questions, and the metrics at all other paths.
+func (p *process) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+explanation.Path, p.handler.Explain)
+	mux.Handle("/", observability.Handler(p.metrics))
+	return mux
+}
+
 func (p *process) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/operator/app.go
+++ b/operator/app.go
@@ -28,7 +28,7 @@
 	ExitUsage subcommands.ExitStatus = 2
 	// ExitFaults means that the checked objects have errors.
 	ExitFaults subcommands.ExitStatus = 3
-	// ExitRefused means that the publication was refused.
+	// ExitRefused means that the publication was refused, or that the explained request would be.
 	ExitRefused subcommands.ExitStatus = 4
 	// ExitUnknown means that the outcome of the publication is unknown.
 	ExitUnknown subcommands.ExitStatus = 5
@@ -75,6 +75,7 @@
 	commander.Register(app.publishCommand(), group)
 	commander.Register(app.auditCommand(), group)
 	commander.Register(app.statusCommand(), group)
+	commander.Register(app.explainCommand(), group)
 	commander.Register(app.versionCommand(), group)
 }
 
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -104,6 +105,30 @@
 // TeamOf returns the team that an API key belongs to, or nil.
 func (t *Table) TeamOf(key string) *Team { return t.keys[key] }
 
+// RouteTo returns the first route by name that sends requests to a service, or nil.
+func (t *Table) RouteTo(service string) *Route {
+	var first *Route
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			leads := slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service == service && d.Weight > 0 })
+			if leads && (first == nil || r.Name < first.Name) {
+				first = r
+			}
+		}
+	}
+	return first
+}
+
+// HasTeam reports whether a team with this name has a key.
+func (t *Table) HasTeam(name string) bool {
+	for _, team := range t.keys {
+		if team.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
