--- a/direct/entry/explain.go
+++ b/direct/entry/explain.go
@@ -49,7 +49,7 @@
 		return reply
 	}
 	r.deadline = now.Add(r.timeout())
-	reply.LatencyTargetMs = r.latencyTarget(now).Milliseconds()
+	reply.TargetMs = r.latencyTarget(now).Milliseconds()
 	for _, d := range r.route.Destinations {
 		if d.Weight > 0 && (query.Service == "" || d.Service == query.Service) {
 			r.explainService(now, d, &reply)
--- a/direct/entry/explain_test.go
+++ b/direct/entry/explain_test.go
@@ -34,7 +34,7 @@
 	reply := r.ask(explanation.Query{Host: "SHOP.example:80", Path: "/stream/x", Team: "t1", PromptParts: "a:3000,b:200", TokenCounts: "3200,40", LengthHint: "7"})
 	must.Nil(t, reply.Refusal)
 	must.Eq(t, "stream", reply.Route)
-	must.Eq(t, 2000, reply.LatencyTargetMs)
+	must.Eq(t, 2000, reply.TargetMs)
 	must.Eq(t, 3200, reply.PromptTokens)
 	must.Eq(t, 7, reply.GeneratedTokens)
 	must.Eq(t, "t1", reply.Team.Name)
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -104,7 +104,7 @@
 
 func (c *command) printExplanation(reply *explanation.Reply) {
 	c.printf("route %s, version %d, latency target %d ms, %d prompt tokens, %d generated tokens expected\n", sanitize(reply.Route),
-		reply.ConfigVersion, reply.LatencyTargetMs, reply.PromptTokens, reply.GeneratedTokens)
+		reply.ConfigVersion, reply.TargetMs, reply.PromptTokens, reply.GeneratedTokens)
 	if t := reply.Team; t.Name != "" {
 		c.printf("team %s: allowance %.2f, %d tokens requested, %d started, %d begun, share %d, limit %d\n", sanitize(t.Name),
 			t.Allowance, t.RequestedTokens, t.StartedTokens, t.BegunTokens, t.ShareTokens, t.LimitTokens)
--- a/operator/explain_test.go
+++ b/operator/explain_test.go
@@ -31,7 +31,7 @@
 func TestExplain(t *testing.T) {
 	f := newFixture(t)
 	reply := &explanation.Reply{
-		ConfigVersion: 7, Route: "chat", LatencyTargetMs: 500, PromptTokens: 30, GeneratedTokens: 5,
+		ConfigVersion: 7, Route: "chat", TargetMs: 500, PromptTokens: 30, GeneratedTokens: 5,
 		Team: explanation.Team{Name: "kiln", Allowance: 0.3, RequestedTokens: 90, StartedTokens: 80, BegunTokens: 70, ShareTokens: 60, LimitTokens: 50},
 		Services: []explanation.Service{{
 			Service: "llm", Weight: 1, Decision: explanation.Decision{Endpoint: "e1"},
--- a/protocol/explanation/explanation.go
+++ b/protocol/explanation/explanation.go
@@ -50,8 +50,9 @@
 	// ConfigVersion is the version of the configuration in force, or 0.
 	ConfigVersion uint64 `json:"configVersion"`
 	// Route is empty if there is none for the request.
-	Route           string `json:"route"`
-	LatencyTargetMs int64  `json:"latencyTargetMs"`
+	Route string `json:"route"`
+	// TargetMs is the latency target.
+	TargetMs int64 `json:"targetMs"`
 	// PromptTokens and GeneratedTokens are the size of the request, the latter as expected.
 	PromptTokens    int64 `json:"promptTokens"`
 	GeneratedTokens int64 `json:"generatedTokens"`
