follow: test that calls in calm don't grow

Change: a test bounds them by one call for each reader and topic in the time that the store holds a read.

--- a/direct/follow/partial_outage_test.go
+++ b/direct/follow/partial_outage_test.go
@@ -132,3 +132,19 @@
 		}
 	}
 }
+
+// Guards against calls in calm that grow, as they are billed: each router that reads the store makes one call
+// for each topic in the time that the store holds a read.
+func TestCallsInCalmDoNotGrow(t *testing.T) {
+	const calm = time.Minute
+	for routers, readers := range map[int]int64{1: 1, 5: 5, 29: 3} {
+		runFleet(t, routers, 0, func(f *fleet, _ context.Context) {
+			f.store.Append(follow.Configuration, "c", config(1))
+			f.store.Append(follow.Endpoints, "a", endpoint("a"))
+			time.Sleep(5 * time.Second)
+			before := f.store.calls.Load()
+			time.Sleep(calm)
+			must.LessEq(t, 2*readers*int64(calm/readWait), f.store.calls.Load()-before, must.Sprint(routers, " routers"))
+		})
+	}
+}
