--- a/direct/dispatch/warmup.go
+++ b/direct/dispatch/warmup.go
@@ -30,6 +30,8 @@
 	unreachable map[unreachableReport]time.Time
 	// changes holds the endpoints that have become cold or warm and weren't logged.
 	changes []ColdChange
+	// readOnly is set while a placement is explained. Then nothing is counted and no endpoint is asked.
+	readOnly bool
 	// leftOut counts the candidates that were left out of placements because they are cold.
 	leftOut int64
 }
@@ -133,13 +135,15 @@
 	if !cold {
 		return true, false
 	}
-	if d.cold.table.Suspected(now, hash) {
+	if d.cold.table.Suspected(now, hash) && !d.cold.readOnly {
 		d.incarnations.Want(e.ID)
 	}
 	if d.cold.table.Allow(now, hash) {
 		return true, true
 	}
-	d.cold.leftOut++
+	if !d.cold.readOnly {
+		d.cold.leftOut++
+	}
 	return false, true
 }
 
