--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -51,8 +51,8 @@
 // DefaultPolicy returns the limits and weights of direct routers.
 func DefaultPolicy() Policy {
 	return Policy{
-		TargetFraction:     0.5,
-		MaxBacklog:         250 * time.Millisecond,
+		TargetFraction: 0.5,
+		MaxBacklog:     250 * time.Millisecond,
 		// 0.4 of a batch of 64, with which engines of 2.6 to 4.2 ms a step served callers best.
 		MaxRunning:         25.6,
 		MaxRunningFraction: 0.95,
