A request whose turn at a cold endpoint has passed is no sign that it is unreachable

Cause: the last check before a send returned an error that counted as a failed connection, so that a late host put the endpoint into backoff and reported it to its peers as unreachable. Change: the error is no evidence against the endpoint, like the other rechecks.

--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -385,7 +385,7 @@
 // the endpoint. Rechecks before sending and timeouts of a process that was itself late
 // are none.
 func (a *attempt) provesUnreachable() bool {
-	if errors.Is(a.err, errDeadlinePassed) || errors.Is(a.err, errEndpointGone) {
+	if errors.Is(a.err, errDeadlinePassed) || errors.Is(a.err, errEndpointGone) || errors.Is(a.err, errTurnPassed) {
 		return false
 	}
 	return !dialedLate(a.err, a.duration, a.dialTimeout)
--- a/direct/entry/cold_test.go
+++ b/direct/entry/cold_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against a request that is sent without a turn to an endpoint which became cold while the request
-// waited for CPU time, and against a refusal if another endpoint can take it.
+// waited for CPU time, against a refusal if another endpoint can take it, and against counting the cold
+// endpoint as unreachable, here and at peers, because the request wasn't sent.
 func TestEndpointThatBecameColdBeforeSendIsNotUsed(t *testing.T) {
 	r := newRouter(t)
 	cold := r.add("e1", "plain", ok)
@@ -28,4 +29,5 @@
 	must.Eq(t, http.StatusOK, w.Code)
 	must.Len(t, 0, cold.Calls())
 	must.Len(t, 1, next.Calls())
+	must.False(t, r.handler.Dispatcher.Report(time.Now()).Loads["e1"].Unreachable)
 }
