Review: one kind of withdrawn request, shared loops and socket access, a race, large batches

Cause: rereading the change. Change: withdrawnError; firstRefusal; control and controlSocket; hasBuild; ServeRequests and endSilence in tests; 0.4 of a batch again where that is above 25 requests. Up to 64 slots, limits are unchanged.

--- a/agent/reset_upload_test.go
+++ b/agent/reset_upload_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -22,11 +21,7 @@
 func startSlowEndpoint(t *testing.T, handle func(c *net.TCPConn, in *http.Request)) string {
 	t.Helper()
 	l := sockettest.Listen(t)
-	go sockettest.Serve(l, func(c *net.TCPConn) {
-		if in, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err == nil {
-			handle(c, in)
-		}
-	})
+	go sockettest.ServeRequests(l, handle)
 	return "http://" + l.Addr().String()
 }
 
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -24,12 +24,15 @@
 	// MaxBacklog bounds that backlog for all requests, so that a request with a
 	// short target can still be placed behind one with a long target.
 	MaxBacklog time.Duration
-	// MaxRunning bounds the requests in progress at one engine. Each of them slows down the
-	// steps of the batch by about the same time, whatever the size of the batch is.
-	MaxRunning float64
-	// MaxRunningFraction bounds them as a fraction of the batch size. The rest is left for
-	// requests that peers have sent since their latest report.
+	// MaxRunningFraction bounds the requests in progress at one engine, as a fraction of its
+	// batch size. Steps slow down as the batch fills.
 	MaxRunningFraction float64
+	// MinRunningLimit is the number of requests below which that fraction of a small batch
+	// doesn't reduce the limit: what a request adds to a step doesn't depend on the batch size.
+	MinRunningLimit float64
+	// MaxBatchFraction bounds the requests in progress in any case. The rest of the batch is
+	// left for requests that peers have sent since their latest report.
+	MaxBatchFraction float64
 	// CacheMissWeight is the cost of prefilling a part again that is cached
 	// elsewhere, relative to its prefill time.
 	CacheMissWeight float64
@@ -51,16 +54,18 @@
 // DefaultPolicy returns the limits and weights of direct routers.
 func DefaultPolicy() Policy {
 	return Policy{
-		TargetFraction: 0.5,
-		MaxBacklog:     250 * time.Millisecond,
-		// 0.4 of a batch of 64, with which engines of 2.6 to 4.2 ms a step served callers best.
-		MaxRunning:         25.6,
-		MaxRunningFraction: 0.95,
-		CacheMissWeight:    4,
-		UncachedFactor:     2.5,
-		MinMissTokens:      3000,
-		RunningTokens:      100,
-		ZonePenaltyTokens:  150,
+		TargetFraction:     0.5,
+		MaxBacklog:         250 * time.Millisecond,
+		MaxRunningFraction: 0.4,
+		// MaxRunningFraction of a batch of 64, with which engines of 2.6 to 4.2 ms a step served
+		// callers best.
+		MinRunningLimit:   25.6,
+		MaxBatchFraction:  0.95,
+		CacheMissWeight:   4,
+		UncachedFactor:    2.5,
+		MinMissTokens:     3000,
+		RunningTokens:     100,
+		ZonePenaltyTokens: 150,
 	}
 }
 
@@ -138,7 +143,8 @@
 // maxRunning returns the number of requests that may be in progress at an engine with a batch of this
 // size.
 func (p Policy) maxRunning(slots int) float64 {
-	return min(p.MaxRunning, float64(slots)*p.MaxRunningFraction)
+	batch := float64(slots)
+	return min(max(p.MaxRunningFraction*batch, p.MinRunningLimit), p.MaxBatchFraction*batch)
 }
 
 // minRunningFraction is the part of maxRunning that remains available to a
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -81,11 +81,12 @@
 	}
 }
 
-// Guards against batches so full that long responses don't end in time, and against engines with small
-// batches that stay idle at a peak: a batch of 32 takes as many requests as one of 64, and a smaller
-// one nearly all that it has slots for.
+// Guards against batches so full that long responses don't end in time, against engines with large batches
+// that get no more than those with small ones, and against engines with small batches that stay idle at a
+// peak: a batch of 32 takes as many requests as one of 64, and a smaller one nearly all that it has slots
+// for.
 func TestRequestsInProgressStayWithinBatchLimit(t *testing.T) {
-	for slots, most := range map[int]int{64: 25, 32: 25, 16: 15, 1: 1} {
+	for slots, most := range map[int]int{128: 51, 64: 25, 32: 25, 16: 15, 1: 1} {
 		p := DefaultPolicy()
 		c := engines(2)
 		for i := range c {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -297,16 +297,22 @@
 // and until when. After a quarantine has ended, it lets one request at a time through. The
 // fingerprint is 0 if it is unknown.
 func (t *Table) Refuse(now time.Time, parts []uint64, request uint64) (until time.Time, refuse bool) {
+	return t.firstRefusal(parts, request, func(q *quarantine) (time.Time, bool) { return q.refuse(now) })
+}
+
+// firstRefusal asks the quarantines of the sets that the parts contain, and then that of the request, until
+// one refuses.
+func (t *Table) firstRefusal(parts []uint64, request uint64, refuse func(q *quarantine) (until time.Time, refuse bool)) (time.Time, bool) {
 	for i := range t.sets {
 		if !containsAll(parts, t.sets[i].parts) {
 			continue
 		}
-		if until, refuse := t.sets[i].refuse(now); refuse {
+		if until, refused := refuse(&t.sets[i].quarantine); refused {
 			return until, true
 		}
 	}
 	if q := t.requests[request]; q != nil {
-		return q.refuse(now)
+		return refuse(q)
 	}
 	return time.Time{}, false
 }
--- a/direct/conns/listener.go
+++ b/direct/conns/listener.go
@@ -146,33 +146,31 @@
 
 // setBacklog limits the number of connections that wait in the kernel.
 func setBacklog(l net.Listener, backlog int) error {
-	raw, err := callerconn.RawConn(l)
-	if err != nil {
-		return err
-	}
-	var listenErr error
-	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) }); err != nil {
-		return eris.Wrap(err, "use the listener's socket")
-	}
-	return eris.Wrap(listenErr, "listen")
+	return eris.Wrap(controlSocket(l, func(fd int) error { return unix.Listen(fd, backlog) }), "listen")
 }
 
 // setBuffers sets the size of the buffers of the connections that will be accepted, which inherit it.
 func setBuffers(l net.Listener, size int) error {
+	err := controlSocket(l, func(fd int) error {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size); err != nil {
+			return err
+		}
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+	})
+	return eris.Wrap(err, "set the size of buffers")
+}
+
+// controlSocket calls change with the file descriptor of the listener's socket and returns its error.
+func controlSocket(l net.Listener, change func(fd int) error) error {
 	raw, err := callerconn.RawConn(l)
 	if err != nil {
 		return err
 	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		if optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size); optErr == nil {
-			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size)
-		}
-	})
-	if err != nil {
+	var changeErr error
+	if err := raw.Control(func(fd uintptr) { changeErr = change(int(fd)) }); err != nil {
 		return eris.Wrap(err, "use the listener's socket")
 	}
-	return eris.Wrap(optErr, "set the size of buffers")
+	return changeErr
 }
 
 // Counts describes the connections of a process.
--- a/direct/conns/memory.go
+++ b/direct/conns/memory.go
@@ -55,9 +55,9 @@
 			queues, holders = append(queues, q), append(holders, q.holder())
 		}
 		i, reason := memorybudget.Choose(now, holders)
-		freed := int64(0)
+		freed, request := int64(0), ""
 		if reason != memorybudget.None {
-			freed = queues[i].drop()
+			freed, request = queues[i].drop()
 			delete(m.queues, queues[i])
 			m.held.Add(-freed)
 		}
@@ -67,7 +67,7 @@
 		}
 		c := queues[i].conn
 		m.ended.Inc(1)
-		m.log.Warn("stream ended for memory", "reason", string(reason), "request", queues[i].request, "caller", c.RemoteAddr().String(),
+		m.log.Warn("stream ended for memory", "reason", string(reason), "request", request, "caller", c.RemoteAddr().String(),
 			"bytes", freed, "unread_ms", now.Sub(holders[i].ReadAt).Milliseconds(), "held_bytes", m.held.Load(), "limit_bytes", m.limit)
 		c.reset()
 	}
--- a/direct/conns/queue.go
+++ b/direct/conns/queue.go
@@ -36,20 +36,20 @@
 // its data there, and a goroutine that runs only while the queue isn't empty writes it. So the goroutine
 // that reads an endpoint's stream never waits for the caller, unless maxQueued bytes wait.
 type writeQueue struct {
-	conn    *Conn
-	memory  *Memory
-	raw     syscall.RawConn
-	request string
+	conn   *Conn
+	memory *Memory
+	raw    syscall.RawConn
 	// tryOnce is writeOnce, which writes tried and sets taken and tryErr. Only the server's goroutine, which
 	// writes responses, uses them.
 	tryOnce func(fd uintptr) bool
 	tried   []byte
 	taken   int
 	tryErr  error
-	// deadline is that of the request.
-	deadline time.Time
 
 	mu sync.Mutex
+	// request and deadline are those of the request in progress.
+	request  string
+	deadline time.Time
 	// changed is signaled when the queue becomes shorter or fails.
 	changed sync.Cond
 	// parts holds what waits, without the part that is being written. held is the memory of both and of
@@ -94,11 +94,11 @@
 	return memorybudget.Holder{Held: q.held, ReadAt: q.readAt, Deadline: q.deadline}
 }
 
-// drop ends the queue with ErrMemory and returns how much it held.
-func (q *writeQueue) drop() int64 {
+// drop ends the queue with ErrMemory and returns how much it held, and for which request.
+func (q *writeQueue) drop() (held int64, request string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.fail(ErrMemory)
+	return q.fail(ErrMemory), q.request
 }
 
 // fail ends the queue and returns how much it held. The caller holds mu.
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -488,8 +488,7 @@
 	if d.hasEvacuated(ready, build) {
 		return true
 	}
-	ready = d.confirmed(ready)
-	return slices.ContainsFunc(ready, func(e registry.Endpoint) bool { return runs(e, build) })
+	return hasBuild(d.confirmed(ready), build)
 }
 
 // EntriesDue returns how long entries of live endpoints may still be missing.
--- a/direct/dispatch/evacuation.go
+++ b/direct/dispatch/evacuation.go
@@ -18,25 +18,11 @@
 // notEvacuated returns the endpoints outside of evacuated zones. The list may be shared.
 func (d *Dispatcher) notEvacuated(endpoints []registry.Endpoint) []registry.Endpoint {
 	zones := d.evacuations.Zones()
-	if len(zones) == 0 {
-		return endpoints
-	}
-	n := 0
-	for i := range endpoints {
-		if !zones.Has(endpoints[i].Zone) {
-			n++
-		}
-	}
-	if n == len(endpoints) {
+	evacuated := func(e registry.Endpoint) bool { return zones.Has(e.Zone) }
+	if len(zones) == 0 || !slices.ContainsFunc(endpoints, evacuated) {
 		return endpoints
 	}
-	open := make([]registry.Endpoint, 0, n)
-	for i := range endpoints {
-		if !zones.Has(endpoints[i].Zone) {
-			open = append(open, endpoints[i])
-		}
-	}
-	return open
+	return slices.DeleteFunc(slices.Clone(endpoints), evacuated)
 }
 
 // hasEvacuated reports whether one of the endpoints is of a build and in an evacuated zone.
--- a/direct/entry/attempt.go
+++ b/direct/entry/attempt.go
@@ -382,13 +382,11 @@
 const dialTolerance = 50 * time.Millisecond
 
 // provesUnreachable reports whether an attempt that was not sent is evidence against
-// the endpoint. Rechecks before sending and timeouts of a process that was itself late
+// the endpoint. Requests that this router withdrew and timeouts of a process that was itself late
 // are none.
 func (a *attempt) provesUnreachable() bool {
-	if errors.Is(a.err, errDeadlinePassed) || errors.Is(a.err, errEndpointGone) || errors.Is(a.err, errTurnPassed) {
-		return false
-	}
-	return !dialedLate(a.err, a.duration, a.dialTimeout)
+	var withdrawn withdrawnError
+	return !errors.As(a.err, &withdrawn) && !dialedLate(a.err, a.duration, a.dialTimeout)
 }
 
 // dialedLate reports whether err is a timeout that this process noticed late.
--- a/direct/entry/bench_test.go
+++ b/direct/entry/bench_test.go
@@ -33,17 +33,20 @@
 	}
 }
 
+// streamFifty responds with a stream of 50 events.
+func streamFifty(c net.Conn, call *directtest.Call) bool {
+	directtest.BeginStream(c, call)
+	for i := range 50 {
+		directtest.Chunk(c, directtest.Event(i))
+	}
+	directtest.Chunk(c, "")
+	return true
+}
+
 // BenchmarkStream measures a stream of 50 events.
 func BenchmarkStream(b *testing.B) {
 	r := newRouter(b)
-	e := directtest.NewEndpoint(b, func(c net.Conn, call *directtest.Call) bool {
-		directtest.BeginStream(c, call)
-		for i := range 50 {
-			directtest.Chunk(c, directtest.Event(i))
-		}
-		directtest.Chunk(c, "")
-		return true
-	})
+	e := directtest.NewEndpoint(b, streamFifty)
 	r.endpoints.Put(registry.Endpoint{ID: "e", Service: "engines", Address: e.Address, Zone: "z", Slots: 64})
 	for b.Loop() {
 		if got := r.post("/stream/1"); got.err != nil || got.status != 200 {
@@ -58,14 +61,7 @@
 	for name, limit := range map[string]int64{"queue": 64 << 20, "no queue": 0} {
 		b.Run(name, func(b *testing.B) {
 			r := newRouter(b)
-			e := directtest.NewEndpoint(b, func(c net.Conn, call *directtest.Call) bool {
-				directtest.BeginStream(c, call)
-				for i := range 50 {
-					directtest.Chunk(c, directtest.Event(i))
-				}
-				directtest.Chunk(c, "")
-				return true
-			})
+			e := directtest.NewEndpoint(b, streamFifty)
 			r.endpoints.Put(registry.Endpoint{ID: "e", Service: "engines", Address: e.Address, Zone: "z", Slots: 64})
 			if limit > 0 {
 				r.handler.Memory = conns.NewMemory(limit, r.handler.Log, metrics.NewRegistry())
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -21,7 +20,6 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
-	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
@@ -572,19 +570,26 @@
 // its endpoint take a few milliseconds on a host that isn't overloaded.
 const recheckAfter = 50 * time.Millisecond
 
-var (
-	errDeadlinePassed = errors.New("the deadline has passed")
-	errEndpointGone   = errors.New("the endpoint stopped accepting requests")
-	// errOutdatedEntries is an errEndpointGone: the endpoint may have left.
-	errOutdatedEntries = fmt.Errorf("%w, or this router is late to learn it", errEndpointGone)
-	errTurnPassed      = errors.New("the endpoint is cold and the turn for the request has passed")
+// withdrawnError is the reason for which this router doesn't send a request that it has placed. It is no
+// evidence against the endpoint.
+type withdrawnError string
+
+// Error implements error.
+func (e withdrawnError) Error() string { return string(e) }
+
+const (
+	errDeadlinePassed  = withdrawnError("the deadline has passed")
+	errEndpointGone    = withdrawnError("the endpoint stopped accepting requests")
+	errOutdatedEntries = withdrawnError("the endpoint stopped accepting requests, or this router is late to learn it")
+	errTurnPassed      = withdrawnError("the endpoint is cold and the turn for the request has passed")
 )
 
 // recheck is called immediately before the request is sent to an endpoint. On a busy
 // host, much time may have passed since it was placed. It returns an error if the
 // caller has disconnected, the deadline has passed, or the endpoint is draining or
-// gone, or may have restarted, or if this router doesn't know its present entry.
-func (r *request) recheck(chosen registry.Endpoint) error {
+// gone, or may have restarted, or is cold and the request's turn has passed, or if this router doesn't
+// know its present entry.
+func (r *request) recheck(assignment *dispatch.Assignment) error {
 	if time.Since(r.receivedAt) >= recheckAfter && r.connectionClosed() {
 		r.disconnected.Store(true)
 		return errConnectionClosed
@@ -596,9 +601,12 @@
 	if r.h.Dispatcher.EntriesOutdated(now) {
 		return errOutdatedEntries
 	}
-	if !r.h.Dispatcher.Accepting(chosen, r.isResumable()) {
+	if !r.h.Dispatcher.Accepting(assignment.Endpoint, r.isResumable()) {
 		return errEndpointGone
 	}
+	if !assignment.MaySend(now) {
+		return errTurnPassed
+	}
 	return nil
 }
 
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -77,12 +77,9 @@
 		Recheck: func(unread func() bool) error {
 			a.unread.Store(&unread)
 			a.assignment.Sent(time.Now())
-			if err := r.recheck(a.assignment.Endpoint); err != nil {
+			if err := r.recheck(a.assignment); err != nil {
 				return err
 			}
-			if !a.assignment.MaySend(time.Now()) {
-				return errTurnPassed
-			}
 			r.handedOver.Store(true)
 			return nil
 		},
--- a/direct/entry/reset_upload_test.go
+++ b/direct/entry/reset_upload_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -22,11 +21,7 @@
 func (r *router) addSlow(id, service string, handle func(c *net.TCPConn, in *http.Request)) {
 	r.t.Helper()
 	l := sockettest.Listen(r.t)
-	go sockettest.Serve(l, func(c *net.TCPConn) {
-		if in, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err == nil {
-			handle(c, in)
-		}
-	})
+	go sockettest.ServeRequests(l, handle)
 	r.endpoints.Put(registry.Endpoint{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Version: "v1", Slots: 4})
 }
 
--- a/direct/follow/lost_calls_test.go
+++ b/direct/follow/lost_calls_test.go
@@ -263,6 +263,19 @@
 	return lowest
 }
 
+// endSilence ends the outage with news for both topics, and returns the time until all routers know them, a
+// minute at most.
+func (f *fleet) endSilence() time.Duration {
+	f.store.setSilent(false)
+	f.store.Append(follow.Configuration, "c", config(2))
+	f.store.Append(follow.Endpoints, "b", endpoint("b"))
+	ended := time.Now()
+	for (f.version() != 2 || !f.knowsEndpoints(2)) && time.Since(ended) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(ended)
+}
+
 // knowsEndpoints reports whether all routers know n ready endpoints.
 func (f *fleet) knowsEndpoints(n int) bool {
 	for _, m := range f.members {
@@ -352,14 +365,7 @@
 			}
 		}
 		time.Sleep(o.length - time.Since(began))
-		f.store.setSilent(false)
-		f.store.Append(follow.Configuration, "c", config(2))
-		f.store.Append(follow.Endpoints, "b", endpoint("b"))
-		ended := time.Now()
-		for (f.version() != 2 || !f.knowsEndpoints(2)) && time.Since(ended) < time.Minute {
-			time.Sleep(10 * time.Millisecond)
-		}
-		took = time.Since(ended)
+		took = f.endSilence()
 	})
 	return took
 }
--- a/direct/follow/partial_outage_test.go
+++ b/direct/follow/partial_outage_test.go
@@ -49,14 +49,7 @@
 		for i := 40; i < len(counts); i++ {
 			calls = max(calls, counts[i]-counts[i-40])
 		}
-		f.store.setSilent(false)
-		f.store.Append(follow.Configuration, "c", config(2))
-		f.store.Append(follow.Endpoints, "b", endpoint("b"))
-		ended := time.Now()
-		for (f.version() != 2 || !f.knowsEndpoints(2)) && time.Since(ended) < time.Minute {
-			time.Sleep(10 * time.Millisecond)
-		}
-		took = time.Since(ended)
+		took = f.endSilence()
 	})
 	return took, calls
 }
--- a/direct/mesh/view.go
+++ b/direct/mesh/view.go
@@ -39,10 +39,7 @@
 		if sinceReport < knownTimeout && !p.leaving {
 			f.Known = append(f.Known, address)
 		}
-		if sinceReport >= timeout {
-			continue
-		}
-		if p.leaving {
+		if sinceReport >= timeout || p.leaving {
 			continue
 		}
 		f.Heard++
--- a/transport/sockettest/listen.go
+++ b/transport/sockettest/listen.go
@@ -3,7 +3,9 @@
 package sockettest
 
 import (
+	"bufio"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 
@@ -41,6 +43,17 @@
 	return l
 }
 
+// ServeRequests calls handle with the first request of each connection of l, before its body is read, and
+// closes the connection afterwards.
+func ServeRequests(l net.Listener, handle func(c *net.TCPConn, in *http.Request)) {
+	Serve(l, func(c *net.TCPConn) {
+		// A small buffer leaves the body in the socket.
+		if in, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err == nil {
+			handle(c, in)
+		}
+	})
+}
+
 // Serve calls serve for each connection of l, and closes the connection afterwards.
 func Serve(l net.Listener, serve func(c *net.TCPConn)) {
 	for {
--- a/transport/sockpeek/peek.go
+++ b/transport/sockpeek/peek.go
@@ -29,53 +29,53 @@
 // Peek returns the state of a connection. It never blocks. It returns Idle for a
 // connection without a file descriptor.
 func Peek(c net.Conn) State {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return Idle
-	}
-	raw, err := sc.SyscallConn()
-	if errors.Is(err, errors.ErrUnsupported) {
-		return Idle
-	}
-	if err != nil {
-		return Closed
-	}
 	state := Closed
-	err = raw.Control(func(fd uintptr) {
+	supported, err := control(c, func(fd int) {
 		state = peek(func(b []byte) (int, error) {
-			n, _, err := unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			n, _, err := unix.Recvfrom(fd, b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 			return n, err
 		})
 	})
-	if err != nil {
+	switch {
+	case !supported:
+		return Idle
+	case err != nil:
 		return Closed
 	}
 	return state
 }
 
-// Acknowledged reports whether the remote end has acknowledged all that was written to a connection. It
-// returns an error, and clears that of the socket, if the connection broke. It returns true for a
-// connection without a file descriptor.
-func Acknowledged(c net.Conn) (bool, error) {
+// control calls f with the file descriptor of a connection. supported is false if it has none, and err is
+// set if the connection is closed.
+func control(c net.Conn, f func(fd int)) (supported bool, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true, nil
+		return false, nil
 	}
 	raw, err := sc.SyscallConn()
 	if errors.Is(err, errors.ErrUnsupported) {
-		return true, nil
+		return false, nil
 	}
 	if err != nil {
-		return false, err
+		return true, err
 	}
+	return true, raw.Control(func(fd uintptr) { f(int(fd)) })
+}
+
+// Acknowledged reports whether the remote end has acknowledged all that was written to a connection. It
+// returns an error, and clears that of the socket, if the connection broke. It returns true for a
+// connection without a file descriptor.
+func Acknowledged(c net.Conn) (bool, error) {
 	pending, socketErr := 0, 0
 	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		if socketErr, optErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); optErr == nil {
-			pending, optErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	supported, err := control(c, func(fd int) {
+		if socketErr, optErr = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR); optErr == nil {
+			pending, optErr = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
 		}
 	})
 	switch {
+	case !supported:
+		return true, nil
 	case err != nil:
 		return false, err
 	case optErr != nil:
