--- a/review/kit-2/worker.go
+++ b/review/kit-2/worker.go
@@ -17,6 +17,8 @@
 	expiry = 3 * heartbeat
 	// firstEventDelay is the time from a request to its first event.
 	firstEventDelay = 40 * time.Millisecond
+	// plainTime is the time for which a worker of a plain service works on a request.
+	plainTime = 20 * time.Millisecond
 )
 
 // worker is a stand-in of a model worker. It streams events that name the version of its software.
@@ -28,11 +30,14 @@
 	// events is the number of events of a whole stream, gap the time between two of them.
 	events int
 	gap    time.Duration
+	// plain, if set, makes the worker one of a plain service, and records the requests that reach it.
+	plain *arrivals
 
 	mu       sync.Mutex
 	server   *http.Server
 	born     time.Time
 	draining bool
+	removed  bool
 	// lastBeat is the time of the latest heartbeat that the store accepted, entry what it holds.
 	lastBeat time.Time
 	entry    string
@@ -101,6 +106,17 @@
 	w.log.printf("worker %s has left", w.id)
 }
 
+// removeEntry removes the worker's entry, as a worker does that leaves without reporting that it drains. It
+// returns when the store has acknowledged that.
+func (w *worker) removeEntry() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.removed = true
+	w.store.put("keyed.servers", w.id, nil)
+	w.log.printf("worker %s leaves: its entry is removed", w.id)
+	return time.Now()
+}
+
 // beat writes the worker's entry when it starts and when the store lacks it, and removes it for the
 // store after the worker has been silent for expiry.
 func (w *worker) beat(stop chan struct{}) {
@@ -120,6 +136,9 @@
 func (w *worker) writeEntry() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.removed {
+		return
+	}
 	state := "ready"
 	if w.draining {
 		state = "draining"
@@ -162,6 +181,13 @@
 	if _, err := io.Copy(io.Discard, in.Body); err != nil {
 		return
 	}
+	if w.plain != nil {
+		w.plain.add(id, w.id)
+		out.Header().Set("X-Acaciaspar-Response-Signature", w.id)
+		time.Sleep(plainTime)
+		_, _ = io.WriteString(out, "answer to "+id)
+		return
+	}
 	last, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
 	w.log.printf("worker %s (version %s) runs %s after event %d", w.id, version, id, last)
 	out.Header().Set("X-Acaciaspar-Response-Signature", fmt.Sprintf("%s.%d", w.id, born.UnixMilli()))
