--- a/review/kit-2/cases.go
+++ b/review/kit-2/cases.go
@@ -232,7 +232,7 @@
 			f.store.setSilent(false)
 			stableSince = time.Now()
 			f.log.printf("the store is back, from a copy 9 s old")
-			f.store.put("keyed.op", "config", f.config)
+			f.store.put(names.ConfigTopic, "config", f.config)
 			for _, w := range workers {
 				w.writeEntry()
 			}
--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -64,11 +64,11 @@
 		fail("request: %v", err)
 	}
 	request.Host = "model.example"
-	request.Header.Set("X-Acaciaspar-Request-Id", a.id)
-	request.Header.Set("X-Acaciaspar-Model", "m")
-	request.Header.Set("X-Acaciaspar-Token-Counts", "900,400")
-	request.Header.Set("X-Acaciaspar-Prompt-Prefix", s.prefix+","+fmt.Sprintf("%x:100", 0xa000000+s.hash))
-	request.Header.Set("X-Acaciaspar-Deadline-Remaining", strconv.FormatInt(time.Until(s.deadline).Milliseconds(), 10))
+	request.Header.Set(names.RequestID, a.id)
+	request.Header.Set(names.Model, "m")
+	request.Header.Set(names.TokenCounts, "900,400")
+	request.Header.Set(names.PromptPrefix, s.prefix+","+fmt.Sprintf("%x:100", 0xa000000+s.hash))
+	request.Header.Set(names.Deadline, strconv.FormatInt(time.Until(s.deadline).Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer key-1")
 	if last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(last))
@@ -83,7 +83,7 @@
 		a.status = response.StatusCode
 		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
-		if a.status == http.StatusOK && response.Header.Get("X-Acaciaspar-Response-Signature") != "" {
+		if a.status == http.StatusOK && response.Header.Get(names.Signature) != "" {
 			a.err = s.read(&a, bufio.NewReader(response.Body))
 		}
 		_ = response.Body.Close()
--- a/review/kit-2/fleet.go
+++ b/review/kit-2/fleet.go
@@ -89,7 +89,7 @@
 // publish writes a configuration to the store.
 func (f *fleet) publish(config any) {
 	f.config, _ = json.Marshal(config)
-	f.store.put("keyed.op", "config", f.config)
+	f.store.put(names.ConfigTopic, "config", f.config)
 	f.log.printf("the operator writes a configuration: %s", f.config)
 }
 
@@ -123,7 +123,7 @@
 	for {
 		for _, r := range f.routers {
 			go func() {
-				response, err := client.Get("http://" + r.ready + "/-/readiness")
+				response, err := client.Get("http://" + r.ready + names.Readiness)
 				ok := err == nil && response.StatusCode == http.StatusOK
 				if err == nil {
 					_ = response.Body.Close()
@@ -169,72 +169,7 @@
 	for _, o := range r.f.routers {
 		seeds += fmt.Sprintf("  - \"%s:%d\"\n", o.ip, controlPort)
 	}
-	return fmt.Sprintf(`nodeName: %q
-role: "router"
-machineClass: "front"
-serves:
-  - "front"
-  - "control"
-ipAddress: %q
-zone: %q
-region: "region"
-listenAddresses:
-  front: %q
-  ready: %q
-  control: "%s:%d"
-internalPorts:
-  - %d
-  - %d
-seeds:
-%sfirstStart: %t
-countsAsLoss: false
-limits:
-  cpuShare: 0.304
-  cores: 1
-  memoryMb: 284
-  fileDescriptors: 4100
-  linkMbps: 1000.0
-  diskMb: 0
-dataDirectory: null
-discovery: "platform"
-entry: "virtual_ip"
-heartbeatMs: 1200
-bounds:
-  seedLagS: 3
-  reuseAfterS: 2
-  stabilityWindowMs: 3000
-  acknowledgeMs: 4000
-  catchUpS: 4
-  drainMs: 2000
-  graceS: 8
-  lossSlackMs: 200
-  configPropagationMs: 2000
-  rollbackSlackMs: 250
-  outerMs: 5000
-  strictRevocation: false
-  revocationMs: 5000
-  retryBudgetRatio: 0.2
-  budgetWindowS: 10
-  retryBudgetSlack: 56
-  recoveryS: 12
-  passMs: 120
-  retryAfterS: 10
-  quotaWindowS: 4
-platform:
-  address: %q
-  form: "log"
-  writesPerS: 400
-  readsPerS: 2000
-  parts: 16
-  appendMs: 3.0
-  partMbPerS: 20.0
-  readMbPerS: 80.0
-  recordBytes: 262144
-  callBytes: 2097152
-  keep_s: 300
-  partitionMb: 200
-  ttlMinimumMs: 1000
-`, r.name, r.ip, r.zone, r.front, r.ready, r.ip, controlPort, firstInternal, lastInternal, seeds, r.firstStart, r.f.store.address)
+	return fmt.Sprintf(settingsFormat, r.name, r.ip, r.zone, r.front, r.ready, r.ip, controlPort, firstInternal, lastInternal, seeds, r.firstStart, r.f.store.address)
 }
 
 // start starts the router's process with the command of the deploy file.
@@ -249,7 +184,7 @@
 	}
 	command := exec.Command(filepath.Join(r.f.root, "target", "acaciaspar"), "platform-router")
 	command.Dir = r.f.root
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.f.dir, "ACACIASPAR_BOOT=" + path}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.f.dir, names.BootVariable + "=" + path}
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		fail("start a router: %v", err)
--- a/review/kit-2/removed.go
+++ b/review/kit-2/removed.go
@@ -87,8 +87,8 @@
 				id := fmt.Sprintf("look-%d-%d", i, n)
 				request, _ := http.NewRequest(http.MethodGet, "http://"+r.front+"/look/2f", nil)
 				request.Host = "model.example"
-				request.Header.Set("X-Acaciaspar-Request-Id", id)
-				request.Header.Set("X-Acaciaspar-Deadline-Remaining", "1500")
+				request.Header.Set(names.RequestID, id)
+				request.Header.Set(names.Deadline, "1500")
 				l := look{router: r.name, calmSince: r.calmSince(), sent: time.Now()}
 				mu.Lock()
 				looks[id] = l
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -126,11 +126,11 @@
 	}
 	q := r.URL.Query()
 	switch r.Method + " " + r.URL.Path {
-	case "POST /-/log-append":
+	case "POST " + names.Append:
 		s.serveAppend(w, q.Get("topic"), q.Get("at"), body)
-	case "GET /-/log-read":
+	case "GET " + names.Read:
 		s.serveRead(w, r, q.Get("topic"), q.Get("from"), q.Get("waitMs"))
-	case "GET /-/log-newest":
+	case "GET " + names.Newest:
 		s.serveNewest(w, q.Get("topic"), q.Get("after"))
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -148,7 +148,7 @@
 func (s *store) serveAppend(w http.ResponseWriter, topic, at string, body []byte) {
 	s.mu.Lock()
 	s.setEra(w)
-	if topic == "keyed.op" || topic == "keyed.servers" {
+	if topic == names.ConfigTopic || topic == names.WorkersTopic {
 		s.mu.Unlock()
 		w.WriteHeader(http.StatusForbidden)
 		return
--- a/review/kit-2/worker.go
+++ b/review/kit-2/worker.go
@@ -102,7 +102,7 @@
 	w.mu.Unlock()
 	close(stop)
 	_ = server.Close()
-	w.store.put("keyed.servers", w.id, nil)
+	w.store.put(names.WorkersTopic, w.id, nil)
 	w.log.printf("worker %s has left", w.id)
 }
 
@@ -112,7 +112,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.removed = true
-	w.store.put("keyed.servers", w.id, nil)
+	w.store.put(names.WorkersTopic, w.id, nil)
 	w.log.printf("worker %s leaves: its entry is removed", w.id)
 	return time.Now()
 }
@@ -145,13 +145,13 @@
 	}
 	entry, _ := json.Marshal(map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": 64, "state": state,
-		"coldRemainingMs": 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
+		names.ColdRemaining: 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 		"sequence": 1, "born": w.born.UnixMilli(),
 	})
-	if held := w.store.newest("keyed.servers", w.id); string(held) == string(entry) {
+	if held := w.store.newest(names.WorkersTopic, w.id); string(held) == string(entry) {
 		return
 	}
-	if w.store.put("keyed.servers", w.id, entry) {
+	if w.store.put(names.WorkersTopic, w.id, entry) {
 		w.log.printf("worker %s registers: version %s, %s", w.id, w.version, state)
 	}
 }
@@ -160,21 +160,21 @@
 	w.mu.Lock()
 	born, version := w.born, w.version
 	w.mu.Unlock()
-	if in.URL.Path == "/-/report" {
+	if in.URL.Path == names.Report {
 		out.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(out).Encode(map[string]any{"stage": "both", "models": []any{}, "busy": false, "sequence": 1, "waiting": 0,
 			"running": 0, "cacheUsed": 0, "cacheTotal": 500000, "handles": 0, "born": born.UnixMilli()})
 		return
 	}
-	id := in.Header.Get("X-Acaciaspar-Request-Id")
-	out.Header().Set("X-Acaciaspar-Request-Id", id)
-	if expected := in.Header.Get("X-Acaciaspar-Expected-Instance"); expected != "" && expected != w.id {
-		out.Header().Set("X-Acaciaspar-Instance-Id", w.id)
+	id := in.Header.Get(names.RequestID)
+	out.Header().Set(names.RequestID, id)
+	if expected := in.Header.Get(names.ExpectedInstance); expected != "" && expected != w.id {
+		out.Header().Set(names.Instance, w.id)
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if id == "" {
-		out.Header().Set("X-Acaciaspar-Not-Executed", "1")
+		out.Header().Set(names.NotExecuted, "1")
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -183,14 +183,14 @@
 	}
 	if w.plain != nil {
 		w.plain.add(id, w.id)
-		out.Header().Set("X-Acaciaspar-Response-Signature", w.id)
+		out.Header().Set(names.Signature, w.id)
 		time.Sleep(plainTime)
 		_, _ = io.WriteString(out, "answer to "+id)
 		return
 	}
 	last, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
 	w.log.printf("worker %s (version %s) runs %s after event %d", w.id, version, id, last)
-	out.Header().Set("X-Acaciaspar-Response-Signature", fmt.Sprintf("%s.%d", w.id, born.UnixMilli()))
+	out.Header().Set(names.Signature, fmt.Sprintf("%s.%d", w.id, born.UnixMilli()))
 	out.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(out)
 	delay := firstEventDelay
