--- a/review/kit-2/cases.go
+++ b/review/kit-2/cases.go
@@ -242,7 +242,7 @@
 	judgeTakeUps(old, fresh, stableSince)
 }
 
-// impliedVersion: a release replaces the workers of a service by others of a newer version. 30.8 s after the
+// impliedVersion: a release replaces the workers of a service by others of a newer version. 30.9 s after the
 // last old one has left, the operator brings workers of the old version back. All routers are killed while
 // streams of these workers run.
 func impliedVersion(newFleet func(zones ...string) *fleet, trouble bool) {
@@ -284,7 +284,7 @@
 }
 
 // returnDelay is the time between the end of the last worker of a version and the return of the version.
-const returnDelay = 30800 * time.Millisecond
+const returnDelay = 30900 * time.Millisecond
 
 // unsavedOrigins: two versions of a service serve side by side. While the store is away, the only worker of
 // the older one is down for a while, and streams begin at the newer one. All routers are killed before the
