--- a/coordination/streamorigin/encode.go
+++ b/coordination/streamorigin/encode.go
@@ -2,42 +2,80 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 
 	"github.com/rotisserie/eris"
 )
 
 const (
-	// formatVersion is the first byte of saved origins and of a saved implied build.
+	// formatVersion is the first byte of saved origins.
 	formatVersion = 2
 	// originBytes is the size of an encoded origin.
 	originBytes = 13
-	// impliedBytes is the size of an encoded implied build.
-	impliedBytes = 13
+	// impliedFormatVersion is the first byte of the implied builds.
+	impliedFormatVersion = 3
+	// impliedHeaderBytes and impliedBytes are the sizes of the header and of one implied build.
+	impliedHeaderBytes = 9
+	impliedBytes       = 17
 )
 
-// EncodeImplied encodes the implied build of a service for the store.
-func EncodeImplied(i Implied) []byte {
-	b := binary.LittleEndian.AppendUint32([]byte{formatVersion}, uint32(i.Build))
-	return binary.LittleEndian.AppendUint64(b, uint64(i.Era))
+// EncodeImplied encodes the implied builds for the store.
+func EncodeImplied(builds ImpliedBuilds) []byte {
+	b := make([]byte, 0, impliedHeaderBytes+len(builds.Of)*impliedBytes)
+	b = append(b, impliedFormatVersion)
+	b = binary.LittleEndian.AppendUint64(b, uint64(builds.Era))
+	for _, s := range slices.Sorted(maps.Keys(builds.Of)) {
+		i := builds.Of[s]
+		b = binary.LittleEndian.AppendUint32(b, uint32(s))
+		b = binary.LittleEndian.AppendUint32(b, uint32(i.Build))
+		var settled byte
+		if i.Settled {
+			settled = 1
+		}
+		b = append(b, settled)
+		b = binary.LittleEndian.AppendUint64(b, uint64(i.Since))
+	}
+	return b
 }
 
 // DecodeImplied decodes what EncodeImplied returned. It returns an error for anything else.
-func DecodeImplied(b []byte) (Implied, error) {
-	if err := checkFormat(b, len(b) == impliedBytes); err != nil {
-		return Implied{}, eris.Wrap(err, "invalid implied build of a service")
+func DecodeImplied(b []byte) (ImpliedBuilds, error) {
+	valid := len(b) >= impliedHeaderBytes && (len(b)-impliedHeaderBytes)%impliedBytes == 0
+	if err := checkFormat(b, impliedFormatVersion, valid); err != nil {
+		return ImpliedBuilds{}, eris.Wrap(err, "invalid implied builds")
 	}
-	i := Implied{Build: Build(binary.LittleEndian.Uint32(b[1:])), Era: int64(binary.LittleEndian.Uint64(b[5:]))}
-	if i.Build == AnyBuild {
-		return Implied{}, eris.New("invalid implied build of a service: the build is missing")
+	builds := ImpliedBuilds{Era: int64(binary.LittleEndian.Uint64(b[1:])), Of: map[Service]Implied{}}
+	if builds.Era < 0 {
+		return ImpliedBuilds{}, eris.Errorf("invalid implied builds: the era %d is out of range", builds.Era)
 	}
-	if i.Era < 0 {
-		return Implied{}, eris.Errorf("invalid implied build of a service: the era %d is out of range", i.Era)
+	last := int64(-1)
+	for b = b[impliedHeaderBytes:]; len(b) > 0; b = b[impliedBytes:] {
+		s := Service(binary.LittleEndian.Uint32(b))
+		i := Implied{
+			Build: Build(binary.LittleEndian.Uint32(b[4:])), Settled: b[8] == 1, Since: int64(binary.LittleEndian.Uint64(b[9:])),
+		}
+		var invalid string
+		switch {
+		case int64(s) <= last:
+			invalid = "service"
+		case i.Build == AnyBuild:
+			invalid = "build"
+		case b[8] > 1:
+			invalid = "state"
+		case i.Since < 0:
+			invalid = "offset"
+		}
+		if invalid != "" {
+			return ImpliedBuilds{}, eris.Errorf("invalid implied builds: the %s of entry %d is missing or out of range", invalid, len(builds.Of))
+		}
+		builds.Of[s], last = i, int64(s)
 	}
-	return i, nil
+	return builds, nil
 }
 
-func checkFormat(b []byte, validLength bool) error {
-	if len(b) == 0 || b[0] != formatVersion {
+func checkFormat(b []byte, version byte, validLength bool) error {
+	if len(b) == 0 || b[0] != version {
 		return eris.New("unknown format")
 	}
 	if !validLength {
@@ -60,7 +98,7 @@
 
 // Decode decodes what Encode returned. It returns an error for anything else.
 func Decode(b []byte) ([]SavedOrigin, error) {
-	if err := checkFormat(b, (len(b)-1)%originBytes == 0); err != nil {
+	if err := checkFormat(b, formatVersion, (len(b)-1)%originBytes == 0); err != nil {
 		return nil, eris.Wrap(err, "invalid saved origins of streams")
 	}
 	origins := make([]SavedOrigin, 0, (len(b)-1)/originBytes)
--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -1,6 +1,7 @@
 package streamorigin
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,8 @@
 	// recent holds the origins recorded since periodStart, older those of the period before.
 	recent, older period
 	periodStart   time.Time
+	// seenAt holds, by build, when a stream of it became known last.
+	seenAt map[Build]time.Time
 	// takeUps counts how often each stream was taken up at this router in this period.
 	takeUps map[Stream]int
 	news    []Origin
@@ -78,7 +81,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{recent: newPeriod(0), older: newPeriod(0), takeUps: map[Stream]int{}, unsaved: map[Stream]SavedOrigin{}}
+	return &Table{
+		recent: newPeriod(0), older: newPeriod(0), seenAt: map[Build]time.Time{}, takeUps: map[Stream]int{},
+		unsaved: map[Stream]SavedOrigin{},
+	}
 }
 
 // Lookup returns the build that began a stream, if it is known. What a router says of its own
@@ -111,18 +117,12 @@
 	return recent, ok
 }
 
-// OnlyOf reports whether all known streams are of builds for which match returns true.
-func (t *Table) OnlyOf(match func(Build) bool) bool {
-	for _, p := range []period{t.recent, t.older} {
-		for _, o := range p.recorded {
-			if !match(o.build) {
-				return false
-			}
-		}
-		for _, o := range p.saved {
-			if !match(o.Build) {
-				return false
-			}
+// OnlyOf reports whether all streams that became known within a time are of builds for which match
+// returns true.
+func (t *Table) OnlyOf(now time.Time, within time.Duration, match func(Build) bool) bool {
+	for b, seen := range t.seenAt {
+		if now.Sub(seen) < within && !match(b) {
+			return false
 		}
 	}
 	return true
@@ -150,6 +150,7 @@
 		}
 		t.makeRoom(now)
 		t.recent.saved[o.Stream] = o
+		t.seenAt[o.Build] = now
 	}
 }
 
@@ -160,6 +161,7 @@
 	}
 	t.makeRoom(now)
 	t.recent.recorded[o.Stream] = recordedOrigin{o.Build, own}
+	t.seenAt[o.Build] = now
 	return true
 }
 
@@ -231,6 +233,18 @@
 	}
 }
 
+// KeepOmitted makes the origins of this router's streams of a build unsaved that were not saved when they
+// began.
+func (t *Table) KeepOmitted(build Build) {
+	for _, p := range []period{t.older, t.recent} {
+		for s, o := range p.recorded {
+			if _, saved := t.lookupSaved(s); o.own && o.build == build && !saved {
+				t.KeepUnsaved(SavedOrigin{Origin: Origin{s, o.build}})
+			}
+		}
+	}
+}
+
 // TakeUnsaved returns up to limit unsaved origins.
 func (t *Table) TakeUnsaved(limit int) []SavedOrigin {
 	var taken []SavedOrigin
@@ -251,6 +265,7 @@
 	}
 	if now.Sub(t.periodStart) >= retention {
 		t.beginPeriod(now)
+		maps.DeleteFunc(t.seenAt, func(_ Build, seen time.Time) bool { return now.Sub(seen) >= retention })
 	}
 }
 
--- a/coordination/streamorigin/table_test.go
+++ b/coordination/streamorigin/table_test.go
@@ -92,14 +92,14 @@
 func TestOnlyStreamsOfOneBuild(t *testing.T) {
 	is := func(build Build) func(Build) bool { return func(b Build) bool { return b == build } }
 	table := NewTable()
-	must.True(t, table.OnlyOf(is(10)))
+	must.True(t, table.OnlyOf(start, streamTime, is(10)))
 	table.Record(start, Origin{1, 10})
-	must.True(t, table.OnlyOf(is(10)))
+	must.True(t, table.OnlyOf(start, streamTime, is(10)))
 	table.MergeSaved(start, []SavedOrigin{saved(2, 20)})
-	must.False(t, table.OnlyOf(is(10)))
+	must.False(t, table.OnlyOf(start, streamTime, is(10)))
 	table = NewTable()
 	table.MergePeer(start, []Origin{{1, 20}})
-	must.False(t, table.OnlyOf(is(10)))
+	must.False(t, table.OnlyOf(start, streamTime, is(10)))
 }
 
 // Guards against origins that are forgotten while their stream may still be taken up, and
@@ -168,9 +168,14 @@
 		must.Error(t, err, must.Sprint(field))
 		must.StrContains(t, err.Error(), field)
 	}
+	twice := EncodeImplied(*implied(1, Implied{Build: 1}))
+	twice = append(twice, twice[impliedHeaderBytes:]...)
+	state := EncodeImplied(*implied(1, Implied{Build: 1}))
+	state[impliedHeaderBytes+8] = 2
 	for field, raw := range map[string][]byte{
-		"format": append([]byte{1}, make([]byte, impliedBytes-1)...), "length": {formatVersion, 1},
-		"build": EncodeImplied(Implied{Era: 1}), "era": EncodeImplied(Implied{Build: 1, Era: -1}),
+		"format": append([]byte{1}, make([]byte, impliedHeaderBytes-1)...), "length": {impliedFormatVersion, 1},
+		"build": EncodeImplied(*implied(1, Implied{})), "era": EncodeImplied(*implied(-1, Implied{Build: 1})),
+		"offset": EncodeImplied(*implied(1, Implied{Build: 1, Since: -1})), "state": state, "service": twice,
 	} {
 		_, err := DecodeImplied(raw)
 		must.Error(t, err, must.Sprint(field))
@@ -195,15 +200,18 @@
 	})
 }
 
-// FuzzDecodeImplied guards against the same in the implied build of a service.
+// FuzzDecodeImplied guards against the same in the implied builds.
 func FuzzDecodeImplied(f *testing.F) {
-	f.Add(EncodeImplied(Implied{Build: 7, Era: 3}))
+	f.Add(EncodeImplied(*implied(3, Implied{Build: 7, Settled: true, Since: 4})))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		implied, err := DecodeImplied(b)
+		builds, err := DecodeImplied(b)
 		if err != nil {
 			return
 		}
-		must.Eq(t, b, EncodeImplied(implied))
-		must.True(t, implied.Build != AnyBuild && implied.Era >= 0)
+		must.Eq(t, b, EncodeImplied(builds))
+		must.True(t, builds.Era >= 0)
+		for _, i := range builds.Of {
+			must.True(t, i.Build != AnyBuild && i.Since >= 0)
+		}
 	})
 }
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -54,7 +54,7 @@
 	onBegin func()
 }
 
-func (o *origins) Begin(_ context.Context, attempt string, build streamorigin.Build) bool {
+func (o *origins) Begin(_ context.Context, attempt, _ string, build streamorigin.Build) bool {
 	if o.onBegin != nil {
 		o.onBegin()
 	}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -75,10 +75,10 @@
 // Origins finds the builds that began streams, which callers take up again after their
 // connection broke.
 type Origins interface {
-	// Begin records the build that began the stream whose first event this attempt of the
-	// caller brings. It returns false, and records nothing, if the origin can't be made to
-	// outlive this process in time.
-	Begin(ctx context.Context, attempt string, build streamorigin.Build) bool
+	// Begin records the build of a service that began the stream whose first event this attempt
+	// of the caller brings. It returns false, and records nothing, if the stream could be taken
+	// for one of another build after this process has ended.
+	Begin(ctx context.Context, attempt, service string, build streamorigin.Build) bool
 	// Record records an origin that may be lost with this process.
 	Record(attempt string, build streamorigin.Build)
 	// Restriction returns the only build at which new streams of a service should begin
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -92,7 +92,7 @@
 		return true
 	}
 	build := dispatch.BuildOf(a.assignment.Endpoint)
-	if !r.h.Origins.Begin(r.ctx, r.id, build) {
+	if !r.h.Origins.Begin(r.ctx, r.id, a.assignment.Endpoint.Service, build) {
 		if !r.impliedBuildIsGone() {
 			return false
 		}
--- a/direct/mesh/bench_test.go
+++ b/direct/mesh/bench_test.go
@@ -32,7 +32,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for _, data := range reports {
-		m.handleReport(now, data, nil)
+		m.handleReport(now, now, data, nil)
 	}
 	b.ReportMetric(float64(len(reports[0])), "bytes/report")
 }
--- a/direct/mesh/invalid_reports_test.go
+++ b/direct/mesh/invalid_reports_test.go
@@ -23,9 +23,9 @@
 
 func (noStreams) TakeNews(int) []streamorigin.Origin { return nil }
 
-func (noStreams) ImpliedBuilds() []streamorigin.ServiceImplied { return nil }
+func (noStreams) Lease() streamorigin.Lease { return streamorigin.Lease{} }
 
-func (noStreams) MergeImplied([]streamorigin.ServiceImplied) {}
+func (noStreams) MergeLease(streamorigin.Lease) {}
 
 func (s noStreams) MergePeer(_ time.Time, origins []streamorigin.Origin) {
 	for _, o := range origins {
@@ -56,7 +56,7 @@
 		var log bytes.Buffer
 		m.log = slog.New(slog.NewTextHandler(&log, nil))
 		for range 3 {
-			m.handleReport(time.Now(), data, sender)
+			m.handleReport(time.Now(), time.Now(), data, sender)
 		}
 		must.MapEmpty(t, m.peers)
 		must.Eq(t, 3, m.badReports.Count())
@@ -104,7 +104,7 @@
 	m := newMesh(f)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m.local.Streams = func() Streams { return noStreams{t} }
-		m.handleReport(time.Now(), data, sender)
+		m.handleReport(time.Now(), time.Now(), data, sender)
 		for address := range m.peers {
 			parsed, err := netip.ParseAddrPort(address)
 			must.NoError(t, err)
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -131,10 +131,10 @@
 	TakeNews(limit int) []streamorigin.Origin
 	// MergePeer adds the origins that a peer reports.
 	MergePeer(now time.Time, origins []streamorigin.Origin)
-	// ImpliedBuilds returns the builds of streams without a saved origin.
-	ImpliedBuilds() []streamorigin.ServiceImplied
-	// MergeImplied adds the implied builds that a peer reports.
-	MergeImplied(list []streamorigin.ServiceImplied)
+	// Lease returns the implied builds that were read from the store.
+	Lease() streamorigin.Lease
+	// MergeLease adds the implied builds that a peer has read from the store.
+	MergeLease(l streamorigin.Lease)
 }
 
 type peer struct {
@@ -383,9 +383,7 @@
 				BegunTokens: wireCount(usage.Begun),
 			})
 		}
-		for _, i := range m.local.Streams().ImpliedBuilds() {
-			message.Implied = append(message.Implied, loadreport.ImpliedBuild{Service: uint32(i.Service), Build: uint32(i.Build), Era: i.Era})
-		}
+		addLease(message, m.local.Streams().Lease())
 	}
 	for _, p := range report.Placed {
 		message.Placed = append(message.Placed, loadreport.PlacedPart{Endpoint: p.Endpoint, Part: p.Part})
@@ -396,6 +394,34 @@
 	return message
 }
 
+// addLease adds a lease of the implied builds to a report.
+func addLease(message *loadreport.Report, l streamorigin.Lease) {
+	now := time.Now()
+	if !l.IsValid(now) {
+		return
+	}
+	message.ImpliedAgeMs = uint64(now.Sub(l.ReadAt).Milliseconds()) + 1
+	for service, i := range l.Of {
+		message.Implied = append(message.Implied, loadreport.ImpliedBuild{Service: uint32(service), Build: uint32(i.Build)})
+	}
+}
+
+// decodeLease returns the lease in a report that was sent after a time. Its builds don't count as
+// settled, which only the store tells.
+func decodeLease(report *loadreport.Report, sentAfter time.Time) streamorigin.Lease {
+	if report.ImpliedAgeMs > uint64(streamorigin.LeaseDuration.Milliseconds()) {
+		return streamorigin.Lease{}
+	}
+	l := streamorigin.Lease{
+		ImpliedBuilds: streamorigin.ImpliedBuilds{Of: map[streamorigin.Service]streamorigin.Implied{}},
+		ReadAt:        sentAfter.Add(-time.Duration(report.ImpliedAgeMs) * time.Millisecond),
+	}
+	for _, b := range report.Implied {
+		l.Of[streamorigin.Service(b.Service)] = streamorigin.Implied{Build: streamorigin.Build(b.Build)}
+	}
+	return l
+}
+
 func wireCount(n int64) uint32 { return uint32(min(max(n, 0), loadreport.MaxCount)) }
 
 // Receive handles peers' load reports until ctx is done. It returns an error if
@@ -405,6 +431,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
+	socketEmptyAt := time.Now()
 	for {
 		began := time.Now()
 		n, sender, err := m.conn.ReadFromUDP(buffer)
@@ -421,14 +448,19 @@
 			continue
 		}
 		now := time.Now()
-		m.handleReport(now, buffer[:n], sender)
-		if now.Sub(began) >= emptySocketWait {
+		hadToWait := now.Sub(began) >= emptySocketWait
+		if hadToWait {
+			socketEmptyAt = began
+		}
+		m.handleReport(now, socketEmptyAt, buffer[:n], sender)
+		if hadToWait {
 			time.Sleep(m.reportInterval() / receiveBatches)
 		}
 	}
 }
 
-func (m *Mesh) handleReport(now time.Time, data []byte, sender *net.UDPAddr) {
+// handleReport handles a datagram that was received after socketEmptyAt.
+func (m *Mesh) handleReport(now, socketEmptyAt time.Time, data []byte, sender *net.UDPAddr) {
 	switch {
 	case loadreport.IsCrashReport(data):
 		m.handleCrashReport(now, data, sender)
@@ -465,7 +497,7 @@
 		m.local.Streams().MergePeer(now, decodeStreams(report.Streams))
 	}
 	if len(report.Implied) > 0 {
-		m.local.Streams().MergeImplied(decodeImplied(report.Implied))
+		m.local.Streams().MergeLease(decodeLease(report, socketEmptyAt))
 	}
 }
 
@@ -484,16 +516,6 @@
 	return origins
 }
 
-func decodeImplied(implied []loadreport.ImpliedBuild) []streamorigin.ServiceImplied {
-	list := make([]streamorigin.ServiceImplied, len(implied))
-	for i, b := range implied {
-		list[i] = streamorigin.ServiceImplied{
-			Service: streamorigin.Service(b.Service), Implied: streamorigin.Implied{Build: streamorigin.Build(b.Build), Era: b.Era},
-		}
-	}
-	return list
-}
-
 func decodeReport(report *loadreport.Report) dispatch.PeerReport {
 	r := dispatch.PeerReport{
 		Instance: report.Instance, Sequence: report.Sequence, HasTeams: report.HasTeams,
--- a/direct/mesh/streams_test.go
+++ b/direct/mesh/streams_test.go
@@ -17,20 +17,21 @@
 type streams struct {
 	mu           sync.Mutex
 	news, merged []streamorigin.Origin
-	// implied holds what this router knows, told what peers report.
-	implied, told []streamorigin.ServiceImplied
+	// lease is what this router has read, merged what peers report.
+	lease        streamorigin.Lease
+	mergedLeases []streamorigin.Lease
 }
 
-func (s *streams) ImpliedBuilds() []streamorigin.ServiceImplied {
+func (s *streams) Lease() streamorigin.Lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.implied
+	return s.lease
 }
 
-func (s *streams) MergeImplied(list []streamorigin.ServiceImplied) {
+func (s *streams) MergeLease(l streamorigin.Lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told = append(s.told, list...)
+	s.mergedLeases = append(s.mergedLeases, l)
 }
 
 func (s *streams) TakeNews(limit int) []streamorigin.Origin {
@@ -68,21 +69,30 @@
 }
 
 // Guards against a router that starts while the store is away and can begin no stream, because only
-// the store could tell it the builds that need no saved origin.
+// the store could tell it the builds that need no saved origin, and against a peer's knowledge that
+// counts as more recent than it is.
 func TestImpliedBuildsReachPeers(t *testing.T) {
 	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
-	implied := streamorigin.ServiceImplied{
-		Service: streamorigin.ServiceOf("engines"), Implied: streamorigin.Implied{Build: streamorigin.BuildOf("engines", "v1"), Era: 3},
-	}
+	service, build := streamorigin.ServiceOf("engines"), streamorigin.BuildOf("engines", "v1")
+	readAt := time.Now()
 	a.streams.mu.Lock()
-	a.streams.implied = append(a.streams.implied, implied)
+	a.streams.lease = streamorigin.Lease{ReadAt: readAt, ImpliedBuilds: streamorigin.ImpliedBuilds{
+		Era: 3, Of: map[streamorigin.Service]streamorigin.Implied{service: {Build: build, Settled: true, Since: 4}},
+	}}
 	a.streams.mu.Unlock()
 	a.Add(b.address)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 		b.streams.mu.Lock()
 		defer b.streams.mu.Unlock()
-		return slices.Contains(b.streams.told, implied)
+		return slices.ContainsFunc(b.streams.mergedLeases, func(l streamorigin.Lease) bool {
+			return l.Of[service] == streamorigin.Implied{Build: build}
+		})
 	}), wait.Timeout(20*time.Second)))
+	b.streams.mu.Lock()
+	defer b.streams.mu.Unlock()
+	for _, l := range b.streams.mergedLeases {
+		must.False(t, l.ReadAt.After(readAt))
+	}
 }
 
 // Guards against origins that nobody saves, or that all routers of a fleet save: two of those
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -20,12 +20,12 @@
 const (
 	// upkeepInterval is the interval at which the store's era and the implied builds are checked.
 	upkeepInterval = 500 * time.Millisecond
-	// impliedRefreshInterval is the interval at which the store is read while the implied build of
-	// a service is unknown, outdated or without endpoints.
-	impliedRefreshInterval = 2 * time.Second
-	// impliedKeyPrefix begins the key of the record with the implied build of a service, and
-	// originsKeyPrefix those of the records with origins.
-	impliedKeyPrefix = "implied/"
+	// refreshInterval is the shortest interval at which the store is read because a lease of the implied
+	// builds ages, or an implied build is unknown or without endpoints.
+	refreshInterval = 2 * time.Second
+	// impliedKey is the key of the record with the implied builds, and originsKeyPrefix begins those of
+	// the records with origins.
+	impliedKey       = "implied-builds"
 	originsKeyPrefix = "origins/"
 	// maxSlot bounds the numbers of a router's records. It saves at most 25 a second, and uses each
 	// number again after retention.
@@ -46,7 +46,7 @@
 
 var (
 	errNotLoaded   = errors.New("the saved origins have not been read yet")
-	errUnknownKey  = errors.New("the key is of no saved origins and no implied build")
+	errUnknownKey  = errors.New("the key is of no saved origins and no implied builds")
 	errEarlierRead = errors.New("the reply is of an earlier era of the store")
 )
 
@@ -103,11 +103,14 @@
 	loadTimeout time.Duration
 	// era is the latest era of the store that is known here; it begins with the first load.
 	era int64
-	// implied holds the implied builds of services in the store.
-	implied map[string]streamorigin.Implied
-	// told holds the implied builds that peers told, which count until the store was read here.
-	told   map[streamorigin.Service]streamorigin.Implied
+	// saved holds the implied builds in the store, or nil if it has none.
+	saved *streamorigin.ImpliedBuilds
+	// lease is the lease of the implied builds, from the latest read or, before the first one, from the
+	// peer that has read them last.
+	lease  streamorigin.Lease
 	policy streamorigin.ImpliedPolicy
+	// longestStream is the longest time that a stream could last since this process started.
+	longestStream time.Duration
 	// refreshedAt is the time of the latest read for the implied builds. Only the upkeep uses it.
 	refreshedAt time.Time
 }
@@ -115,8 +118,7 @@
 // New returns Origins that know no stream. Run saves and loads them.
 func New(o Options) *Origins {
 	origins := &Origins{
-		options: o, table: streamorigin.NewTable(), implied: map[string]streamorigin.Implied{},
-		told:        map[streamorigin.Service]streamorigin.Implied{},
+		options: o, table: streamorigin.NewTable(),
 		loadTimeout: minLoadTimeout,
 		policy:      streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
 		unknown:     metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
@@ -125,21 +127,21 @@
 	return origins
 }
 
-// Begin records the build that began the stream whose first event this attempt of the caller
-// brings. It returns once the origin outlives this process, or false if that could not be achieved
-// in time; then nothing is recorded, and the caller must not get the event unless Record is
-// called.
-func (o *Origins) Begin(ctx context.Context, attempt string, build streamorigin.Build) bool {
+// Begin records the build of a service that began the stream whose first event this attempt of the
+// caller brings. It returns once the stream can't be taken for one of another build, whether or not
+// this process goes on, or false if that could not be achieved in time; then nothing is recorded, and
+// the caller must not get the event unless Record is called.
+func (o *Origins) Begin(ctx context.Context, attempt, service string, build streamorigin.Build) bool {
 	origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build}
 	o.mu.Lock()
-	if o.isImplied(build) && o.table.Revision(origin.Stream) == 0 {
-		o.table.Record(time.Now(), origin)
-		o.mu.Unlock()
+	// Otherwise, the store may hold another origin of the stream.
+	isFirst := o.table.Revision(origin.Stream) == 0
+	o.mu.Unlock()
+	if isFirst && (o.beginOmitted(origin, service) || !o.canSave(time.Now()) && o.beginUnsaved(origin, service)) {
 		return true
 	}
-	o.mu.Unlock()
 	if !o.saver.save(ctx, origin) {
-		return false
+		return isFirst && ctx.Err() == nil && o.beginUnsaved(origin, service)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -147,54 +149,59 @@
 	return true
 }
 
+// beginOmitted records an origin that needs not be saved.
+func (o *Origins) beginOmitted(origin streamorigin.Origin, service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if !o.lease.MayOmit(now, streamorigin.ServiceOf(service), origin.Build, o.era) {
+		return false
+	}
+	o.table.Record(now, origin)
+	return true
+}
+
+// beginUnsaved records an origin that can't be saved at present, if nothing wrong will be concluded from
+// that.
+func (o *Origins) beginUnsaved(origin streamorigin.Origin, service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if o.lease.Fallback(now, streamorigin.ServiceOf(service)) != origin.Build {
+		return false
+	}
+	o.record(now, origin)
+	return true
+}
+
+// canSave reports whether origins can be saved at present.
+func (o *Origins) canSave(now time.Time) bool {
+	return o.saver.working(now) && o.options.StoreIsRead()
+}
+
 // Record records the build that began a stream although its origin may be lost with this process.
 // It is saved as soon as possible.
 func (o *Origins) Record(attempt string, build streamorigin.Build) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build}
-	o.table.Record(time.Now(), origin)
+	o.record(time.Now(), streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build})
+}
+
+func (o *Origins) record(now time.Time, origin streamorigin.Origin) {
+	o.table.Record(now, origin)
 	o.table.KeepUnsaved(streamorigin.SavedOrigin{Origin: origin, Revision: o.table.Revision(origin.Stream)})
 }
 
 // Restriction returns the only build at which new streams of a service should begin because the
 // origins of other builds can't be saved at present, or streamorigin.AnyBuild.
 func (o *Origins) Restriction(service string) streamorigin.Build {
-	if o.saver.working(time.Now()) && o.options.StoreIsRead() {
+	now := time.Now()
+	if o.canSave(now) {
 		return streamorigin.AnyBuild
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.hasLoaded {
-		return o.told[streamorigin.ServiceOf(service)].Build
-	}
-	build, _ := o.impliedBuild(service)
-	return build
-}
-
-// impliedBuild returns the implied build of a service if it is in force in the present era.
-func (o *Origins) impliedBuild(service string) (streamorigin.Build, bool) {
-	i, ok := o.implied[service]
-	if !ok || i.Era != o.era {
-		return streamorigin.AnyBuild, false
-	}
-	return i.Build, true
-}
-
-func (o *Origins) isImplied(build streamorigin.Build) bool {
-	if !o.hasLoaded {
-		for _, i := range o.told {
-			if i.Build == build {
-				return true
-			}
-		}
-	}
-	for service := range o.implied {
-		if b, ok := o.impliedBuild(service); ok && b == build {
-			return true
-		}
-	}
-	return false
+	return o.lease.Fallback(now, streamorigin.ServiceOf(service))
 }
 
 // Find returns the build that began the stream whose first event this attempt, of one of these
@@ -248,6 +255,7 @@
 // lookup returns the build of a stream as far as it follows from what is known. fresh is set if
 // all origins that were saved before the caller came back have been read.
 func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, source, bool) {
+	retention := o.retention()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if named {
@@ -255,11 +263,11 @@
 			return b, sourceStore, true
 		}
 	}
-	if !fresh || len(services) != 1 {
+	if !fresh || len(services) != 1 || o.saved == nil {
 		return streamorigin.AnyBuild, "", false
 	}
-	b, ok := o.impliedBuild(services[0])
-	if !ok || !named && !o.table.OnlyOf(o.isImplied) {
+	b, ok := o.saved.Conclude(streamorigin.ServiceOf(services[0]), o.era)
+	if !ok || !named && !o.table.OnlyOf(time.Now(), retention, o.saved.IsSettled) {
 		return streamorigin.AnyBuild, "", false
 	}
 	return b, sourceImplied, true
@@ -294,31 +302,24 @@
 	o.table.MergePeer(now, origins)
 }
 
-// ImpliedBuilds returns the implied builds that were read from the store and are in force.
-func (o *Origins) ImpliedBuilds() []streamorigin.ServiceImplied {
+// Lease returns the lease of the implied builds that was read from the store. It isn't valid if there
+// is none.
+func (o *Origins) Lease() streamorigin.Lease {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var list []streamorigin.ServiceImplied
-	for service, i := range o.implied {
-		if i.Era == o.era {
-			list = append(list, streamorigin.ServiceImplied{Service: streamorigin.ServiceOf(service), Implied: i})
-		}
+	if !o.hasLoaded {
+		return streamorigin.Lease{}
 	}
-	return list
+	return o.lease
 }
 
-// MergeImplied adds the implied builds that a peer has read from the store. They matter to a router
-// that starts while the store is away: without them, its streams could begin nowhere.
-func (o *Origins) MergeImplied(list []streamorigin.ServiceImplied) {
+// MergeLease adds the lease of a peer that has read the store. It matters to a router that starts while
+// the store is away: without it, its streams could begin nowhere.
+func (o *Origins) MergeLease(l streamorigin.Lease) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.hasLoaded {
-		return
-	}
-	for _, i := range list {
-		if known, ok := o.told[i.Service]; i.Build != streamorigin.AnyBuild && (!ok || i.Era >= known.Era) {
-			o.told[i.Service] = i.Implied
-		}
+	if !o.hasLoaded && l.ReadAt.After(o.lease.ReadAt) {
+		o.lease = l
 	}
 }
 
@@ -380,25 +381,31 @@
 	o.table.Expire(now, retention)
 }
 
-// refreshImplied reads the store if another router may have saved an implied build that is needed
-// here.
+// refreshImplied reads the store if the lease of the implied builds ages, or if another router may have
+// saved an implied build that is needed here.
 func (o *Origins) refreshImplied(ctx context.Context, now time.Time) {
-	if now.Sub(o.refreshedAt) < impliedRefreshInterval {
-		return
+	if now.Sub(o.refreshedAt) >= refreshInterval && o.needsRefresh(now) {
+		o.refreshedAt = now
+		o.loadSince(ctx, now)
 	}
-	for service, builds := range o.options.Builds() {
-		o.mu.Lock()
-		build, ok := o.impliedBuild(service)
-		o.mu.Unlock()
-		if !ok || builds[build] == 0 {
-			o.refreshedAt = now
-			o.loadSince(ctx, now)
-			return
+}
+
+func (o *Origins) needsRefresh(now time.Time) bool {
+	endpoints := o.options.Builds()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(endpoints) > 0 && now.Sub(o.lease.ReadAt) >= streamorigin.LeaseRenewal {
+		return true
+	}
+	for service, builds := range endpoints {
+		if o.saved == nil || o.saved.Era != o.era || builds[o.saved.Of[streamorigin.ServiceOf(service)].Build] == 0 {
+			return true
 		}
 	}
+	return false
 }
 
-// saveImplied saves the implied builds of services where the policy allows another one.
+// saveImplied saves the implied builds where the policy changes them.
 func (o *Origins) saveImplied(ctx context.Context, now time.Time) {
 	if !o.options.Saves() || !o.saver.working(now) {
 		o.mu.Lock()
@@ -406,42 +413,42 @@
 		o.mu.Unlock()
 		return
 	}
-	for service, builds := range o.options.Builds() {
-		if next, _ := o.nextImplied(now, service, builds); next.Build == streamorigin.AnyBuild {
-			continue
-		}
-		// Another router may have saved it meanwhile.
-		if !o.loadSince(ctx, time.Now()) {
-			return
-		}
-		next, end := o.nextImplied(now, service, builds)
-		if next.Build == streamorigin.AnyBuild {
-			continue
-		}
-		err := o.options.Store.SaveStreamsAt(ctx, impliedKeyPrefix+service, streamorigin.EncodeImplied(next), end)
-		if err != nil {
-			o.options.Log.Warn("save implied build of a service failed; retrying", "service", service, "error", err.Error())
-			return
-		}
-		o.options.Log.Info("implied build of a service saved", "service", service, "build", next.Build, "era", next.Era)
-		o.loadSince(ctx, time.Now())
+	if _, _, changed := o.nextImplied(); !changed {
+		return
+	}
+	// Another router may have saved them meanwhile.
+	if !o.loadSince(ctx, time.Now()) {
+		return
+	}
+	next, end, changed := o.nextImplied()
+	if !changed {
+		return
+	}
+	if err := o.options.Store.SaveStreamsAt(ctx, impliedKey, streamorigin.EncodeImplied(next), end); err != nil {
+		o.options.Log.Warn("save implied builds failed; retrying", "error", err.Error())
+		return
 	}
+	o.options.Log.Info("implied builds saved", "builds", next)
+	o.loadSince(ctx, time.Now())
 }
 
-// nextImplied returns the implied build that should be saved for a service, or
-// streamorigin.AnyBuild, and the position up to which the store was read.
-func (o *Origins) nextImplied(now time.Time, service string, builds map[streamorigin.Build]int) (streamorigin.Implied, mirror.Position) {
-	retention := o.retention()
+// nextImplied returns the implied builds that should be saved, the position up to which the store was
+// read, and whether they differ from the saved ones.
+func (o *Origins) nextImplied() (streamorigin.ImpliedBuilds, mirror.Position, bool) {
+	endpoints := map[streamorigin.Service]map[streamorigin.Build]int{}
+	for service, builds := range o.options.Builds() {
+		endpoints[streamorigin.ServiceOf(service)] = builds
+	}
+	longest := o.options.LongestStream()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.hasLoaded {
-		return streamorigin.Implied{}, mirror.Position{}
+		return streamorigin.ImpliedBuilds{}, mirror.Position{}, false
 	}
-	var saved *streamorigin.Implied
-	if i, ok := o.implied[service]; ok {
-		saved = &i
-	}
-	return streamorigin.Implied{Build: o.policy.Next(now, service, builds, saved, o.era, retention), Era: o.era}, o.loaded
+	o.longestStream = max(o.longestStream, longest)
+	// The time is taken after the state: an unsettled build was written before it.
+	next, changed := o.policy.Next(time.Now(), endpoints, o.saved, o.era, o.loaded.Next, o.longestStream)
+	return next, o.loaded, changed
 }
 
 // loadSince reads the origins that were saved since the last read. It reports whether a read that
@@ -490,6 +497,7 @@
 	o.mu.Lock()
 	after := o.loaded
 	o.mu.Unlock()
+	began := time.Now()
 	batch, err := o.options.Store.LoadStreams(ctx, after)
 	if err != nil {
 		return err
@@ -509,10 +517,9 @@
 		o.era = batch.End.Era
 	}
 	if batch.Complete {
-		clear(o.implied)
+		o.saved = nil
 	}
 	o.loaded, o.hasLoaded = batch.End, true
-	clear(o.told)
 	for _, r := range batch.Records {
 		if r.IsTombstone() {
 			continue
@@ -524,9 +531,23 @@
 			o.options.Log.Warn("invalid saved origins ignored", "key", r.Key, "error", err.Error())
 		}
 	}
+	o.renewLease(began)
 	return nil
 }
 
+// renewLease renews the lease after a read. Streams that began without a saved origin, of a build that
+// isn't settled any more, need one now.
+func (o *Origins) renewLease(began time.Time) {
+	var builds streamorigin.ImpliedBuilds
+	if o.saved != nil {
+		builds = *o.saved
+	}
+	for _, b := range builds.Unsettled(o.lease.ImpliedBuilds) {
+		o.table.KeepOmitted(b)
+	}
+	o.lease = streamorigin.Lease{ImpliedBuilds: builds, ReadAt: began}
+}
+
 // ownSlot returns the slot of one of this router's records, which may be of an earlier process.
 func (o *Origins) ownSlot(key string) (slot int, ok bool) {
 	text, ok := strings.CutPrefix(key, originsKeyPrefix+o.options.Name+"/")
@@ -538,15 +559,14 @@
 }
 
 func (o *Origins) mergeRecord(now time.Time, r mirror.Record) error {
-	if service, ok := strings.CutPrefix(r.Key, impliedKeyPrefix); ok {
+	if r.Key == impliedKey {
 		implied, err := streamorigin.DecodeImplied(r.Value)
-		if err != nil {
-			// What was implied before this record isn't known to hold any more.
-			delete(o.implied, service)
-			return err
+		// What was implied before an invalid record isn't known to hold any more.
+		o.saved, o.policy.FirstStart = nil, o.policy.FirstStart && err == nil
+		if err == nil {
+			o.saved = &implied
 		}
-		o.implied[service] = implied
-		return nil
+		return err
 	}
 	if !strings.HasPrefix(r.Key, originsKeyPrefix) {
 		return errUnknownKey
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -158,8 +158,8 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.True(t, o.Begin(t.Context(), "implied", build))
-		must.True(t, o.Begin(t.Context(), "saved", otherBuild))
+		must.True(t, o.Begin(t.Context(), "implied", service, build))
+		must.True(t, o.Begin(t.Context(), "saved", service, otherBuild))
 		f.kill()
 		// The entries lapsed, and only some are back.
 		for _, list := range [][]streamorigin.Build{{build}, {otherBuild}, {}} {
@@ -181,9 +181,9 @@
 		time.Sleep(2 * time.Second)
 		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
 		f.store.SetUnreachable(true)
-		must.False(t, o.Begin(t.Context(), "other", otherBuild), must.Sprint("its origin isn't saved"))
+		must.False(t, o.Begin(t.Context(), "other", service, otherBuild), must.Sprint("its origin isn't saved"))
 		must.Eq(t, build, o.Restriction(service))
-		must.True(t, o.Begin(t.Context(), "implied", build))
+		must.True(t, o.Begin(t.Context(), "implied", service, build))
 		f.kill()
 		f.store.SetUnreachable(false)
 		f.builds.set(otherBuild)
@@ -200,16 +200,16 @@
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
 		f.store.SetUnreachable(true)
-		must.False(t, o.Begin(t.Context(), "without alternative", otherBuild))
+		must.False(t, o.Begin(t.Context(), "without alternative", service, otherBuild))
 		o.Record("without alternative", otherBuild)
-		must.False(t, o.Begin(t.Context(), "begun again", otherBuild))
-		must.False(t, o.Begin(t.Context(), "begun again", build), must.Sprint("the store may hold the other build"))
+		must.False(t, o.Begin(t.Context(), "begun again", service, otherBuild))
+		must.False(t, o.Begin(t.Context(), "begun again", service, build), must.Sprint("the store may hold the other build"))
 		o.Record("begun again", build)
 		time.Sleep(20 * time.Second)
 		f.store.SetUnreachable(false)
 		time.Sleep(time.Second)
 		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
-		must.True(t, o.Begin(t.Context(), "later", otherBuild))
+		must.True(t, o.Begin(t.Context(), "later", service, otherBuild))
 		f.kill()
 		next := f.start("r2")
 		mustFind(t, next, "without alternative", otherBuild)
@@ -226,8 +226,8 @@
 		f := newRouters(t, build, build, otherBuild)
 		a, b := f.start("r1"), f.start("r2")
 		time.Sleep(3 * time.Second)
-		must.True(t, a.Begin(t.Context(), "id-1", build))
-		must.True(t, a.Begin(t.Context(), "id-2", otherBuild))
+		must.True(t, a.Begin(t.Context(), "id-1", service, build))
+		must.True(t, a.Begin(t.Context(), "id-2", service, otherBuild))
 		mustFind(t, b, "id-2", otherBuild)
 		mustFind(t, b, "id-1", build)
 		f.store.SetUnreachable(true)
@@ -250,8 +250,8 @@
 		time.Sleep(5 * time.Second)
 		mustFind(t, b, "early", build)
 		path.cut.Store(true)
-		must.True(t, a.Begin(t.Context(), "new", otherBuild))
-		must.True(t, a.Begin(t.Context(), "old", build))
+		must.True(t, a.Begin(t.Context(), "new", service, otherBuild))
+		must.True(t, a.Begin(t.Context(), "old", service, build))
 		mustNotFind(t, b, "new")
 		mustNotFind(t, b, "old")
 		path.cut.Store(false)
@@ -274,15 +274,15 @@
 				if impliedInCopy {
 					older = f.store.Copy()
 				}
-				must.True(t, o.Begin(t.Context(), "saved before", otherBuild))
-				must.True(t, o.Begin(t.Context(), "implied before", build))
+				must.True(t, o.Begin(t.Context(), "saved before", service, otherBuild))
+				must.True(t, o.Begin(t.Context(), "implied before", service, build))
 				f.store.SetUnreachable(true)
 				o.Record("during", otherBuild)
 				time.Sleep(2 * time.Second)
 				f.store.Restore(older)
 				f.store.SetUnreachable(false)
 				time.Sleep(5 * time.Second)
-				must.True(t, o.Begin(t.Context(), "after", build))
+				must.True(t, o.Begin(t.Context(), "after", service, build))
 				f.kill()
 				next := f.start("r2")
 				mustFind(t, next, "saved before", otherBuild)
@@ -291,7 +291,7 @@
 				mustFind(t, next, "after", build)
 				mustNotFind(t, next, "unknown")
 				time.Sleep(retention + 2*time.Second)
-				must.True(t, next.Begin(t.Context(), "much later", build))
+				must.True(t, next.Begin(t.Context(), "much later", service, build))
 				mustFind(t, next, "unknown", build)
 				f.kill()
 			})
@@ -307,7 +307,7 @@
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
 		older := f.store.Copy()
-		must.True(t, o.Begin(t.Context(), "lost", otherBuild))
+		must.True(t, o.Begin(t.Context(), "lost", service, otherBuild))
 		f.kill()
 		f.store.Restore(older)
 		mustNotFind(t, f.start("r2"), "lost")
@@ -324,13 +324,13 @@
 		f.store.Append(follow.Streams, "origins/r1/5", "not origins")
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.True(t, o.Begin(t.Context(), "id-1", build))
-		must.True(t, o.Begin(t.Context(), "id-2", otherBuild))
+		must.True(t, o.Begin(t.Context(), "id-1", service, build))
+		must.True(t, o.Begin(t.Context(), "id-2", service, otherBuild))
 		f.kill()
 		next := f.start("r2")
 		mustFind(t, next, "id-1", build)
 		mustFind(t, next, "id-2", otherBuild)
-		f.store.Append(follow.Streams, "implied/"+service, "not a build")
+		f.store.Append(follow.Streams, "implied-builds", "not builds")
 		mustNotFind(t, next, "id-3")
 		f.kill()
 	})
@@ -369,7 +369,7 @@
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
 		for i := range 3 {
-			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), otherBuild))
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), service, otherBuild))
 		}
 		listed, err := f.store.List(t.Context(), follow.Streams)
 		must.NoError(t, err)
@@ -393,7 +393,7 @@
 		time.Sleep(2 * time.Second)
 		saved := f.store.Len(follow.Streams)
 		for i := range 100 {
-			must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), build))
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), service, build))
 			time.Sleep(50 * time.Millisecond)
 		}
 		must.Eq(t, saved, f.store.Len(follow.Streams))
@@ -404,7 +404,7 @@
 		_, ok := next.Find(t.Context(), "id-1", []string{service, "other"})
 		must.False(t, ok, must.Sprint("which service began it is unknown"))
 		f.builds.set(build, otherBuild)
-		must.True(t, next.Begin(t.Context(), "other", otherBuild))
+		must.True(t, next.Begin(t.Context(), "other", service, otherBuild))
 		mustNotFind(t, next, "")
 		f.kill()
 	})
@@ -422,7 +422,7 @@
 		for i := range 1000 {
 			streams.Go(func() {
 				began := time.Now()
-				must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild))
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), service, otherBuild))
 				must.LessEq(t, 120*time.Millisecond, time.Since(began))
 			})
 			time.Sleep(time.Millisecond)
@@ -436,7 +436,7 @@
 		}
 		// A restarted router doesn't overwrite what it saved before.
 		for i := range 100 {
-			must.True(t, next.Begin(t.Context(), fmt.Sprint("next-", i), otherBuild))
+			must.True(t, next.Begin(t.Context(), fmt.Sprint("next-", i), service, otherBuild))
 		}
 		f.kill()
 		last := f.start("r2")
@@ -458,7 +458,7 @@
 		saved := f.store.Len(follow.Streams)
 		var streams sync.WaitGroup
 		for i := range 1000 {
-			streams.Go(func() { must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild)) })
+			streams.Go(func() { must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), service, otherBuild)) })
 			time.Sleep(20 * time.Millisecond)
 		}
 		streams.Wait()
@@ -477,8 +477,8 @@
 		b := f.start("r2")
 		time.Sleep(5 * time.Second)
 		f.store.SetUnreachable(true)
-		must.False(t, a.Begin(t.Context(), "id-1", streamorigin.Build(9)))
-		must.False(t, b.Begin(t.Context(), "id-2", streamorigin.Build(9)))
+		must.False(t, a.Begin(t.Context(), "id-1", service, streamorigin.Build(9)))
+		must.False(t, b.Begin(t.Context(), "id-2", service, streamorigin.Build(9)))
 		must.Eq(t, a.Restriction(service), b.Restriction(service))
 		must.NotEq(t, streamorigin.AnyBuild, a.Restriction(service))
 		f.kill()
@@ -493,12 +493,12 @@
 			f := newRouters(t, build)
 			o := f.start("r1")
 			time.Sleep(2 * time.Second)
-			must.True(t, o.Begin(t.Context(), "before", build))
+			must.True(t, o.Begin(t.Context(), "before", service, build))
 			f.builds.set(build, otherBuild)
-			must.True(t, o.Begin(t.Context(), "new", otherBuild))
+			must.True(t, o.Begin(t.Context(), "new", service, otherBuild))
 			f.builds.set(during...)
 			time.Sleep(10 * time.Second)
-			must.True(t, o.Begin(t.Context(), "newest", otherBuild))
+			must.True(t, o.Begin(t.Context(), "newest", service, otherBuild))
 			f.kill()
 
 			next := f.start("r2")
@@ -508,7 +508,7 @@
 			f.builds.set(otherBuild)
 			time.Sleep(retention + 2*time.Second)
 			saved := f.store.Len(follow.Streams)
-			must.True(t, next.Begin(t.Context(), "much later", otherBuild))
+			must.True(t, next.Begin(t.Context(), "much later", service, otherBuild))
 			must.Eq(t, saved, f.store.Len(follow.Streams), must.Sprint("the new build is implied"))
 			mustFind(t, next, "", otherBuild)
 			f.kill()
@@ -535,7 +535,7 @@
 		var streams sync.WaitGroup
 		for i := range 200 {
 			streams.Go(func() {
-				if o.Begin(t.Context(), fmt.Sprint("stream-", i), otherBuild) {
+				if o.Begin(t.Context(), fmt.Sprint("stream-", i), service, otherBuild) {
 					return
 				}
 				late.Add(1)
@@ -561,19 +561,22 @@
 		time.Sleep(2 * time.Second)
 		f.store.SetUnreachable(true)
 		b := f.start("r2")
-		must.False(t, b.Begin(t.Context(), "early", build), must.Sprint("the implied build is unknown"))
-		told := a.ImpliedBuilds()
-		must.Len(t, 1, told)
-		b.MergeImplied(told)
+		must.False(t, b.Begin(t.Context(), "early", service, build), must.Sprint("the implied build is unknown"))
+		told := a.Lease()
+		must.Eq(t, build, told.Fallback(time.Now(), streamorigin.ServiceOf(service)))
+		b.MergeLease(told)
 		must.Eq(t, build, b.Restriction(service))
-		must.True(t, b.Begin(t.Context(), "implied", build))
-		must.False(t, b.Begin(t.Context(), "other", otherBuild))
-		must.Len(t, 0, b.ImpliedBuilds(), must.Sprint("only what was read from the store is passed on"))
+		must.True(t, b.Begin(t.Context(), "implied", service, build))
+		must.False(t, b.Begin(t.Context(), "other", service, otherBuild))
+		must.False(t, b.Lease().IsValid(time.Now()), must.Sprint("only what was read from the store is passed on"))
 		f.store.SetUnreachable(false)
 		time.Sleep(2 * time.Second)
-		b.MergeImplied([]streamorigin.ServiceImplied{{Service: told[0].Service, Implied: streamorigin.Implied{Build: otherBuild, Era: 9}}})
+		later := streamorigin.Lease{ReadAt: time.Now().Add(time.Second), ImpliedBuilds: streamorigin.ImpliedBuilds{
+			Era: 9, Of: map[streamorigin.Service]streamorigin.Implied{streamorigin.ServiceOf(service): {Build: otherBuild}},
+		}}
+		b.MergeLease(later)
 		f.store.SetUnreachable(true)
-		must.False(t, b.Begin(t.Context(), "next", otherBuild), must.Sprint("the store was read"))
+		must.False(t, b.Begin(t.Context(), "next", service, otherBuild), must.Sprint("the store was read"))
 		f.kill()
 	})
 }
@@ -614,7 +617,7 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.True(t, o.Begin(t.Context(), "saved", otherBuild))
+		must.True(t, o.Begin(t.Context(), "saved", service, otherBuild))
 		f.kill()
 		next := f.startOn("r2", slowList{f.store})
 		began := time.Now()
@@ -623,7 +626,58 @@
 		time.Sleep(3 * time.Second)
 		mustFind(t, next, "saved", otherBuild)
 		mustFind(t, next, "implied", build)
-		must.True(t, next.Begin(t.Context(), "later", otherBuild))
+		must.True(t, next.Begin(t.Context(), "later", service, otherBuild))
+		f.kill()
+	})
+}
+
+// Guards against streams that are taken for ones of another build because a build returned soon after
+// it was replaced as the implied one: a router that had not read that goes on to save no origins of it.
+func TestReplacedBuildThatReturns(t *testing.T) {
+	for delay := 28 * time.Second; delay < 40*time.Second; delay += 250 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRouters(t, build)
+			fleet := []*origins.Origins{f.start("r1")}
+			time.Sleep(300 * time.Millisecond)
+			fleet = append(fleet, f.start("r2"))
+			time.Sleep(2 * time.Second)
+			f.builds.set(build, otherBuild)
+			time.Sleep(2 * time.Second)
+			f.builds.set(otherBuild)
+			time.Sleep(delay)
+			f.builds.set(otherBuild, build)
+			time.Sleep(2 * time.Second)
+			for i, o := range fleet {
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("returned-", i), service, build))
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("new-", i), service, otherBuild))
+			}
+			f.kill()
+			next := f.start("r1")
+			for i := range fleet {
+				mustFind(t, next, fmt.Sprint("returned-", i), build)
+				mustFind(t, next, fmt.Sprint("new-", i), otherBuild)
+			}
+			f.kill()
+		})
+	}
+}
+
+// Guards against a router that stands still, or is cut off from the store, while the implied build is
+// replaced, and then begins streams of the earlier one without saving their origins.
+func TestRouterThatMissesAReplacementSavesOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build)
+		f.start("r1")
+		path := &link{Store: f.store}
+		cut := f.startOn("r2", path)
+		time.Sleep(2 * time.Second)
+		path.cut.Store(true)
+		f.builds.set(otherBuild)
+		time.Sleep(time.Minute)
+		f.builds.set(otherBuild, build)
+		must.True(t, cut.Begin(t.Context(), "cut off", service, build), must.Sprint("it can still write to the store"))
+		f.kill()
+		mustFind(t, f.start("r1"), "cut off", build)
 		f.kill()
 	})
 }
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -11,7 +11,7 @@
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
 // refused.
-const formatVersion = 0xA7
+const formatVersion = 0xA8
 
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
@@ -51,6 +51,8 @@
 	Streams []StreamOrigin
 	// Implied lists the builds of streams without a saved origin. Most reports have none.
 	Implied []ImpliedBuild
+	// ImpliedAgeMs is the time since the sender began to read Implied from the store, in milliseconds.
+	ImpliedAgeMs uint64
 }
 
 // Position is the offset after the newest record of a topic, in an era of the store.
@@ -87,12 +89,8 @@
 	Build  ID
 }
 
-// ImpliedBuild names the build of a service's streams that have no saved origin, in an era of the
-// store.
-type ImpliedBuild struct {
-	Service, Build ID
-	Era            int64
-}
+// ImpliedBuild names the build of a service's streams that have no saved origin.
+type ImpliedBuild struct{ Service, Build ID }
 
 // flags of a report.
 const (
@@ -162,9 +160,8 @@
 	for _, i := range r.Implied {
 		b = binary.LittleEndian.AppendUint32(b, i.Service)
 		b = binary.LittleEndian.AppendUint32(b, i.Build)
-		b = binary.AppendVarint(b, i.Era)
 	}
-	return b
+	return binary.AppendUvarint(b, r.ImpliedAgeMs)
 }
 
 const addressBytes = 6
@@ -181,7 +178,7 @@
 	minTeamBytes     = 7
 	placedBytes      = 12
 	streamBytes      = 12
-	minImpliedBytes  = 9
+	impliedBytes     = 8
 )
 
 // Decode parses a datagram. The error names the field that is invalid.
@@ -216,7 +213,8 @@
 		d.check(s.Build != 0)
 		return s
 	})
-	r.Implied = decodeList(d.at("implied builds"), minImpliedBytes, func() ImpliedBuild { return ImpliedBuild{Service: d.uint32(), Build: d.uint32(), Era: d.varint()} })
+	r.Implied = decodeList(d.at("implied builds"), impliedBytes, func() ImpliedBuild { return ImpliedBuild{Service: d.uint32(), Build: d.uint32()} })
+	r.ImpliedAgeMs = d.at("age of the implied builds").uvarint()
 	if err := d.end(); err != nil {
 		return nil, eris.Wrap(err, "invalid load report")
 	}
