No stream begins unsaved beside an absent build that may return

Callers saw streams that v2 had begun in an outage of the store go on at v1, answered 200 and complete: the only endpoint of v1 was down when they began and back after all routers had been killed.

Cause: when an origin could not be saved, the router forwarded the events all the same if no endpoint of the implied build accepted requests. An endpoint that is down for a moment doesn't either, and even a build that has left may return while the stream can be taken up.

Change: in an outage, streams begin only at the implied build, under the lease. A new stream that could begin nowhere gets 503 with Retry-After at once; before, an endpoint ran it and the caller got 502. The policy counts endpoints only while all of them are known.

Evidence: in the routers' logs of the case, 20 streams went on "although its origin isn't saved" and 20 were then found as the implied build's.

That streams of the new build are delivered in an outage after a release is checked by TestOriginsAreSavedAfterAnOutage and TestStreamsOfAnOutageBesideAnAbsentBuild. Origins.Record has no other caller and is gone.

--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -79,8 +79,6 @@
 	// of the caller brings. It returns false, and records nothing, if the stream could be taken
 	// for one of another build after this process has ended.
 	Begin(ctx context.Context, attempt, service string, build streamorigin.Build) bool
-	// Record records an origin that may be lost with this process.
-	Record(attempt string, build streamorigin.Build)
 	// Restriction returns the only build at which new streams of a service should begin
 	// because the origins of others can't be saved at present, or streamorigin.AnyBuild.
 	Restriction(service string) streamorigin.Build
@@ -222,7 +220,7 @@
 	if r.connectionClosed() {
 		r.abortDisconnected(errConnectionClosed)
 	}
-	if r.refuseIfQuarantined(prompt.Cost{}, r.fingerprint()) || !r.resolveOrigin() {
+	if r.refuseIfQuarantined(prompt.Cost{}, r.fingerprint()) || !r.resolveOrigin() || r.refuseIfUnsavable() {
 		return
 	}
 	r.forward()
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -16,7 +16,7 @@
 
 const (
 	// unknownOriginRetryAfter is the delay after which a caller should retry if the origin of its
-	// stream is unknown: the store may be back, or a router that knows it.
+	// stream is unknown or can't be saved: the store may be back, or a router that knows it.
 	unknownOriginRetryAfter = time.Second
 	// missingBuildRetryAfter is the delay if no endpoint of the build is registered although all
 	// entries should be there: one may start.
@@ -84,6 +84,20 @@
 	return streamorigin.AnyBuild
 }
 
+// refuseIfUnsavable refuses a new stream if its origin can't be saved at present and no endpoint of the build
+// that needs no saved origin is ready. Any other endpoint's events would be withheld.
+func (r *request) refuseIfUnsavable() bool {
+	if !r.isResumable() || r.build != streamorigin.AnyBuild {
+		return false
+	}
+	b := r.h.Origins.Restriction(r.service.Name)
+	if b == streamorigin.AnyBuild || r.h.Dispatcher.HasReady(r.service.Name, b) {
+		return false
+	}
+	r.refuse(http.StatusServiceUnavailable, "the origin of the stream can't be saved", unknownOriginRetryAfter)
+	return true
+}
+
 // recordOrigin records the build of the first endpoint whose events are forwarded to the
 // caller. It returns false if the origin isn't safe, and the caller must not get the events: after
 // a restart of all routers, the stream could go on at another build.
@@ -93,23 +107,12 @@
 	}
 	build := dispatch.BuildOf(a.assignment.Endpoint)
 	if !r.h.Origins.Begin(r.ctx, r.id, a.assignment.Endpoint.Service, build) {
-		if !r.impliedBuildIsGone() {
-			return false
-		}
-		r.h.Log.Warn("stream goes on although its origin isn't saved", "request", r.id, "endpoint", a.assignment.Endpoint.ID)
-		r.h.Origins.Record(r.id, build)
+		return false
 	}
 	r.build = build
 	return true
 }
 
-// impliedBuildIsGone reports whether no endpoint of the service's implied build is left, at which a
-// stream without a saved origin could go on.
-func (r *request) impliedBuildIsGone() bool {
-	implied := r.h.Origins.Restriction(r.service.Name)
-	return implied != streamorigin.AnyBuild && !r.h.Dispatcher.HasReady(r.service.Name, implied) && r.h.Dispatcher.KnowsAllEndpoints(time.Now())
-}
-
 // canBeginElsewhere reports whether a stream whose first events were withheld because its origin
 // isn't saved can begin again at the implied build.
 func (r *request) canBeginElsewhere(a *attempt) bool {
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -75,6 +75,8 @@
 	StoreIsRead func() bool
 	// Builds returns, by service, the number of registered endpoints of each build, in any state.
 	Builds func() map[string]map[streamorigin.Build]int
+	// KnowsAllEndpoints reports whether no endpoint is missing there that is in service.
+	KnowsAllEndpoints func() bool
 	// Routers returns the number of routers in the fleet.
 	Routers func() int
 	// LongestStream returns the longest time that a stream may last; origins are kept at
@@ -130,7 +132,7 @@
 // Begin records the build of a service that began the stream whose first event this attempt of the
 // caller brings. It returns once the stream can't be taken for one of another build, whether or not
 // this process goes on, or false if that could not be achieved in time; then nothing is recorded, and
-// the caller must not get the event unless Record is called.
+// the caller must not get the event.
 func (o *Origins) Begin(ctx context.Context, attempt, service string, build streamorigin.Build) bool {
 	origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build}
 	o.mu.Lock()
@@ -170,7 +172,7 @@
 	if o.lease.Fallback(now, streamorigin.ServiceOf(service)) != origin.Build {
 		return false
 	}
-	o.record(now, origin)
+	o.recordUnsaved(now, origin)
 	return true
 }
 
@@ -179,15 +181,8 @@
 	return o.saver.working(now) && o.options.StoreIsRead()
 }
 
-// Record records the build that began a stream although its origin may be lost with this process.
-// It is saved as soon as possible.
-func (o *Origins) Record(attempt string, build streamorigin.Build) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.record(time.Now(), streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build})
-}
-
-func (o *Origins) record(now time.Time, origin streamorigin.Origin) {
+// recordUnsaved records an origin that isn't saved yet. It is saved as soon as possible.
+func (o *Origins) recordUnsaved(now time.Time, origin streamorigin.Origin) {
 	o.table.Record(now, origin)
 	o.table.KeepUnsaved(streamorigin.SavedOrigin{Origin: origin, Revision: o.table.Revision(origin.Stream)})
 }
@@ -407,10 +402,13 @@
 
 // saveImplied saves the implied builds where the policy changes them.
 func (o *Origins) saveImplied(ctx context.Context, now time.Time) {
-	if !o.options.Saves() || !o.saver.working(now) {
+	saves := o.options.Saves() && o.saver.working(now)
+	if !saves || !o.options.KnowsAllEndpoints() {
 		o.mu.Lock()
 		o.policy.Disturbed()
 		o.mu.Unlock()
+	}
+	if !saves {
 		return
 	}
 	if _, _, changed := o.nextImplied(); !changed {
--- a/direct/process.go
+++ b/direct/process.go
@@ -237,7 +237,7 @@
 	p.follower.OnZoneReturned = func(zone string) { p.dispatcher.ZoneReturned(time.Now(), zone) }
 	p.origins = origins.New(origins.Options{
 		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
-		Builds: p.dispatcher.Builds, Routers: p.dispatcher.Routers,
+		Builds: p.dispatcher.Builds, KnowsAllEndpoints: func() bool { return p.dispatcher.KnowsAllEndpoints(time.Now()) }, Routers: p.dispatcher.Routers,
 		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
 	})
 	p.handler.Origins = p.origins
