--- a/coordination/streamorigin/encode.go
+++ b/coordination/streamorigin/encode.go
@@ -25,15 +25,11 @@
 	b := make([]byte, 0, impliedHeaderBytes+len(builds.Of)*impliedBytes)
 	b = append(b, impliedFormatVersion)
 	b = binary.LittleEndian.AppendUint64(b, uint64(builds.Era))
-	for _, s := range slices.Sorted(maps.Keys(builds.Of)) {
-		i := builds.Of[s]
-		b = binary.LittleEndian.AppendUint32(b, uint32(s))
+	for _, r := range slices.Sorted(maps.Keys(builds.Of)) {
+		i := builds.Of[r]
+		b = binary.LittleEndian.AppendUint32(b, uint32(r))
 		b = binary.LittleEndian.AppendUint32(b, uint32(i.Build))
-		var settled byte
-		if i.Settled {
-			settled = 1
-		}
-		b = append(b, settled)
+		b = append(b, byte(i.State))
 		b = binary.LittleEndian.AppendUint64(b, uint64(i.Since))
 	}
 	return b
@@ -45,23 +41,23 @@
 	if err := checkFormat(b, impliedFormatVersion, valid); err != nil {
 		return ImpliedBuilds{}, eris.Wrap(err, "invalid implied builds")
 	}
-	builds := ImpliedBuilds{Era: int64(binary.LittleEndian.Uint64(b[1:])), Of: map[Service]Implied{}}
+	builds := ImpliedBuilds{Era: int64(binary.LittleEndian.Uint64(b[1:])), Of: map[Route]Implied{}}
 	if builds.Era < 0 {
 		return ImpliedBuilds{}, eris.Errorf("invalid implied builds: the era %d is out of range", builds.Era)
 	}
 	last := int64(-1)
 	for b = b[impliedHeaderBytes:]; len(b) > 0; b = b[impliedBytes:] {
-		s := Service(binary.LittleEndian.Uint32(b))
+		r := Route(binary.LittleEndian.Uint32(b))
 		i := Implied{
-			Build: Build(binary.LittleEndian.Uint32(b[4:])), Settled: b[8] == 1, Since: int64(binary.LittleEndian.Uint64(b[9:])),
+			Build: Build(binary.LittleEndian.Uint32(b[4:])), State: State(b[8]), Since: int64(binary.LittleEndian.Uint64(b[9:])),
 		}
 		var invalid string
 		switch {
-		case int64(s) <= last:
-			invalid = "service"
+		case int64(r) <= last:
+			invalid = "route"
 		case i.Build == AnyBuild:
 			invalid = "build"
-		case b[8] > 1:
+		case i.State > Removed:
 			invalid = "state"
 		case i.Since < 0:
 			invalid = "offset"
@@ -69,7 +65,7 @@
 		if invalid != "" {
 			return ImpliedBuilds{}, eris.Errorf("invalid implied builds: the %s of entry %d is missing or out of range", invalid, len(builds.Of))
 		}
-		builds.Of[s], last = i, int64(s)
+		builds.Of[r], last = i, int64(r)
 	}
 	return builds, nil
 }
--- a/coordination/streamorigin/implied.go
+++ b/coordination/streamorigin/implied.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,49 +19,79 @@
 	unusedDelay = 6 * time.Second
 )
 
-// Service identifies a service by a hash of its name.
-type Service uint32
+// Route identifies a route by a hash.
+type Route uint32
 
-// ServiceOf returns the service with a name.
-func ServiceOf(name string) Service { return Service(xxhash.Sum64String(name)) }
+// RouteOf returns the route of a host and a path prefix.
+func RouteOf(host, pathPrefix string) Route {
+	return Route(xxhash.Sum64String(host + "\x00" + pathPrefix))
+}
 
-// Implied is the build that is assumed for the streams of a service that have no saved origin.
+// Implied is the build that is assumed for the streams of a route that have no saved origin.
 type Implied struct {
 	Build Build
-	// Settled is set once every stream without a saved origin that can still be taken up is of Build.
-	// Before that, such a stream may be of the build that was implied earlier.
-	Settled bool
-	// Since is the offset of the record that introduced Build.
+	State State
+	// Since is the offset of the record that introduced Build, or that removed the route.
 	Since int64
 }
 
+// State says what follows from an implied build.
+type State byte
+
+const (
+	// Unsettled builds may begin streams while origins can't be saved. A stream without a saved origin
+	// may be of the build, or of the one that was implied earlier.
+	Unsettled State = iota
+	// Settled builds begin streams without a saved origin: every stream without one that can still be
+	// taken up is of the build.
+	Settled
+	// Removed is the state of a route that isn't in the configuration. Its streams may go on at another one.
+	Removed
+)
+
 // ImpliedBuilds is the content of the store's record of implied builds.
 type ImpliedBuilds struct {
 	// Era is the era of the store in which the record was written. After a restoration, saved origins
 	// may be lost, so that nothing follows from a missing one.
 	Era int64
 	// Of is never modified.
-	Of map[Service]Implied
+	Of map[Route]Implied
 }
 
 // Conclude returns the build of a stream that has no saved origin, as far as it is known. The origins
-// and the implied builds must have been read in this era after the stream was interrupted.
-func (b ImpliedBuilds) Conclude(s Service, era int64) (Build, bool) {
-	i := b.Of[s]
-	if !i.Settled || b.Era != era {
-		return AnyBuild, false
+// and the implied builds must have been read in this era after the stream was interrupted. routes are
+// all routes that match the stream's path: it may have begun when another one of them was the longest.
+func (b ImpliedBuilds) Conclude(routes []Route, era int64) (Build, bool) {
+	build := b.common(routes)
+	for _, r := range routes {
+		if b.Of[r].State != Settled {
+			return AnyBuild, false
+		}
+	}
+	return build, build != AnyBuild && b.Era == era
+}
+
+// common returns the implied build of routes, or AnyBuild if they have different ones or none.
+func (b ImpliedBuilds) common(routes []Route) Build {
+	common := AnyBuild
+	for _, r := range routes {
+		i := b.Of[r]
+		if i.Build == AnyBuild || i.State == Removed || common != AnyBuild && i.Build != common {
+			return AnyBuild
+		}
+		common = i.Build
 	}
-	return i.Build, true
+	return common
 }
 
-// IsSettled reports whether a build is settled for some service.
-func (b ImpliedBuilds) IsSettled(build Build) bool {
+// allSettledOn reports whether every stream of any route without a saved origin is of a build.
+func (b ImpliedBuilds) allSettledOn(build Build) bool {
 	for _, i := range b.Of {
-		if i.Settled && i.Build == build {
-			return true
+		if i.State != Settled || i.Build != build {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Lease is what a router knows of the implied builds. A router acts on it only for LeaseDuration. The
@@ -77,28 +108,29 @@
 	return !l.ReadAt.IsZero() && now.Sub(l.ReadAt) < LeaseDuration
 }
 
-// MayOmit reports whether a stream of this build may begin without a saved origin: it would be
-// concluded from the store that this build began it.
-func (l Lease) MayOmit(now time.Time, s Service, b Build, era int64) bool {
-	settled, ok := l.Conclude(s, era)
+// MayOmit reports whether a stream of this build, whose path these routes match, may begin without a
+// saved origin: it would be concluded from the store that this build began it.
+func (l Lease) MayOmit(now time.Time, routes []Route, b Build, era int64) bool {
+	settled, ok := l.Conclude(routes, era)
 	return ok && settled == b && l.IsValid(now)
 }
 
 // Fallback returns the only build whose streams may begin while origins can't be saved, or AnyBuild.
 // If the build isn't settled, nothing will be concluded for them, until their origin is saved.
-func (l Lease) Fallback(now time.Time, s Service) Build {
+func (l Lease) Fallback(now time.Time, routes []Route) Build {
 	if !l.IsValid(now) {
 		return AnyBuild
 	}
-	return l.Of[s].Build
+	return l.common(routes)
 }
 
 // Unsettled returns the builds that were settled in earlier and aren't in b. Streams of these
 // builds that began without a saved origin need one now.
 func (b ImpliedBuilds) Unsettled(earlier ImpliedBuilds) []Build {
 	var list []Build
-	for s, i := range earlier.Of {
-		if i.Settled && (b.Of[s].Build != i.Build || !b.Of[s].Settled || b.Era != earlier.Era) {
+	for r, i := range earlier.Of {
+		now := b.Of[r]
+		if i.State == Settled && (now.Build != i.Build || now.State != Settled || b.Era != earlier.Era) && !slices.Contains(list, i.Build) {
 			list = append(list, i.Build)
 		}
 	}
@@ -113,13 +145,13 @@
 	// FirstStart is set if the whole fleet starts for the first time: no stream began before.
 	FirstStart bool
 
-	// unusedSince holds, by service, since when the implied build has had no endpoint.
-	unusedSince map[Service]time.Time
-	// settling holds when this router first saw the unsettled builds.
-	settling map[Service]sighting
+	// unusedSince holds, by route, since when the implied build has had no endpoint.
+	unusedSince map[Route]time.Time
+	// unsettled holds when this router first saw what isn't settled.
+	unsettled map[Route]sighting
 }
 
-// sighting is the first sight of an unsettled build.
+// sighting is the first sight of an implied build.
 type sighting struct {
 	Implied
 	era int64
@@ -137,70 +169,97 @@
 }
 
 // Next returns the implied builds that should be saved, and whether they differ from the saved ones.
-// endpoints counts the endpoints in any state by build, saved is what the store holds or nil, era its
-// present era and end the offset at which the change will be written. longestStream is the longest time
-// from the first event of a stream to the last attempt to take it up.
-func (p *ImpliedPolicy) Next(now time.Time, endpoints map[Service]map[Build]int, saved *ImpliedBuilds, era, end int64, longestStream time.Duration) (ImpliedBuilds, bool) {
-	next := ImpliedBuilds{Era: era, Of: map[Service]Implied{}}
-	if saved != nil && saved.Era == era {
+// shares holds, for each route with resumable streams, the share of new streams that begin at each build
+// with endpoints in any state. saved is what the store holds or nil, era its present era and end the
+// offset at which the change will be written. longestStream is the longest time from the first event of
+// a stream to the last attempt to take it up.
+func (p *ImpliedPolicy) Next(now time.Time, shares map[Route]map[Build]float64, saved *ImpliedBuilds, era, end int64, longestStream time.Duration) (ImpliedBuilds, bool) {
+	// Otherwise, streams may have begun without a saved origin under a record that is lost.
+	isKnown := saved != nil || p.FirstStart
+	if saved == nil {
+		saved = &ImpliedBuilds{Era: era}
+	}
+	next := ImpliedBuilds{Era: era, Of: map[Route]Implied{}}
+	isCurrent := saved.Era == era
+	if isCurrent {
 		maps.Copy(next.Of, saved.Of)
 	}
+	delay := LeaseDuration + longestStream
 	changed := false
-	for s, builds := range endpoints {
-		best := mostEndpoints(builds)
+	for r, builds := range shares {
+		best := largestShare(builds)
 		if best == AnyBuild {
 			continue
 		}
-		i, ok := next.Of[s]
+		i, ok := next.Of[r]
 		switch {
+		case !ok && isCurrent:
+			i = Implied{Build: best, Since: end}
+			if isKnown && saved.allSettledOn(best) {
+				i.State = Settled
+			}
 		case !ok:
-			if saved != nil && builds[saved.Of[s].Build] > 0 {
-				best = saved.Of[s].Build
+			if builds[saved.Of[r].Build] > 0 {
+				best = saved.Of[r].Build
 			}
-			i = Implied{Build: best, Settled: p.FirstStart, Since: end}
-		case p.isUnused(now, s, builds[i.Build]):
 			i = Implied{Build: best, Since: end}
-		case !i.Settled && now.Sub(p.firstSeen(now, s, i, era)) >= LeaseDuration+longestStream:
-			i.Settled = true
+		case i.State == Removed, p.isUnused(now, r, builds[i.Build]):
+			i = Implied{Build: best, Since: end}
+		case i.State == Unsettled && now.Sub(p.firstSeen(now, r, i, era)) >= delay:
+			i.State = Settled
 		default:
 			continue
 		}
-		next.Of[s], changed = i, true
+		next.Of[r], changed = i, true
+	}
+	for r, i := range next.Of {
+		if _, exists := shares[r]; exists {
+			continue
+		}
+		switch {
+		case i.State != Removed:
+			next.Of[r], changed = Implied{Build: i.Build, State: Removed, Since: end}, true
+		case now.Sub(p.firstSeen(now, r, i, era)) >= delay:
+			delete(next.Of, r)
+			delete(p.unsettled, r)
+			delete(p.unusedSince, r)
+			changed = true
+		}
 	}
 	return next, changed
 }
 
-func (p *ImpliedPolicy) isUnused(now time.Time, s Service, endpoints int) bool {
-	if endpoints > 0 {
-		delete(p.unusedSince, s)
+func (p *ImpliedPolicy) isUnused(now time.Time, r Route, share float64) bool {
+	if share > 0 {
+		delete(p.unusedSince, r)
 		return false
 	}
 	if p.unusedSince == nil {
-		p.unusedSince = map[Service]time.Time{}
+		p.unusedSince = map[Route]time.Time{}
 	}
-	if _, ok := p.unusedSince[s]; !ok {
-		p.unusedSince[s] = now
+	if _, ok := p.unusedSince[r]; !ok {
+		p.unusedSince[r] = now
 	}
-	return now.Sub(p.unusedSince[s]) >= unusedDelay
+	return now.Sub(p.unusedSince[r]) >= unusedDelay
 }
 
-// firstSeen returns when this router first saw an unsettled build, at or after the time at which it was
-// written.
-func (p *ImpliedPolicy) firstSeen(now time.Time, s Service, i Implied, era int64) time.Time {
-	if p.settling == nil {
-		p.settling = map[Service]sighting{}
+// firstSeen returns when this router first saw an implied build in its state, at or after the time at which
+// that was written.
+func (p *ImpliedPolicy) firstSeen(now time.Time, r Route, i Implied, era int64) time.Time {
+	if p.unsettled == nil {
+		p.unsettled = map[Route]sighting{}
 	}
-	if seen, ok := p.settling[s]; !ok || seen.Implied != i || seen.era != era {
-		p.settling[s] = sighting{i, era, now}
+	if seen, ok := p.unsettled[r]; !ok || seen.Implied != i || seen.era != era {
+		p.unsettled[r] = sighting{i, era, now}
 	}
-	return p.settling[s].at
+	return p.unsettled[r].at
 }
 
-// mostEndpoints returns the build with the most endpoints, or AnyBuild if there are none.
-func mostEndpoints(endpoints map[Build]int) Build {
+// largestShare returns the build at which most streams begin, or AnyBuild if there are none.
+func largestShare(shares map[Build]float64) Build {
 	best := AnyBuild
-	for b, n := range endpoints {
-		if n > endpoints[best] || n == endpoints[best] && b > best {
+	for b, share := range shares {
+		if share > shares[best] || share == shares[best] && b > best {
 			best = b
 		}
 	}
--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -117,11 +117,10 @@
 	return recent, ok
 }
 
-// OnlyOf reports whether all streams that became known within a time are of builds for which match
-// returns true.
-func (t *Table) OnlyOf(now time.Time, within time.Duration, match func(Build) bool) bool {
+// OnlyOf reports whether all streams that became known within a time are of a build.
+func (t *Table) OnlyOf(now time.Time, within time.Duration, build Build) bool {
 	for b, seen := range t.seenAt {
-		if now.Sub(seen) < within && !match(b) {
+		if b != build && now.Sub(seen) < within {
 			return false
 		}
 	}
--- a/coordination/streamorigin/table_test.go
+++ b/coordination/streamorigin/table_test.go
@@ -90,16 +90,15 @@
 
 // Guards against a caller that doesn't name its stream and gets another build's events.
 func TestOnlyStreamsOfOneBuild(t *testing.T) {
-	is := func(build Build) func(Build) bool { return func(b Build) bool { return b == build } }
 	table := NewTable()
-	must.True(t, table.OnlyOf(start, streamTime, is(10)))
+	must.True(t, table.OnlyOf(start, streamTime, 10))
 	table.Record(start, Origin{1, 10})
-	must.True(t, table.OnlyOf(start, streamTime, is(10)))
+	must.True(t, table.OnlyOf(start, streamTime, 10))
 	table.MergeSaved(start, []SavedOrigin{saved(2, 20)})
-	must.False(t, table.OnlyOf(start, streamTime, is(10)))
+	must.False(t, table.OnlyOf(start, streamTime, 10))
 	table = NewTable()
 	table.MergePeer(start, []Origin{{1, 20}})
-	must.False(t, table.OnlyOf(start, streamTime, is(10)))
+	must.False(t, table.OnlyOf(start, streamTime, 10))
 }
 
 // Guards against origins that are forgotten while their stream may still be taken up, and
@@ -171,11 +170,11 @@
 	twice := EncodeImplied(*implied(1, Implied{Build: 1}))
 	twice = append(twice, twice[impliedHeaderBytes:]...)
 	state := EncodeImplied(*implied(1, Implied{Build: 1}))
-	state[impliedHeaderBytes+8] = 2
+	state[impliedHeaderBytes+8] = byte(Removed + 1)
 	for field, raw := range map[string][]byte{
 		"format": append([]byte{1}, make([]byte, impliedHeaderBytes-1)...), "length": {impliedFormatVersion, 1},
 		"build": EncodeImplied(*implied(1, Implied{})), "era": EncodeImplied(*implied(-1, Implied{Build: 1})),
-		"offset": EncodeImplied(*implied(1, Implied{Build: 1, Since: -1})), "state": state, "service": twice,
+		"offset": EncodeImplied(*implied(1, Implied{Build: 1, Since: -1})), "state": state, "route": twice,
 	} {
 		_, err := DecodeImplied(raw)
 		must.Error(t, err, must.Sprint(field))
@@ -202,7 +201,7 @@
 
 // FuzzDecodeImplied guards against the same in the implied builds.
 func FuzzDecodeImplied(f *testing.F) {
-	f.Add(EncodeImplied(*implied(3, Implied{Build: 7, Settled: true, Since: 4})))
+	f.Add(EncodeImplied(*implied(3, Implied{Build: 7, State: Settled, Since: 4})))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		builds, err := DecodeImplied(b)
 		if err != nil {
--- a/direct/entry/changed_config_test.go
+++ b/direct/entry/changed_config_test.go
@@ -54,10 +54,10 @@
 	changed <-chan struct{}
 }
 
-func (o waitingOrigins) Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool) {
+func (o waitingOrigins) Find(ctx context.Context, attempt string, routes []*routing.Route) (streamorigin.Build, bool) {
 	o.asked <- struct{}{}
 	<-o.changed
-	return o.origins.Find(ctx, attempt, services)
+	return o.origins.Find(ctx, attempt, routes)
 }
 
 // changedRouter is a router whose configuration changes while an endpoint, or another part, holds a request.
--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -54,7 +54,7 @@
 	onBegin func()
 }
 
-func (o *origins) Begin(_ context.Context, attempt, _ string, build streamorigin.Build) bool {
+func (o *origins) Begin(_ context.Context, attempt string, _ []*routing.Route, build streamorigin.Build) bool {
 	if o.onBegin != nil {
 		o.onBegin()
 	}
@@ -75,7 +75,7 @@
 	o.unsaved, o.implied = true, implied
 }
 
-func (o *origins) Restriction(string) streamorigin.Build {
+func (o *origins) Restriction([]*routing.Route) streamorigin.Build {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.unsaved {
@@ -100,7 +100,7 @@
 	o.builds[attempt] = build
 }
 
-func (o *origins) Find(_ context.Context, attempt string, _ []string) (streamorigin.Build, bool) {
+func (o *origins) Find(_ context.Context, attempt string, _ []*routing.Route) (streamorigin.Build, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	build, ok := o.builds[attempt]
--- a/direct/entry/explain.go
+++ b/direct/entry/explain.go
@@ -118,7 +118,7 @@
 	if !r.isResumable() {
 		return streamorigin.AnyBuild
 	}
-	return r.h.Origins.Restriction(r.service.Name)
+	return r.h.Origins.Restriction(r.resumableRoutes())
 }
 
 func explainCandidate(c *dispatch.CandidateExplanation) explanation.Candidate {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -75,17 +75,17 @@
 // Origins finds the builds that began streams, which callers take up again after their
 // connection broke.
 type Origins interface {
-	// Begin records the build of a service that began the stream whose first event this attempt
-	// of the caller brings. It returns false, and records nothing, if the stream could be taken
-	// for one of another build after this process has ended.
-	Begin(ctx context.Context, attempt, service string, build streamorigin.Build) bool
-	// Restriction returns the only build at which new streams of a service should begin
+	// Begin records the build that began the stream whose first event this attempt of the caller
+	// brings. It returns false, and records nothing, if the stream could be taken for one of
+	// another build after this process has ended. routes are all routes with resumable streams
+	// that match the path.
+	Begin(ctx context.Context, attempt string, routes []*routing.Route, build streamorigin.Build) bool
+	// Restriction returns the only build at which new streams of routes should begin
 	// because the origins of others can't be saved at present, or streamorigin.AnyBuild.
-	Restriction(service string) streamorigin.Build
-	// Find returns the build that began the stream whose first event this attempt, of one of
-	// these services, brought, and false if it is unknown. attempt is empty if the caller
-	// doesn't name it.
-	Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool)
+	Restriction(routes []*routing.Route) streamorigin.Build
+	// Find returns the build that began the stream of routes whose first event this attempt
+	// brought, and false if it is unknown. attempt is empty if the caller doesn't name it.
+	Find(ctx context.Context, attempt string, routes []*routing.Route) (streamorigin.Build, bool)
 	// CountTakeUp counts that a caller takes up the stream whose first event this attempt
 	// brought, and returns how often callers have at this router lately.
 	CountTakeUp(attempt string) int
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -31,21 +31,31 @@
 		return true
 	}
 	attempt := r.in.Header.Get(r.h.Dialect.Resumes)
-	build, known := r.originBuild(attempt)
+	build, known := r.h.Origins.Find(r.ctx, attempt, r.resumableRoutes())
 	if !known {
 		r.refuse(http.StatusServiceUnavailable, "the origin of the stream is unknown", unknownOriginRetryAfter)
 		return false
 	}
+	if r.useServiceWith(build) {
+		r.build = build
+		r.continues = attempt != "" && r.h.Origins.CountTakeUp(attempt) <= maxExemptTakeUps
+		return true
+	}
+	delay := max(missingBuildRetryAfter, r.h.Dispatcher.EntriesDue(time.Now()))
+	r.refuse(http.StatusServiceUnavailable, "no endpoint of the build that began the stream", delay)
+	return false
+}
+
+// useServiceWith sends the request to the service of its route that has a build, if an endpoint of it is
+// ready.
+func (r *request) useServiceWith(build streamorigin.Build) bool {
 	for _, destination := range r.route.Destinations {
 		if destination.Weight > 0 && r.h.Dispatcher.HasReady(destination.Service, build) {
-			r.build, r.service = build, r.table.Service(destination.Service)
-			r.continues = attempt != "" && r.h.Origins.CountTakeUp(attempt) <= maxExemptTakeUps
+			r.service = r.table.Service(destination.Service)
 			r.parseCost()
 			return true
 		}
 	}
-	delay := max(missingBuildRetryAfter, r.h.Dispatcher.EntriesDue(time.Now()))
-	r.refuse(http.StatusServiceUnavailable, "no endpoint of the build that began the stream", delay)
 	return false
 }
 
@@ -57,16 +67,8 @@
 // isResumable reports whether the request is a stream that another endpoint may continue.
 func (r *request) isResumable() bool { return r.route.Semantics == routing.Stream && r.route.Resumable }
 
-// originBuild returns the build that began the stream whose first event an attempt brought.
-func (r *request) originBuild(attempt string) (streamorigin.Build, bool) {
-	var services []string
-	for _, d := range r.route.Destinations {
-		if d.Weight > 0 {
-			services = append(services, d.Service)
-		}
-	}
-	return r.h.Origins.Find(r.ctx, attempt, services)
-}
+// resumableRoutes returns all routes with resumable streams that match the request.
+func (r *request) resumableRoutes() []*routing.Route { return r.table.Resumable()[r.route] }
 
 // placedBuild returns the only build at which the request should be placed, or
 // streamorigin.AnyBuild.
@@ -78,20 +80,21 @@
 	if build != streamorigin.AnyBuild || !r.isResumable() {
 		return build
 	}
-	if b := r.h.Origins.Restriction(r.service.Name); b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
+	if b := r.h.Origins.Restriction(r.resumableRoutes()); b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
 		return b
 	}
 	return streamorigin.AnyBuild
 }
 
-// refuseIfUnsavable refuses a new stream if its origin can't be saved at present and no endpoint of the build
-// that needs no saved origin is ready. Any other endpoint's events would be withheld.
+// refuseIfUnsavable sends a new stream, if its origin can't be saved at present, to the service that has the
+// build that needs no saved origin, and refuses it if no endpoint of that is ready. Any other endpoint's
+// events would be withheld.
 func (r *request) refuseIfUnsavable() bool {
 	if !r.isResumable() || r.build != streamorigin.AnyBuild {
 		return false
 	}
-	b := r.h.Origins.Restriction(r.service.Name)
-	if b == streamorigin.AnyBuild || r.h.Dispatcher.HasReady(r.service.Name, b) {
+	b := r.h.Origins.Restriction(r.resumableRoutes())
+	if b == streamorigin.AnyBuild || r.useServiceWith(b) {
 		return false
 	}
 	r.refuse(http.StatusServiceUnavailable, "the origin of the stream can't be saved", unknownOriginRetryAfter)
@@ -106,7 +109,7 @@
 		return true
 	}
 	build := dispatch.BuildOf(a.assignment.Endpoint)
-	if !r.h.Origins.Begin(r.ctx, r.id, a.assignment.Endpoint.Service, build) {
+	if !r.h.Origins.Begin(r.ctx, r.id, r.resumableRoutes(), build) {
 		return false
 	}
 	r.build = build
--- a/direct/entry/panic_test.go
+++ b/direct/entry/panic_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
+	"github.com/acaciaspar/acaciaspar/state/routing"
 )
 
 // panickingLog panics once, at the first line with this message.
@@ -46,7 +47,7 @@
 // panickingOrigins panics when the origin of a stream is sought.
 type panickingOrigins struct{ *origins }
 
-func (panickingOrigins) Find(context.Context, string, []string) (streamorigin.Build, bool) {
+func (panickingOrigins) Find(context.Context, string, []*routing.Route) (streamorigin.Build, bool) {
 	panic("find")
 }
 
--- a/direct/entry/versions_test.go
+++ b/direct/entry/versions_test.go
@@ -17,6 +17,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/state/registry"
+	"github.com/acaciaspar/acaciaspar/state/routing"
 )
 
 // streamFrom returns a script that continues a stream after the caller's last event with a
@@ -185,6 +186,31 @@
 	must.Eq(t, buildOfVersion("v1"), build)
 }
 
+// Guards against new streams of a split route that are sent to a service where their origin would have to
+// be saved, while it can't be.
+func TestNewStreamsOfASplitRouteWhileOriginsCannotBeSaved(t *testing.T) {
+	r := newRouter(t)
+	split := config()
+	split.Version = 2
+	for i := range split.Routes {
+		if split.Routes[i].Name == "resumable" {
+			split.Routes[i].Destinations = []routing.Destination{{Service: "plain", Weight: 9}, {Service: "engines", Weight: 1}}
+		}
+	}
+	table, err := routing.Compile(split)
+	must.NoError(t, err)
+	must.True(t, r.handler.Routes.Advance(table))
+	plain := r.addVersion("p1", "plain", "v1", streamFrom("plain", 4, 4))
+	r.addVersion("e1", "engines", "v1", streamFrom("v1", 4, 4))
+	r.origins.failSaves(buildOfVersion("v1"))
+	for range 20 {
+		got := r.post("/resumable/1")
+		must.Eq(t, http.StatusOK, got.status)
+		must.Eq(t, 4, strings.Count(got.body, "data: v1"))
+	}
+	must.Len(t, 0, plain.Calls())
+}
+
 // Guards against a caller that gets the first events of a stream whose origin isn't saved although
 // an endpoint of another build may be taken for its origin later, after all routers were killed: the
 // endpoints of that build are only away. If this is known before the stream is sent, no endpoint runs it
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -401,8 +401,8 @@
 		return
 	}
 	message.ImpliedAgeMs = uint64(now.Sub(l.ReadAt).Milliseconds()) + 1
-	for service, i := range l.Of {
-		message.Implied = append(message.Implied, loadreport.ImpliedBuild{Service: uint32(service), Build: uint32(i.Build)})
+	for route, i := range l.Of {
+		message.Implied = append(message.Implied, loadreport.ImpliedBuild{Route: uint32(route), Build: uint32(i.Build)})
 	}
 }
 
@@ -413,11 +413,11 @@
 		return streamorigin.Lease{}
 	}
 	l := streamorigin.Lease{
-		ImpliedBuilds: streamorigin.ImpliedBuilds{Of: map[streamorigin.Service]streamorigin.Implied{}},
+		ImpliedBuilds: streamorigin.ImpliedBuilds{Of: map[streamorigin.Route]streamorigin.Implied{}},
 		ReadAt:        sentAfter.Add(-time.Duration(report.ImpliedAgeMs) * time.Millisecond),
 	}
 	for _, b := range report.Implied {
-		l.Of[streamorigin.Service(b.Service)] = streamorigin.Implied{Build: streamorigin.Build(b.Build)}
+		l.Of[streamorigin.Route(b.Route)] = streamorigin.Implied{Build: streamorigin.Build(b.Build)}
 	}
 	return l
 }
--- a/direct/mesh/streams_test.go
+++ b/direct/mesh/streams_test.go
@@ -73,11 +73,11 @@
 // counts as more recent than it is.
 func TestImpliedBuildsReachPeers(t *testing.T) {
 	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
-	service, build := streamorigin.ServiceOf("engines"), streamorigin.BuildOf("engines", "v1")
+	route, build := streamorigin.RouteOf("shop.example", "/"), streamorigin.BuildOf("engines", "v1")
 	readAt := time.Now()
 	a.streams.mu.Lock()
 	a.streams.lease = streamorigin.Lease{ReadAt: readAt, ImpliedBuilds: streamorigin.ImpliedBuilds{
-		Era: 3, Of: map[streamorigin.Service]streamorigin.Implied{service: {Build: build, Settled: true, Since: 4}},
+		Era: 3, Of: map[streamorigin.Route]streamorigin.Implied{route: {Build: build, State: streamorigin.Settled, Since: 4}},
 	}}
 	a.streams.mu.Unlock()
 	a.Add(b.address)
@@ -85,7 +85,7 @@
 		b.streams.mu.Lock()
 		defer b.streams.mu.Unlock()
 		return slices.ContainsFunc(b.streams.mergedLeases, func(l streamorigin.Lease) bool {
-			return l.Of[service] == streamorigin.Implied{Build: build}
+			return l.Of[route] == streamorigin.Implied{Build: build}
 		})
 	}), wait.Timeout(20*time.Second)))
 	b.streams.mu.Lock()
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -15,6 +15,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/state/mirror"
+	"github.com/acaciaspar/acaciaspar/state/routing"
 )
 
 const (
@@ -73,8 +74,9 @@
 	Saves func() bool
 	// StoreIsRead reports whether this router or a peer currently reads the store.
 	StoreIsRead func() bool
-	// Builds returns, by service, the number of registered endpoints of each build, in any state.
-	Builds func() map[string]map[streamorigin.Build]int
+	// Shares returns, for each route with resumable streams, the share of new streams that begin at each
+	// build with registered endpoints in any state, or nil if the routes aren't known.
+	Shares func() Shares
 	// KnowsAllEndpoints reports whether no endpoint is missing there that is in service.
 	KnowsAllEndpoints func() bool
 	// Routers returns the number of routers in the fleet.
@@ -129,21 +131,22 @@
 	return origins
 }
 
-// Begin records the build of a service that began the stream whose first event this attempt of the
-// caller brings. It returns once the stream can't be taken for one of another build, whether or not
-// this process goes on, or false if that could not be achieved in time; then nothing is recorded, and
-// the caller must not get the event.
-func (o *Origins) Begin(ctx context.Context, attempt, service string, build streamorigin.Build) bool {
+// Begin records the build that began the stream whose first event this attempt of the caller brings.
+// routes are all routes with resumable streams that match its path. It returns once the stream can't be
+// taken for one of another build, whether or not this process goes on, or false if that could not be
+// achieved in time; then nothing is recorded, and the caller must not get the event.
+func (o *Origins) Begin(ctx context.Context, attempt string, routes []*routing.Route, build streamorigin.Build) bool {
 	origin := streamorigin.Origin{Stream: streamorigin.StreamOf(attempt), Build: build}
 	o.mu.Lock()
 	// Otherwise, the store may hold another origin of the stream.
 	isFirst := o.table.Revision(origin.Stream) == 0
 	o.mu.Unlock()
-	if isFirst && (o.beginOmitted(origin, service) || !o.canSave(time.Now()) && o.beginUnsaved(origin, service)) {
+	matching := routesOf(routes)
+	if isFirst && (o.beginOmitted(origin, matching) || !o.canSave(time.Now()) && o.beginUnsaved(origin, matching)) {
 		return true
 	}
 	if !o.saver.save(ctx, origin) {
-		return isFirst && ctx.Err() == nil && o.beginUnsaved(origin, service)
+		return isFirst && ctx.Err() == nil && o.beginUnsaved(origin, matching)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -152,11 +155,11 @@
 }
 
 // beginOmitted records an origin that needs not be saved.
-func (o *Origins) beginOmitted(origin streamorigin.Origin, service string) bool {
+func (o *Origins) beginOmitted(origin streamorigin.Origin, routes []streamorigin.Route) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
-	if !o.lease.MayOmit(now, streamorigin.ServiceOf(service), origin.Build, o.era) {
+	if !o.lease.MayOmit(now, routes, origin.Build, o.era) {
 		return false
 	}
 	o.table.Record(now, origin)
@@ -165,11 +168,11 @@
 
 // beginUnsaved records an origin that can't be saved at present, if nothing wrong will be concluded from
 // that.
-func (o *Origins) beginUnsaved(origin streamorigin.Origin, service string) bool {
+func (o *Origins) beginUnsaved(origin streamorigin.Origin, routes []streamorigin.Route) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
-	if o.lease.Fallback(now, streamorigin.ServiceOf(service)) != origin.Build {
+	if o.lease.Fallback(now, routes) != origin.Build {
 		return false
 	}
 	o.recordUnsaved(now, origin)
@@ -187,24 +190,26 @@
 	o.table.KeepUnsaved(streamorigin.SavedOrigin{Origin: origin, Revision: o.table.Revision(origin.Stream)})
 }
 
-// Restriction returns the only build at which new streams of a service should begin because the
-// origins of other builds can't be saved at present, or streamorigin.AnyBuild.
-func (o *Origins) Restriction(service string) streamorigin.Build {
+// Restriction returns the only build at which new streams whose path these routes match should begin,
+// because the origins of other builds can't be saved at present, or streamorigin.AnyBuild.
+func (o *Origins) Restriction(routes []*routing.Route) streamorigin.Build {
 	now := time.Now()
 	if o.canSave(now) {
 		return streamorigin.AnyBuild
 	}
+	matching := routesOf(routes)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.lease.Fallback(now, streamorigin.ServiceOf(service))
+	return o.lease.Fallback(now, matching)
 }
 
-// Find returns the build that began the stream whose first event this attempt, of one of these
-// services, brought. If this router doesn't know it, it reads the store, at most twice within
-// about a second. An empty attempt is known only if all recent streams are of the implied build.
-func (o *Origins) Find(ctx context.Context, attempt string, services []string) (streamorigin.Build, bool) {
+// Find returns the build that began the stream whose first event this attempt brought. routes are all
+// routes with resumable streams that match its path. If this router doesn't know it, it reads the store,
+// at most twice within about a second. An empty attempt is known only if all recent streams are of the
+// implied build.
+func (o *Origins) Find(ctx context.Context, attempt string, routes []*routing.Route) (streamorigin.Build, bool) {
 	began := time.Now()
-	stream := streamorigin.StreamOf(attempt)
+	stream, matching := streamorigin.StreamOf(attempt), routesOf(routes)
 	if attempt != "" {
 		o.mu.Lock()
 		b, ok := o.table.LookupRecorded(stream)
@@ -224,13 +229,13 @@
 		wait, cancel := context.WithTimeout(ctx, loadWait)
 		fresh := o.loadSince(wait, began)
 		cancel()
-		if b, from, ok := o.lookup(stream, attempt != "", fresh, services); ok {
+		if b, from, ok := o.lookup(stream, attempt != "", fresh, matching); ok {
 			o.logFound(attempt, b, from)
 			return b, true
 		}
 	}
 	o.unknown.Inc(1)
-	o.options.Log.Info("origin of a stream is unknown", "attempt", attempt, "services", services)
+	o.options.Log.Info("origin of a stream is unknown", "attempt", attempt)
 	return streamorigin.AnyBuild, false
 }
 
@@ -249,7 +254,7 @@
 
 // lookup returns the build of a stream as far as it follows from what is known. fresh is set if
 // all origins that were saved before the caller came back have been read.
-func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, services []string) (streamorigin.Build, source, bool) {
+func (o *Origins) lookup(stream streamorigin.Stream, named, fresh bool, routes []streamorigin.Route) (streamorigin.Build, source, bool) {
 	retention := o.retention()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -258,11 +263,11 @@
 			return b, sourceStore, true
 		}
 	}
-	if !fresh || len(services) != 1 || o.saved == nil {
+	if !fresh || o.saved == nil {
 		return streamorigin.AnyBuild, "", false
 	}
-	b, ok := o.saved.Conclude(streamorigin.ServiceOf(services[0]), o.era)
-	if !ok || !named && !o.table.OnlyOf(time.Now(), retention, o.saved.IsSettled) {
+	b, ok := o.saved.Conclude(routes, o.era)
+	if !ok || !named && !o.table.OnlyOf(time.Now(), retention, b) {
 		return streamorigin.AnyBuild, "", false
 	}
 	return b, sourceImplied, true
@@ -386,14 +391,14 @@
 }
 
 func (o *Origins) needsRefresh(now time.Time) bool {
-	endpoints := o.options.Builds()
+	shares := o.options.Shares()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(endpoints) > 0 && now.Sub(o.lease.ReadAt) >= streamorigin.LeaseRenewal {
+	if len(shares) > 0 && now.Sub(o.lease.ReadAt) >= streamorigin.LeaseRenewal {
 		return true
 	}
-	for service, builds := range endpoints {
-		if o.saved == nil || o.saved.Era != o.era || builds[o.saved.Of[streamorigin.ServiceOf(service)].Build] == 0 {
+	for route, builds := range shares {
+		if len(builds) > 0 && (o.saved == nil || o.saved.Era != o.era || builds[o.saved.Of[route].Build] == 0) {
 			return true
 		}
 	}
@@ -433,19 +438,15 @@
 // nextImplied returns the implied builds that should be saved, the position up to which the store was
 // read, and whether they differ from the saved ones.
 func (o *Origins) nextImplied() (streamorigin.ImpliedBuilds, mirror.Position, bool) {
-	endpoints := map[streamorigin.Service]map[streamorigin.Build]int{}
-	for service, builds := range o.options.Builds() {
-		endpoints[streamorigin.ServiceOf(service)] = builds
-	}
-	longest := o.options.LongestStream()
+	shares, longest := o.options.Shares(), o.options.LongestStream()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.hasLoaded {
+	if !o.hasLoaded || shares == nil {
 		return streamorigin.ImpliedBuilds{}, mirror.Position{}, false
 	}
 	o.longestStream = max(o.longestStream, longest)
 	// The time is taken after the state: an unsettled build was written before it.
-	next, changed := o.policy.Next(time.Now(), endpoints, o.saved, o.era, o.loaded.Next, o.longestStream)
+	next, changed := o.policy.Next(time.Now(), shares, o.saved, o.era, o.loaded.Next, o.longestStream)
 	return next, o.loaded, changed
 }
 
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -36,8 +36,9 @@
 
 // builds holds the builds of the endpoints of the service "engines".
 type builds struct {
-	mu   sync.Mutex
-	list []streamorigin.Build
+	mu     sync.Mutex
+	list   []streamorigin.Build
+	config *routing.Table
 }
 
 func (b *builds) set(list ...streamorigin.Build) {
@@ -46,17 +47,62 @@
 	b.list = list
 }
 
-func (b *builds) count() map[string]map[streamorigin.Build]int {
+func (b *builds) shares() origins.Shares {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := map[streamorigin.Build]int{}
 	for _, build := range b.list {
 		counts[build]++
 	}
-	return map[string]map[streamorigin.Build]int{service: counts}
+	return origins.SharesOf(b.config, map[string]map[streamorigin.Build]int{service: counts, otherService: {thirdBuild: 1}})
 }
 
-const service = "engines"
+// publish puts a configuration with these routes in force.
+func (b *builds) publish(routes ...routing.Route) {
+	config := compile(routes...)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config = config
+}
+
+// matching returns the routes that match a path.
+func (b *builds) matching(path string) []*routing.Route {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config.Resumable()[b.config.Match(host, path)]
+}
+
+func compile(routes ...routing.Route) *routing.Table {
+	config := &routing.Config{Routes: routes, Services: []routing.Service{{Name: service}, {Name: otherService}}}
+	table, err := routing.Compile(config)
+	if err != nil {
+		panic(err)
+	}
+	return table
+}
+
+// resumable returns a route with resumable streams to services with these weights.
+func resumable(pathPrefix string, weight, otherWeight float64) routing.Route {
+	return routing.Route{
+		Name: pathPrefix, Host: host, PathPrefix: pathPrefix, Semantics: routing.Stream, Resumable: true,
+		Destinations: []routing.Destination{{Service: service, Weight: weight}, {Service: otherService, Weight: otherWeight}},
+	}
+}
+
+const (
+	host         = "shop.example"
+	service      = "engines"
+	otherService = "more-engines"
+)
+
+// chat is the only route at first.
+var chat = compile(resumable("/chat/", 1, 0))
+
+// chatID identifies the route.
+var chatID = streamorigin.RouteOf(host, "/chat/")
+
+// onChat are the routes that match streams of chat.
+var onChat = chat.Resumable()[chat.Match(host, "/chat/")]
 
 // link is one router's path to the store.
 type link struct {
@@ -94,7 +140,7 @@
 
 // newRouters returns a fleet that starts for the first time, in front of endpoints of these builds.
 func newRouters(t *testing.T, list ...streamorigin.Build) *routers {
-	f := &routers{t: t, store: directtest.NewStore(), builds: &builds{list: list}, firstStart: true, size: 2}
+	f := &routers{t: t, store: directtest.NewStore(), builds: &builds{list: list, config: chat}, firstStart: true, size: 2}
 	f.ctx, f.cancel = context.WithCancel(t.Context())
 	return f
 }
@@ -122,7 +168,7 @@
 	})
 	o := origins.New(origins.Options{
 		Name: name, Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
-		Builds: f.builds.count, KnowsAllEndpoints: func() bool { return true }, Routers: func() int { return f.size }, FirstStart: f.firstStart,
+		Shares: f.builds.shares, KnowsAllEndpoints: func() bool { return true }, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	ctx := f.ctx
@@ -134,20 +180,22 @@
 const (
 	build      = streamorigin.Build(7)
 	otherBuild = streamorigin.Build(8)
+	// thirdBuild is that of the only endpoint of the other service.
+	thirdBuild = streamorigin.Build(9)
 	// retention is the time after which no stream is left.
 	retention = 30 * time.Second
 )
 
 func mustFind(t *testing.T, o *origins.Origins, attempt string, want streamorigin.Build) {
 	t.Helper()
-	got, ok := o.Find(t.Context(), attempt, []string{service})
+	got, ok := o.Find(t.Context(), attempt, onChat)
 	must.True(t, ok, must.Sprint(attempt))
 	must.Eq(t, want, got)
 }
 
 func mustNotFind(t *testing.T, o *origins.Origins, attempt string) {
 	t.Helper()
-	_, ok := o.Find(t.Context(), attempt, []string{service})
+	_, ok := o.Find(t.Context(), attempt, onChat)
 	must.False(t, ok, must.Sprint(attempt))
 }
 
@@ -158,8 +206,8 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.True(t, o.Begin(t.Context(), "implied", service, build))
-		must.True(t, o.Begin(t.Context(), "saved", service, otherBuild))
+		must.True(t, o.Begin(t.Context(), "implied", onChat, build))
+		must.True(t, o.Begin(t.Context(), "saved", onChat, otherBuild))
 		f.kill()
 		// The entries lapsed, and only some are back.
 		for _, list := range [][]streamorigin.Build{{build}, {otherBuild}, {}} {
@@ -179,11 +227,11 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
 		f.store.SetUnreachable(true)
-		must.False(t, o.Begin(t.Context(), "other", service, otherBuild), must.Sprint("its origin isn't saved"))
-		must.Eq(t, build, o.Restriction(service))
-		must.True(t, o.Begin(t.Context(), "implied", service, build))
+		must.False(t, o.Begin(t.Context(), "other", onChat, otherBuild), must.Sprint("its origin isn't saved"))
+		must.Eq(t, build, o.Restriction(onChat))
+		must.True(t, o.Begin(t.Context(), "implied", onChat, build))
 		f.kill()
 		f.store.SetUnreachable(false)
 		f.builds.set(otherBuild)
@@ -202,14 +250,14 @@
 		f.builds.set(otherBuild)
 		time.Sleep(10 * time.Second)
 		f.store.SetUnreachable(true)
-		must.True(t, o.Begin(t.Context(), "without alternative", service, otherBuild), must.Sprint("the other build is implied and not settled"))
-		must.False(t, o.Begin(t.Context(), "begun again", service, build))
-		must.False(t, o.Begin(t.Context(), "begun again", service, otherBuild), must.Sprint("the store may hold the earlier build"))
+		must.True(t, o.Begin(t.Context(), "without alternative", onChat, otherBuild), must.Sprint("the other build is implied and not settled"))
+		must.False(t, o.Begin(t.Context(), "begun again", onChat, build))
+		must.False(t, o.Begin(t.Context(), "begun again", onChat, otherBuild), must.Sprint("the store may hold the earlier build"))
 		time.Sleep(20 * time.Second)
 		f.store.SetUnreachable(false)
 		time.Sleep(time.Second)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
-		must.True(t, o.Begin(t.Context(), "later", service, otherBuild))
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
+		must.True(t, o.Begin(t.Context(), "later", onChat, otherBuild))
 		f.kill()
 		next := f.start("r2")
 		mustFind(t, next, "without alternative", otherBuild)
@@ -230,13 +278,13 @@
 				f.builds.set(otherBuild)
 				time.Sleep(releaseTime)
 				f.store.SetUnreachable(true)
-				began := o.Begin(t.Context(), "during", service, otherBuild)
+				began := o.Begin(t.Context(), "during", onChat, otherBuild)
 				must.Eq(t, releaseTime > 10*time.Second, began)
 				f.kill()
 				f.store.SetUnreachable(false)
 				f.builds.set(build, otherBuild)
 				next := f.start("r1")
-				if got, ok := next.Find(t.Context(), "during", []string{service}); ok && began {
+				if got, ok := next.Find(t.Context(), "during", onChat); ok && began {
 					must.Eq(t, otherBuild, got)
 				}
 				f.kill()
@@ -252,8 +300,8 @@
 		f := newRouters(t, build, build, otherBuild)
 		a, b := f.start("r1"), f.start("r2")
 		time.Sleep(3 * time.Second)
-		must.True(t, a.Begin(t.Context(), "id-1", service, build))
-		must.True(t, a.Begin(t.Context(), "id-2", service, otherBuild))
+		must.True(t, a.Begin(t.Context(), "id-1", onChat, build))
+		must.True(t, a.Begin(t.Context(), "id-2", onChat, otherBuild))
 		mustFind(t, b, "id-2", otherBuild)
 		mustFind(t, b, "id-1", build)
 		f.store.SetUnreachable(true)
@@ -276,8 +324,8 @@
 		time.Sleep(5 * time.Second)
 		mustFind(t, b, "early", build)
 		path.cut.Store(true)
-		must.True(t, a.Begin(t.Context(), "new", service, otherBuild))
-		must.True(t, a.Begin(t.Context(), "old", service, build))
+		must.True(t, a.Begin(t.Context(), "new", onChat, otherBuild))
+		must.True(t, a.Begin(t.Context(), "old", onChat, build))
 		mustNotFind(t, b, "new")
 		mustNotFind(t, b, "old")
 		path.cut.Store(false)
@@ -300,15 +348,15 @@
 				if impliedInCopy {
 					older = f.store.Copy()
 				}
-				must.True(t, o.Begin(t.Context(), "saved before", service, otherBuild))
-				must.True(t, o.Begin(t.Context(), "implied before", service, build))
+				must.True(t, o.Begin(t.Context(), "saved before", onChat, otherBuild))
+				must.True(t, o.Begin(t.Context(), "implied before", onChat, build))
 				f.store.SetUnreachable(true)
-				must.True(t, o.Begin(t.Context(), "during", service, build))
+				must.True(t, o.Begin(t.Context(), "during", onChat, build))
 				time.Sleep(2 * time.Second)
 				f.store.Restore(older)
 				f.store.SetUnreachable(false)
 				time.Sleep(5 * time.Second)
-				must.True(t, o.Begin(t.Context(), "after", service, build))
+				must.True(t, o.Begin(t.Context(), "after", onChat, build))
 				f.kill()
 				next := f.start("r2")
 				mustFind(t, next, "saved before", otherBuild)
@@ -317,7 +365,7 @@
 				mustFind(t, next, "after", build)
 				mustNotFind(t, next, "unknown")
 				time.Sleep(retention + 2*time.Second)
-				must.True(t, next.Begin(t.Context(), "much later", service, build))
+				must.True(t, next.Begin(t.Context(), "much later", onChat, build))
 				mustFind(t, next, "unknown", build)
 				f.kill()
 			})
@@ -333,7 +381,7 @@
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
 		older := f.store.Copy()
-		must.True(t, o.Begin(t.Context(), "lost", service, otherBuild))
+		must.True(t, o.Begin(t.Context(), "lost", onChat, otherBuild))
 		f.kill()
 		f.store.Restore(older)
 		mustNotFind(t, f.start("r2"), "lost")
@@ -350,8 +398,8 @@
 		f.store.Append(follow.Streams, "origins/r1/5", "not origins")
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.True(t, o.Begin(t.Context(), "id-1", service, build))
-		must.True(t, o.Begin(t.Context(), "id-2", service, otherBuild))
+		must.True(t, o.Begin(t.Context(), "id-1", onChat, build))
+		must.True(t, o.Begin(t.Context(), "id-2", onChat, otherBuild))
 		f.kill()
 		next := f.start("r2")
 		mustFind(t, next, "id-1", build)
@@ -395,7 +443,7 @@
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
 		for i := range 3 {
-			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), service, otherBuild))
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), onChat, otherBuild))
 		}
 		listed, err := f.store.List(t.Context(), follow.Streams)
 		must.NoError(t, err)
@@ -419,7 +467,7 @@
 		time.Sleep(2 * time.Second)
 		saved := f.store.Len(follow.Streams)
 		for i := range 100 {
-			must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), service, build))
+			must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), onChat, build))
 			time.Sleep(50 * time.Millisecond)
 		}
 		must.Eq(t, saved, f.store.Len(follow.Streams))
@@ -427,10 +475,11 @@
 		next := f.start("r2")
 		mustFind(t, next, "stream-99", build)
 		mustFind(t, next, "", build)
-		_, ok := next.Find(t.Context(), "id-1", []string{service, "other"})
-		must.False(t, ok, must.Sprint("which service began it is unknown"))
+		unknown := compile(resumable("/unknown/", 1, 0))
+		_, ok := next.Find(t.Context(), "id-1", unknown.Resumable()[unknown.Match(host, "/unknown/")])
+		must.False(t, ok, must.Sprint("which build is implied for the route is unknown"))
 		f.builds.set(build, otherBuild)
-		must.True(t, next.Begin(t.Context(), "other", service, otherBuild))
+		must.True(t, next.Begin(t.Context(), "other", onChat, otherBuild))
 		mustNotFind(t, next, "")
 		f.kill()
 	})
@@ -448,7 +497,7 @@
 		for i := range 1000 {
 			streams.Go(func() {
 				began := time.Now()
-				must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), service, otherBuild))
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), onChat, otherBuild))
 				must.LessEq(t, 120*time.Millisecond, time.Since(began))
 			})
 			time.Sleep(time.Millisecond)
@@ -462,7 +511,7 @@
 		}
 		// A restarted router doesn't overwrite what it saved before.
 		for i := range 100 {
-			must.True(t, next.Begin(t.Context(), fmt.Sprint("next-", i), service, otherBuild))
+			must.True(t, next.Begin(t.Context(), fmt.Sprint("next-", i), onChat, otherBuild))
 		}
 		f.kill()
 		last := f.start("r2")
@@ -484,7 +533,7 @@
 		saved := f.store.Len(follow.Streams)
 		var streams sync.WaitGroup
 		for i := range 1000 {
-			streams.Go(func() { must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), service, otherBuild)) })
+			streams.Go(func() { must.True(t, o.Begin(t.Context(), fmt.Sprint("stream-", i), onChat, otherBuild)) })
 			time.Sleep(20 * time.Millisecond)
 		}
 		streams.Wait()
@@ -499,14 +548,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newRouters(t, build, build, otherBuild)
 		a := f.start("r1")
-		f.builds = &builds{list: []streamorigin.Build{otherBuild}}
+		f.builds = &builds{list: []streamorigin.Build{otherBuild}, config: chat}
 		b := f.start("r2")
 		time.Sleep(5 * time.Second)
 		f.store.SetUnreachable(true)
-		must.False(t, a.Begin(t.Context(), "id-1", service, streamorigin.Build(9)))
-		must.False(t, b.Begin(t.Context(), "id-2", service, streamorigin.Build(9)))
-		must.Eq(t, a.Restriction(service), b.Restriction(service))
-		must.NotEq(t, streamorigin.AnyBuild, a.Restriction(service))
+		must.False(t, a.Begin(t.Context(), "id-1", onChat, streamorigin.Build(9)))
+		must.False(t, b.Begin(t.Context(), "id-2", onChat, streamorigin.Build(9)))
+		must.Eq(t, a.Restriction(onChat), b.Restriction(onChat))
+		must.NotEq(t, streamorigin.AnyBuild, a.Restriction(onChat))
 		f.kill()
 	})
 }
@@ -519,12 +568,12 @@
 			f := newRouters(t, build)
 			o := f.start("r1")
 			time.Sleep(2 * time.Second)
-			must.True(t, o.Begin(t.Context(), "before", service, build))
+			must.True(t, o.Begin(t.Context(), "before", onChat, build))
 			f.builds.set(build, otherBuild)
-			must.True(t, o.Begin(t.Context(), "new", service, otherBuild))
+			must.True(t, o.Begin(t.Context(), "new", onChat, otherBuild))
 			f.builds.set(during...)
 			time.Sleep(10 * time.Second)
-			must.True(t, o.Begin(t.Context(), "newest", service, otherBuild))
+			must.True(t, o.Begin(t.Context(), "newest", onChat, otherBuild))
 			f.kill()
 
 			next := f.start("r2")
@@ -534,7 +583,7 @@
 			f.builds.set(otherBuild)
 			time.Sleep(retention + 2*time.Second)
 			saved := f.store.Len(follow.Streams)
-			must.True(t, next.Begin(t.Context(), "much later", service, otherBuild))
+			must.True(t, next.Begin(t.Context(), "much later", onChat, otherBuild))
 			must.Eq(t, saved, f.store.Len(follow.Streams), must.Sprint("the new build is implied"))
 			mustFind(t, next, "", otherBuild)
 			f.kill()
@@ -561,11 +610,11 @@
 		var streams sync.WaitGroup
 		for i := range 200 {
 			streams.Go(func() {
-				if o.Begin(t.Context(), fmt.Sprint("stream-", i), service, otherBuild) {
+				if o.Begin(t.Context(), fmt.Sprint("stream-", i), onChat, otherBuild) {
 					return
 				}
 				late.Add(1)
-				if o.Restriction(service) != build {
+				if o.Restriction(onChat) != build {
 					unrestricted.Add(1)
 				}
 			})
@@ -587,22 +636,22 @@
 		time.Sleep(2 * time.Second)
 		f.store.SetUnreachable(true)
 		b := f.start("r2")
-		must.False(t, b.Begin(t.Context(), "early", service, build), must.Sprint("the implied build is unknown"))
+		must.False(t, b.Begin(t.Context(), "early", onChat, build), must.Sprint("the implied build is unknown"))
 		told := a.Lease()
-		must.Eq(t, build, told.Fallback(time.Now(), streamorigin.ServiceOf(service)))
+		must.Eq(t, build, told.Fallback(time.Now(), []streamorigin.Route{chatID}))
 		b.MergeLease(told)
-		must.Eq(t, build, b.Restriction(service))
-		must.True(t, b.Begin(t.Context(), "implied", service, build))
-		must.False(t, b.Begin(t.Context(), "other", service, otherBuild))
+		must.Eq(t, build, b.Restriction(onChat))
+		must.True(t, b.Begin(t.Context(), "implied", onChat, build))
+		must.False(t, b.Begin(t.Context(), "other", onChat, otherBuild))
 		must.False(t, b.Lease().IsValid(time.Now()), must.Sprint("only what was read from the store is passed on"))
 		f.store.SetUnreachable(false)
 		time.Sleep(2 * time.Second)
 		later := streamorigin.Lease{ReadAt: time.Now().Add(time.Second), ImpliedBuilds: streamorigin.ImpliedBuilds{
-			Era: 9, Of: map[streamorigin.Service]streamorigin.Implied{streamorigin.ServiceOf(service): {Build: otherBuild}},
+			Era: 9, Of: map[streamorigin.Route]streamorigin.Implied{chatID: {Build: otherBuild}},
 		}}
 		b.MergeLease(later)
 		f.store.SetUnreachable(true)
-		must.False(t, b.Begin(t.Context(), "next", service, otherBuild), must.Sprint("the store was read"))
+		must.False(t, b.Begin(t.Context(), "next", onChat, otherBuild), must.Sprint("the store was read"))
 		f.kill()
 	})
 }
@@ -614,11 +663,11 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
 		f.unread.Store(true)
-		must.Eq(t, build, o.Restriction(service))
+		must.Eq(t, build, o.Restriction(onChat))
 		f.unread.Store(false)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(service))
+		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
 		f.kill()
 	})
 }
@@ -643,7 +692,7 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.True(t, o.Begin(t.Context(), "saved", service, otherBuild))
+		must.True(t, o.Begin(t.Context(), "saved", onChat, otherBuild))
 		f.kill()
 		next := f.startOn("r2", slowList{f.store})
 		began := time.Now()
@@ -652,7 +701,7 @@
 		time.Sleep(3 * time.Second)
 		mustFind(t, next, "saved", otherBuild)
 		mustFind(t, next, "implied", build)
-		must.True(t, next.Begin(t.Context(), "later", service, otherBuild))
+		must.True(t, next.Begin(t.Context(), "later", onChat, otherBuild))
 		f.kill()
 	})
 }
@@ -674,8 +723,8 @@
 			f.builds.set(otherBuild, build)
 			time.Sleep(2 * time.Second)
 			for i, o := range fleet {
-				must.True(t, o.Begin(t.Context(), fmt.Sprint("returned-", i), service, build))
-				must.True(t, o.Begin(t.Context(), fmt.Sprint("new-", i), service, otherBuild))
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("returned-", i), onChat, build))
+				must.True(t, o.Begin(t.Context(), fmt.Sprint("new-", i), onChat, otherBuild))
 			}
 			f.kill()
 			next := f.start("r1")
@@ -701,9 +750,82 @@
 		f.builds.set(otherBuild)
 		time.Sleep(time.Minute)
 		f.builds.set(otherBuild, build)
-		must.True(t, cut.Begin(t.Context(), "cut off", service, build), must.Sprint("it can still write to the store"))
+		must.True(t, cut.Begin(t.Context(), "cut off", onChat, build), must.Sprint("it can still write to the store"))
 		f.kill()
 		mustFind(t, f.start("r1"), "cut off", build)
 		f.kill()
 	})
 }
+
+// Guards against streams of a route that is split between services, split or joined while they run, or
+// moved to another service: after all routers were killed they were refused, or taken for ones of the
+// service to which the route leads then.
+func TestStreamsOutliveChangesOfTheirRoute(t *testing.T) {
+	alone, split, moved := resumable("/chat/", 1, 0), resumable("/chat/", 9, 1), resumable("/chat/", 0, 1)
+	for _, change := range [][]routing.Route{{split, split}, {alone, split}, {split, alone}, {alone, moved}, {split, moved}, {alone, moved, alone}, {split, alone, split}} {
+		for _, delay := range []time.Duration{0, 3 * time.Second, 9 * time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRouters(t, build, build, otherBuild)
+				f.builds.publish(change[0])
+				o := f.start("r1")
+				time.Sleep(5 * time.Second)
+				streams := map[string]streamorigin.Build{}
+				for i, route := range change {
+					f.builds.publish(route)
+					if i > 0 {
+						time.Sleep(delay)
+					}
+					for n, b := range []streamorigin.Build{build, otherBuild, thirdBuild} {
+						if route.Destinations[n/2].Weight > 0 {
+							attempt := fmt.Sprint("stream-", i, "-", b)
+							must.True(t, o.Begin(t.Context(), attempt, f.builds.matching("/chat/1"), b))
+							streams[attempt] = b
+						}
+					}
+				}
+				f.kill()
+				next := f.start("r1")
+				for attempt, want := range streams {
+					got, ok := next.Find(t.Context(), attempt, f.builds.matching("/chat/1"))
+					must.True(t, ok, must.Sprint(attempt))
+					must.Eq(t, want, got)
+				}
+				f.kill()
+			})
+		}
+	}
+}
+
+// Guards against streams that are taken up on another route than the one on which they began, which was
+// added or removed since, and are taken for ones of that route's service.
+func TestStreamsTakenUpOnAnotherRoute(t *testing.T) {
+	wide, narrow := resumable("/chat/", 1, 0), resumable("/chat/long/", 0, 1)
+	for _, change := range [][2][]routing.Route{{{wide}, {wide, narrow}}, {{wide, narrow}, {wide}}, {{wide, narrow}, {narrow}}, {{wide}, {narrow}}, {{narrow}, {wide}}} {
+		for _, steady := range []time.Duration{5 * time.Second, time.Minute} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRouters(t, build)
+				f.builds.publish(change[1]...)
+				o := f.start("r1")
+				time.Sleep(steady)
+				f.builds.publish(change[0]...)
+				time.Sleep(steady)
+				matching := f.builds.matching("/chat/long/1")
+				want := build
+				if matching[0].PathPrefix == narrow.PathPrefix {
+					want = thirdBuild
+				}
+				must.True(t, o.Begin(t.Context(), "stream", matching, want))
+				f.builds.publish(change[1]...)
+				for range 5 {
+					f.kill()
+					next := f.start("r1")
+					if got, ok := next.Find(t.Context(), "stream", f.builds.matching("/chat/long/1")); ok {
+						must.Eq(t, want, got)
+					}
+					time.Sleep(3 * time.Second)
+				}
+				f.kill()
+			})
+		}
+	}
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -237,7 +237,8 @@
 	p.follower.OnZoneReturned = func(zone string) { p.dispatcher.ZoneReturned(time.Now(), zone) }
 	p.origins = origins.New(origins.Options{
 		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
-		Builds: p.dispatcher.Builds, KnowsAllEndpoints: func() bool { return p.dispatcher.KnowsAllEndpoints(time.Now()) }, Routers: p.dispatcher.Routers,
+		Shares:            func() origins.Shares { return origins.SharesOf(p.routes.Current(), p.dispatcher.Builds()) },
+		KnowsAllEndpoints: func() bool { return p.dispatcher.KnowsAllEndpoints(time.Now()) }, Routers: p.dispatcher.Routers,
 		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
 	})
 	p.handler.Origins = p.origins
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -16,7 +16,7 @@
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
 
-// ID identifies an endpoint, a team, a service or a build by a hash of its name. If two names have the same
+// ID identifies an endpoint, a team, a route or a build by a hash of its name. If two names have the same
 // hash, their loads are added up, which only makes routers more careful.
 type ID = uint32
 
@@ -89,8 +89,8 @@
 	Build  ID
 }
 
-// ImpliedBuild names the build of a service's streams that have no saved origin.
-type ImpliedBuild struct{ Service, Build ID }
+// ImpliedBuild names the build of a route's streams that have no saved origin.
+type ImpliedBuild struct{ Route, Build ID }
 
 // flags of a report.
 const (
@@ -158,7 +158,7 @@
 	}
 	b = binary.AppendUvarint(b, uint64(len(r.Implied)))
 	for _, i := range r.Implied {
-		b = binary.LittleEndian.AppendUint32(b, i.Service)
+		b = binary.LittleEndian.AppendUint32(b, i.Route)
 		b = binary.LittleEndian.AppendUint32(b, i.Build)
 	}
 	return binary.AppendUvarint(b, r.ImpliedAgeMs)
@@ -213,7 +213,7 @@
 		d.check(s.Build != 0)
 		return s
 	})
-	r.Implied = decodeList(d.at("implied builds"), impliedBytes, func() ImpliedBuild { return ImpliedBuild{Service: d.uint32(), Build: d.uint32()} })
+	r.Implied = decodeList(d.at("implied builds"), impliedBytes, func() ImpliedBuild { return ImpliedBuild{Route: d.uint32(), Build: d.uint32()} })
 	r.ImpliedAgeMs = d.at("age of the implied builds").uvarint()
 	if err := d.end(); err != nil {
 		return nil, eris.Wrap(err, "invalid load report")
--- a/protocol/loadreport/loadreport_test.go
+++ b/protocol/loadreport/loadreport_test.go
@@ -46,7 +46,7 @@
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "streams") {
 		r.Streams = append(r.Streams, StreamOrigin{rapid.Uint64().Draw(t, "s"), rapid.Uint32Min(1).Draw(t, "build")})
-		r.Implied = append(r.Implied, ImpliedBuild{id.Draw(t, "service"), id.Draw(t, "implied")})
+		r.Implied = append(r.Implied, ImpliedBuild{id.Draw(t, "route"), id.Draw(t, "implied")})
 	}
 	r.ImpliedAgeMs = rapid.Uint64().Draw(t, "age")
 	return r
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -21,6 +21,9 @@
 	teams    int
 	// longestResumable is the longest timeout of a route whose streams may be resumed.
 	longestResumable time.Duration
+	// resumable holds the routes whose streams may be resumed, each with all of them that match whatever
+	// it matches, itself first.
+	resumable map[*Route][]*Route
 }
 
 // Compile validates a configuration and builds its table. It returns an error if
@@ -34,6 +37,8 @@
 		services: map[string]*Service{},
 		keys:     map[string]*Team{},
 		teams:    len(c.Teams),
+
+		resumable: map[*Route][]*Route{},
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -51,9 +56,26 @@
 	for _, routes := range t.routes {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
 	}
+	for _, routes := range t.routes {
+		t.addResumable(routes)
+	}
 	return t, nil
 }
 
+// addResumable adds the routes of a host, which are ordered from the longest prefix to the shortest.
+func (t *Table) addResumable(routes []*Route) {
+	for i, r := range routes {
+		if !r.Resumable {
+			continue
+		}
+		for _, other := range routes[i:] {
+			if other.Resumable && strings.HasPrefix(r.PathPrefix, other.PathPrefix) {
+				t.resumable[r] = append(t.resumable[r], other)
+			}
+		}
+	}
+}
+
 func (t *Table) addRoute(r *Route) error {
 	var total float64
 	for _, d := range r.Destinations {
@@ -151,6 +173,10 @@
 // resumed.
 func (t *Table) LongestResumableStream() time.Duration { return t.longestResumable }
 
+// Resumable returns the routes whose streams may be resumed, each with all of them that match whatever it
+// matches, itself first. The caller must not modify it.
+func (t *Table) Resumable() map[*Route][]*Route { return t.resumable }
+
 // RequiresKeys reports whether the configuration has any teams, in which case
 // callers need an API key for routes that are not public.
 func (t *Table) RequiresKeys() bool { return t.teams > 0 }
