A router that has listed a topic tells its peers of the removals before it

Callers' requests reached endpoints that had left more than 3 s before, through routers that were in order, in fleets of more than eight routers while some of them restarted. What such an endpoint had not finished was lost with it.

Cause: a router that has just listed a topic has the newest record of each key, and no trace of removed ones. Asked by a peer for the records since an earlier position, it answered as if it had all of them; the peer took over the position and never learned of the removal.

Change: a topic knows from which offset on it holds every removal. Asked for an earlier one, it returns all records, marked as complete. The same cause on related paths: above 4,096 tombstones all were deleted, now the older half; a tombstone in a complete batch counts as the absence of its key, since its offset may be derived; records after the end of a listing, which peers dropped as invalid, are sent with the offset of the end. Any topic that peers pass on was affected.

Evidence: TestRemovalBeforeAListingReachesPeers, TestRemovalAmongManyReachesPeers, TestDerivedTombstoneWithTheOffsetOfARecord and both parts of TestPeerThatHasListedTheEndpointsIsAsked failed without their part of the change.

--- a/direct/mesh/mesh_test.go
+++ b/direct/mesh/mesh_test.go
@@ -260,3 +260,28 @@
 	must.True(t, change.Restored)
 	must.Eq(t, mirror.Position{Era: 2, Next: 4}, b.topics[follow.Endpoints].Position())
 }
+
+// Guards against an endpoint to which routers go on sending after it has left, because a peer that has just
+// listed the endpoints doesn't know of the removal; and against one that they remove because the listing of
+// that peer holds a record of it after its end.
+func TestPeerThatHasListedTheEndpointsIsAsked(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	entry := func(key string, offset int64) mirror.Record {
+		return mirror.Record{Key: key, Value: []byte("x"), Offset: offset}
+	}
+	_, err := b.topics[follow.Endpoints].Apply(mirror.Batch{
+		Records: []mirror.Record{entry("left", 1), entry("restarted", 2)}, End: mirror.Position{Era: 1, Next: 4}, Complete: true})
+	must.NoError(t, err)
+	_, err = a.topics[follow.Endpoints].Apply(mirror.Batch{
+		Records: []mirror.Record{entry("restarted", 11)}, End: mirror.Position{Era: 1, Next: 9}, Complete: true})
+	must.NoError(t, err)
+	b.Add(a.address)
+	change, err := b.topics[follow.Endpoints].Apply(fetch(t, b, follow.Endpoints))
+	must.NoError(t, err)
+	must.Len(t, 2, change.Applied)
+	for key, removed := range map[string]bool{"left": true, "restarted": false} {
+		r, ok := b.topics[follow.Endpoints].Lookup(key)
+		must.True(t, ok)
+		must.Eq(t, removed, r.IsTombstone(), must.Sprint(key))
+	}
+}
--- a/direct/mesh/server.go
+++ b/direct/mesh/server.go
@@ -33,7 +33,10 @@
 	batch := s.local.Mirror(topic).Since(mirror.Position{Era: in.Era, Next: in.From})
 	reply := &fleetpb.RecordsReply{Era: batch.End.Era, Next: batch.End.Next, Complete: batch.Complete}
 	for _, r := range batch.Records {
-		reply.Records = append(reply.Records, &fleetpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		// A listing may hold records after its end. The peer would take the offset for an invalid one, and
+		// the key for removed.
+		offset := min(r.Offset, batch.End.Next)
+		reply.Records = append(reply.Records, &fleetpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: offset})
 	}
 	return reply, nil
 }
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 )
 
@@ -70,7 +71,7 @@
 )
 
 // maxTombstones is the maximum number of tombstones that are kept for peers.
-// When it is exceeded, all tombstones are deleted.
+// When it is exceeded, the older half is deleted.
 const maxTombstones = 4096
 
 // Topic mirrors one topic. It is safe for concurrent use. Its mutex is never
@@ -80,6 +81,9 @@
 	records    map[string]Record
 	position   Position
 	tombstones int
+	// removalsFrom is the offset from which on the tombstones of all removed keys are held. A listing
+	// has no trace of the keys that were removed before its end.
+	removalsFrom int64
 }
 
 // NewTopic returns an empty mirror.
@@ -101,6 +105,9 @@
 	case t.position.Era != noEra:
 		return Change{Applied: t.restore(b), Restored: true}, nil
 	}
+	if b.Complete && t.position.Before(b.End) {
+		t.removalsFrom = b.End.Next
+	}
 	applied := t.store(b.Records)
 	if b.Complete {
 		applied = append(applied, t.store(t.missingTombstones(b))...)
@@ -121,7 +128,7 @@
 		stored = append(stored, r)
 	}
 	if t.tombstones > maxTombstones {
-		t.deleteTombstones()
+		t.deleteOldTombstones()
 	}
 	return stored
 }
@@ -163,7 +170,7 @@
 			kept = append(kept, r)
 		}
 	}
-	t.position = b.End
+	t.position, t.removalsFrom = b.End, b.End.Next
 	applied := t.store(b.Records)
 	t.storeHigherRevisions(kept)
 	for key, r := range earlier {
@@ -179,13 +186,22 @@
 	return applied
 }
 
-func (t *Topic) deleteTombstones() {
-	for key, r := range t.records {
+func (t *Topic) deleteOldTombstones() {
+	offsets := make([]int64, 0, t.tombstones)
+	for _, r := range t.records {
 		if r.IsTombstone() {
+			offsets = append(offsets, r.Offset)
+		}
+	}
+	slices.Sort(offsets)
+	last := offsets[len(offsets)/2]
+	for key, r := range t.records {
+		if r.IsTombstone() && r.Offset <= last {
 			delete(t.records, key)
+			t.tombstones--
 		}
 	}
-	t.tombstones = 0
+	t.removalsFrom = max(t.removalsFrom, last+1)
 }
 
 // Lookup returns the stored record of a key, which may be a tombstone.
@@ -203,12 +219,12 @@
 	return t.position
 }
 
-// Since returns the records at or after a position, in no particular order: all of
-// them if the position is of another era.
+// Since returns the records at or after a position, in no particular order. It returns all of them if the
+// position is of another era, or if keys may have been removed since then of which no tombstone is held.
 func (t *Topic) Since(from Position) Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b := Batch{End: t.position, Complete: from.Era != t.position.Era || from.Next == 0}
+	b := Batch{End: t.position, Complete: from.Era != t.position.Era || from.Next == 0 || from.Next < t.removalsFrom}
 	for _, r := range t.records {
 		if b.Complete || r.Offset >= from.Next {
 			b.Records = append(b.Records, r)
@@ -224,7 +240,8 @@
 func (t *Topic) missingTombstones(b Batch) []Record {
 	present := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
-		present[r.Key] = true
+		// The offset of a tombstone may be derived, and not above that of the record that it removes.
+		present[r.Key] = !r.IsTombstone()
 	}
 	var tombstones []Record
 	for key, r := range t.records {
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -181,3 +182,150 @@
 	known, ok := topic.Lookup("a")
 	must.True(t, ok && !known.IsTombstone())
 }
+
+// Guards against a removal that a peer never learns: the topic that it asks has listed the store, has
+// listed it again, or has been given all records by another one, and holds no tombstone of it.
+func TestRemovalBeforeAListingReachesPeers(t *testing.T) {
+	record := Record{Key: "left", Value: []byte("x"), Offset: 3}
+	listing := Batch{Records: []Record{{Key: "stays", Value: []byte("x"), Offset: 1}}, End: Position{Era: 1, Next: 9}, Complete: true}
+	for name, prepare := range map[string]func(topic *Topic){
+		"listed": func(topic *Topic) { apply(t, topic, listing) },
+		"listed again": func(topic *Topic) {
+			apply(t, topic, Batch{End: Position{Era: 1, Next: 2}, Complete: true})
+			apply(t, topic, listing)
+		},
+		"from a peer": func(topic *Topic) {
+			peer := NewTopic()
+			apply(t, peer, listing)
+			apply(t, topic, peer.Since(topic.Position()))
+		},
+		"restored": func(topic *Topic) {
+			apply(t, topic, Batch{Records: []Record{record}, End: Position{Era: 0, Next: 4}, Complete: true})
+			apply(t, topic, listing)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := NewTopic()
+			prepare(asked)
+			behind := NewTopic()
+			apply(t, behind, Batch{Records: []Record{record}, End: Position{Era: 1, Next: 4}, Complete: true})
+			apply(t, behind, asked.Since(behind.Position()))
+			got, ok := behind.Lookup("left")
+			must.True(t, !ok || got.IsTombstone())
+			must.Eq(t, Position{Era: 1, Next: 9}, behind.Position())
+			must.False(t, asked.Since(behind.Position()).Complete, must.Sprint("it has all now"))
+			must.False(t, behind.Since(asked.Position()).Complete)
+		})
+	}
+}
+
+// Guards against a removal that a peer never learns because there were more than a topic keeps, and against
+// peers that get all records for that although they miss none.
+func TestRemovalAmongManyReachesPeers(t *testing.T) {
+	topic := NewTopic()
+	apply(t, topic, Batch{End: Position{Era: 1}, Complete: true})
+	write := func(offset int64, key, value string) {
+		apply(t, topic, Batch{Records: []Record{{Key: key, Value: []byte(value), Offset: offset}}, End: Position{Era: 1, Next: offset + 1}})
+	}
+	write(0, "left", "x")
+	behind := NewTopic()
+	apply(t, behind, topic.Since(Position{Era: noEra}))
+	write(1, "left", "")
+	const removals = maxTombstones + 1
+	for i := range int64(removals) {
+		write(2*i+2, fmt.Sprint("key-", i), "x")
+		write(2*i+3, fmt.Sprint("key-", i), "")
+	}
+	must.LessEq(t, maxTombstones, topic.tombstones)
+	must.False(t, topic.Since(Position{Era: 1, Next: topic.Position().Next - 100}).Complete)
+	apply(t, behind, topic.Since(behind.Position()))
+	got, ok := behind.Lookup("left")
+	must.True(t, !ok || got.IsTombstone())
+}
+
+// Guards against topics that differ from the store after they have read it, listed it, or asked each other,
+// in any order, while keys are written and removed and listings are no snapshots.
+func TestTopicsAgreeWithTheStore(t *testing.T) {
+	keys := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		var log []Record
+		write := func() {
+			r := Record{Key: rapid.SampledFrom(keys).Draw(t, "key"), Offset: int64(len(log))}
+			if rapid.Bool().Draw(t, "value") {
+				r.Value = []byte{byte(len(log)), 1}
+			}
+			log = append(log, r)
+		}
+		newest := func(key string) (r Record) {
+			for _, other := range log {
+				if other.Key == key {
+					r = other
+				}
+			}
+			return r
+		}
+		list := func() Batch {
+			b := Batch{End: Position{Era: 1, Next: int64(len(log))}, Complete: true}
+			for _, key := range keys {
+				if rapid.IntRange(0, 3).Draw(t, "writes between pages") == 0 {
+					write()
+				}
+				if r := newest(key); !r.IsTombstone() {
+					b.Records = append(b.Records, r)
+				}
+			}
+			return b
+		}
+		read := func(from Position) Batch {
+			return Batch{Records: log[from.Next:], End: Position{Era: 1, Next: int64(len(log))}}
+		}
+		topics := []*Topic{NewTopic(), NewTopic(), NewTopic()}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(topics)-1).Draw(t, "topic")
+			topic, other := topics[i], topics[rapid.IntRange(0, len(topics)-1).Draw(t, "other")]
+			known := topic.Position()
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				write()
+			case 2:
+				apply(t, topic, list())
+			case 3:
+				if known.Era != noEra {
+					apply(t, topic, read(known))
+				}
+			case 4:
+				if known.Before(other.Position()) {
+					apply(t, topic, other.Since(known))
+				}
+			case 5:
+				topics[i] = NewTopic()
+			}
+		}
+		for i, topic := range topics {
+			if topic.Position().Era == noEra {
+				continue
+			}
+			apply(t, topic, read(topic.Position()))
+			for _, key := range keys {
+				got, _ := topic.Lookup(key)
+				if want := newest(key); string(got.Value) != string(want.Value) {
+					t.Fatalf("topic %d holds %q for key %s, want %q", i, got.Value, key, want.Value)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a removal that is missed because the tombstone that stands for it was derived from a
+// listing, and has the offset of an earlier record of the key that the asking topic holds.
+func TestDerivedTombstoneWithTheOffsetOfARecord(t *testing.T) {
+	asked, behind := NewTopic(), NewTopic()
+	apply(t, asked, Batch{Records: []Record{{Key: "a", Value: []byte("old"), Offset: 3}}, End: Position{Era: 1, Next: 4}, Complete: true})
+	apply(t, behind, Batch{Records: []Record{{Key: "a", Value: []byte("new"), Offset: 7}}, End: Position{Era: 1, Next: 8}, Complete: true})
+	// The key is removed at 8, while the listing is read.
+	apply(t, asked, Batch{End: Position{Era: 1, Next: 8}, Complete: true})
+	apply(t, asked, Batch{End: Position{Era: 1, Next: 9}, Complete: true})
+	apply(t, behind, asked.Since(behind.Position()))
+	got, ok := behind.Lookup("a")
+	must.True(t, ok && got.IsTombstone())
+}
