Refuse new streams at once when no build is known to be safe

In an outage of the store that outlasts the lease of the implied builds, new resumable streams were sent to an endpoint, withheld from the caller after its first events, and ended with 502. They get 503 with Retry-After before they are sent now. If saves haven't failed, as after a start, streams are still tried.

TestNoStreamBeginsAfterTheLeaseHasEnded; the case "the implied build is unknown" of TestFirstEventsWithoutASavedOriginAreWithheld expects the refusal, and another one keeps the failure after the stream was sent.

--- a/direct/entry/entry_test.go
+++ b/direct/entry/entry_test.go
@@ -75,13 +75,13 @@
 	o.unsaved, o.implied = true, implied
 }
 
-func (o *origins) Restriction([]*routing.Route) streamorigin.Build {
+func (o *origins) Restriction([]*routing.Route) (streamorigin.Build, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.unsaved {
-		return o.implied
+		return o.implied, o.implied != streamorigin.AnyBuild
 	}
-	return streamorigin.AnyBuild
+	return streamorigin.AnyBuild, true
 }
 
 func (o *origins) CountTakeUp(string) int {
--- a/direct/entry/explain.go
+++ b/direct/entry/explain.go
@@ -118,7 +118,8 @@
 	if !r.isResumable() {
 		return streamorigin.AnyBuild
 	}
-	return r.h.Origins.Restriction(r.resumableRoutes())
+	build, _ := r.h.Origins.Restriction(r.resumableRoutes())
+	return build
 }
 
 func explainCandidate(c *dispatch.CandidateExplanation) explanation.Candidate {
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -81,8 +81,9 @@
 	// that match the path.
 	Begin(ctx context.Context, attempt string, routes []*routing.Route, build streamorigin.Build) bool
 	// Restriction returns the only build at which new streams of routes should begin
-	// because the origins of others can't be saved at present, or streamorigin.AnyBuild.
-	Restriction(routes []*routing.Route) streamorigin.Build
+	// because the origins of others can't be saved at present, or streamorigin.AnyBuild. It
+	// returns false if none can begin at present.
+	Restriction(routes []*routing.Route) (streamorigin.Build, bool)
 	// Find returns the build that began the stream of routes whose first event this attempt
 	// brought, and false if it is unknown. attempt is empty if the caller doesn't name it.
 	Find(ctx context.Context, attempt string, routes []*routing.Route) (streamorigin.Build, bool)
--- a/direct/entry/origin.go
+++ b/direct/entry/origin.go
@@ -80,7 +80,8 @@
 	if build != streamorigin.AnyBuild || !r.isResumable() {
 		return build
 	}
-	if b := r.h.Origins.Restriction(r.resumableRoutes()); b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
+	b, _ := r.h.Origins.Restriction(r.resumableRoutes())
+	if b != streamorigin.AnyBuild && r.h.Dispatcher.HasReady(r.service.Name, b) {
 		return b
 	}
 	return streamorigin.AnyBuild
@@ -93,8 +94,8 @@
 	if !r.isResumable() || r.build != streamorigin.AnyBuild {
 		return false
 	}
-	b := r.h.Origins.Restriction(r.resumableRoutes())
-	if b == streamorigin.AnyBuild || r.useServiceWith(b) {
+	b, canBegin := r.h.Origins.Restriction(r.resumableRoutes())
+	if canBegin && (b == streamorigin.AnyBuild || r.useServiceWith(b)) {
 		return false
 	}
 	r.refuse(http.StatusServiceUnavailable, "the origin of the stream can't be saved", unknownOriginRetryAfter)
--- a/direct/entry/versions_test.go
+++ b/direct/entry/versions_test.go
@@ -242,10 +242,13 @@
 		"no endpoint of the implied build when the store fails": {func(r *router) {
 			r.origins.onBegin = sync.OnceFunc(func() { unreachable(r) })
 		}, http.StatusBadGateway},
+		"the implied build is unknown when the store fails": {func(r *router) {
+			r.origins.onBegin = sync.OnceFunc(func() { r.origins.failSaves(streamorigin.AnyBuild) })
+		}, http.StatusBadGateway},
 		"the implied build is unknown": {func(r *router) {
 			r.origins.failSaves(streamorigin.AnyBuild)
 			r.endpoints.StoreRecovered(time.Now().Add(-time.Hour))
-		}, http.StatusBadGateway},
+		}, http.StatusServiceUnavailable},
 		"no endpoint of the implied build": {func(r *router) {
 			r.origins.failSaves(buildOfVersion("v1"))
 			r.endpoints.StoreRecovered(time.Now().Add(-time.Hour))
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -191,16 +191,20 @@
 }
 
 // Restriction returns the only build at which new streams whose path these routes match should begin,
-// because the origins of other builds can't be saved at present, or streamorigin.AnyBuild.
-func (o *Origins) Restriction(routes []*routing.Route) streamorigin.Build {
+// because the origins of other builds can't be saved at present, or streamorigin.AnyBuild. It returns
+// false if none can begin at present.
+func (o *Origins) Restriction(routes []*routing.Route) (streamorigin.Build, bool) {
 	now := time.Now()
 	if o.canSave(now) {
-		return streamorigin.AnyBuild
+		return streamorigin.AnyBuild, true
 	}
 	matching := routesOf(routes)
+	// The store may be read here soon, as after a start, unless saves have failed.
+	mayRecover := o.saver.working(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.lease.Fallback(now, matching)
+	build := o.lease.Fallback(now, matching)
+	return build, build != streamorigin.AnyBuild || mayRecover
 }
 
 // Find returns the build that began the stream whose first event this attempt brought. routes are all
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -193,6 +193,14 @@
 	must.Eq(t, want, got)
 }
 
+// mustRestrict fails the test unless new streams may begin only at a build.
+func mustRestrict(t *testing.T, o *origins.Origins, want streamorigin.Build) {
+	t.Helper()
+	got, ok := o.Restriction(onChat)
+	must.True(t, ok)
+	must.Eq(t, want, got)
+}
+
 func mustNotFind(t *testing.T, o *origins.Origins, attempt string) {
 	t.Helper()
 	_, ok := o.Find(t.Context(), attempt, onChat)
@@ -227,10 +235,10 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
+		mustRestrict(t, o, streamorigin.AnyBuild)
 		f.store.SetUnreachable(true)
 		must.False(t, o.Begin(t.Context(), "other", onChat, otherBuild), must.Sprint("its origin isn't saved"))
-		must.Eq(t, build, o.Restriction(onChat))
+		mustRestrict(t, o, build)
 		must.True(t, o.Begin(t.Context(), "implied", onChat, build))
 		f.kill()
 		f.store.SetUnreachable(false)
@@ -256,7 +264,7 @@
 		time.Sleep(20 * time.Second)
 		f.store.SetUnreachable(false)
 		time.Sleep(time.Second)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
+		mustRestrict(t, o, streamorigin.AnyBuild)
 		must.True(t, o.Begin(t.Context(), "later", onChat, otherBuild))
 		f.kill()
 		next := f.start("r2")
@@ -554,8 +562,9 @@
 		f.store.SetUnreachable(true)
 		must.False(t, a.Begin(t.Context(), "id-1", onChat, streamorigin.Build(9)))
 		must.False(t, b.Begin(t.Context(), "id-2", onChat, streamorigin.Build(9)))
-		must.Eq(t, a.Restriction(onChat), b.Restriction(onChat))
-		must.NotEq(t, streamorigin.AnyBuild, a.Restriction(onChat))
+		only, _ := a.Restriction(onChat)
+		must.NotEq(t, streamorigin.AnyBuild, only)
+		mustRestrict(t, b, only)
 		f.kill()
 	})
 }
@@ -614,7 +623,7 @@
 					return
 				}
 				late.Add(1)
-				if o.Restriction(onChat) != build {
+				if only, _ := o.Restriction(onChat); only != build {
 					unrestricted.Add(1)
 				}
 			})
@@ -640,7 +649,7 @@
 		told := a.Lease()
 		must.Eq(t, build, told.Fallback(time.Now(), []streamorigin.Route{chatID}))
 		b.MergeLease(told)
-		must.Eq(t, build, b.Restriction(onChat))
+		mustRestrict(t, b, build)
 		must.True(t, b.Begin(t.Context(), "implied", onChat, build))
 		must.False(t, b.Begin(t.Context(), "other", onChat, otherBuild))
 		must.False(t, b.Lease().IsValid(time.Now()), must.Sprint("only what was read from the store is passed on"))
@@ -663,11 +672,11 @@
 		f := newRouters(t, build, build, otherBuild)
 		o := f.start("r1")
 		time.Sleep(2 * time.Second)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
+		mustRestrict(t, o, streamorigin.AnyBuild)
 		f.unread.Store(true)
-		must.Eq(t, build, o.Restriction(onChat))
+		mustRestrict(t, o, build)
 		f.unread.Store(false)
-		must.Eq(t, streamorigin.AnyBuild, o.Restriction(onChat))
+		mustRestrict(t, o, streamorigin.AnyBuild)
 		f.kill()
 	})
 }
@@ -829,3 +838,28 @@
 		}
 	}
 }
+
+// Guards against streams that are sent to an endpoint and then withheld, although no router knows any more
+// which build is implied: another router may have replaced it in a long outage of this one's store.
+func TestNoStreamBeginsAfterTheLeaseHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		f.store.SetUnreachable(true)
+		f.unread.Store(true)
+		time.Sleep(streamorigin.LeaseDuration - streamorigin.LeaseRenewal - time.Second)
+		must.True(t, o.Begin(t.Context(), "early", onChat, build))
+		mustRestrict(t, o, build)
+		time.Sleep(streamorigin.LeaseRenewal + time.Second)
+		must.False(t, o.Begin(t.Context(), "late", onChat, build))
+		_, ok := o.Restriction(onChat)
+		must.False(t, ok)
+		f.store.SetUnreachable(false)
+		f.unread.Store(false)
+		time.Sleep(3 * time.Second)
+		mustRestrict(t, o, streamorigin.AnyBuild)
+		must.True(t, o.Begin(t.Context(), "later", onChat, build))
+		f.kill()
+	})
+}
