Verify a new connection before a resumable stream while entries may be old

Callers got events of two versions in one answer: in an outage of the store, endpoints restarted in place with newer software, and a router without a connection to them went on there with the streams of the older version.

Cause: the incarnation of an endpoint is doubted when a connection to it breaks. Without one, the entry that was read before the outage counted as current.

The endpoint names its start time on that connection, which reaches one incarnation only; if it isn't that of the entry, nothing is sent and the endpoint is in doubt. This also holds for streams that begin there.

--- a/direct/confirm/confirm.go
+++ b/direct/confirm/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -85,36 +86,69 @@
 	}
 }
 
-var errEvacuated = eris.New("the zone of the endpoint is evacuated")
+var (
+	errEvacuated     = eris.New("the zone of the endpoint is evacuated")
+	errOtherEndpoint = eris.New("another endpoint has the address")
+	errRestarted     = eris.New("the endpoint has restarted since its entry was read")
+)
 
 // startTime asks an endpoint on a new connection. reached is set if it responded, though perhaps
 // not with a report.
 func (c *Confirmer) startTime(ctx context.Context, e registry.Endpoint) (started time.Time, reached bool, err error) {
 	target := endpointhttp.Target{Instance: e.ID, Address: e.Address}
-	response, err := c.Pool.DoNew(ctx, target, &endpointhttp.Request{
-		Method: http.MethodGet, URI: c.Report.Path, Host: e.Address,
-		Header: http.Header{c.Dialect.ExpectedInstance: {e.ID}}, IDHeader: c.Dialect.RequestID,
-		Recheck: func(func() bool) error {
-			if c.Dispatcher.Evacuated(e) {
-				return errEvacuated
-			}
-			return nil
-		},
-	})
+	request := c.reportRequest(e)
+	request.Recheck = func(func() bool) error {
+		if c.Dispatcher.Evacuated(e) {
+			return errEvacuated
+		}
+		return nil
+	}
+	response, err := c.Pool.DoNew(ctx, target, request)
 	if err != nil {
 		return time.Time{}, false, err
 	}
 	defer response.Close()
-	if response.Status == http.StatusMisdirectedRequest {
-		return time.Time{}, false, eris.New("another endpoint has the address")
-	}
-	if response.Status != http.StatusOK {
-		return time.Time{}, true, eris.Errorf("status %d", response.Status)
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil {
-		return time.Time{}, true, eris.Wrap(err, "read report")
+		return time.Time{}, response.Status != http.StatusMisdirectedRequest, eris.Wrap(err, "read report")
+	}
+	started, err = c.decodeReport(response.Status, body)
+	return started, !errors.Is(err, errOtherEndpoint), err
+}
+
+func (c *Confirmer) reportRequest(e registry.Endpoint) *endpointhttp.Request {
+	return &endpointhttp.Request{
+		Method: http.MethodGet, URI: c.Report.Path, Host: e.Address,
+		Header: http.Header{c.Dialect.ExpectedInstance: {e.ID}}, IDHeader: c.Dialect.RequestID,
+	}
+}
+
+func (c *Confirmer) decodeReport(status int, body []byte) (time.Time, error) {
+	switch status {
+	case http.StatusMisdirectedRequest:
+		return time.Time{}, errOtherEndpoint
+	case http.StatusOK:
+		return c.Report.Started(body)
+	}
+	return time.Time{}, eris.Errorf("status %d", status)
+}
+
+// Verification returns the verification of a connection to an endpoint, or nil if its incarnations can't
+// be told apart.
+func (c *Confirmer) Verification(e registry.Endpoint) *endpointhttp.Verification {
+	if e.Started.IsZero() {
+		return nil
+	}
+	check := func(status int, body []byte) error {
+		started, err := c.decodeReport(status, body)
+		if err == nil && !started.Equal(e.Started) {
+			c.Dispatcher.DoubtIncarnation(time.Now(), e.ID)
+			err = errRestarted
+		}
+		if err != nil {
+			c.Log.Info("connection to an endpoint not used", "endpoint", e.ID, "started", started, "registered", e.Started, "error", err.Error())
+		}
+		return err
 	}
-	started, err = c.Report.Started(body)
-	return started, true, err
+	return &endpointhttp.Verification{Request: c.reportRequest(e), Check: check}
 }
--- a/direct/confirm/confirm_test.go
+++ b/direct/confirm/confirm_test.go
@@ -169,3 +169,29 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f.place), wait.Timeout(confirmTime), wait.Gap(10*time.Millisecond)))
 	must.Len(t, 1, f.endpoint.Calls())
 }
+
+// Guards against a stream that goes on at an endpoint which restarted with other software while the store was
+// away: a router without a connection to it doesn't notice that.
+func TestVerificationTellsIncarnationsApart(t *testing.T) {
+	for name, test := range map[string]struct {
+		status  int
+		started time.Time
+		ok      bool
+	}{
+		"the same":         {http.StatusOK, registeredStart, true},
+		"restarted":        {http.StatusOK, registeredStart.Add(time.Millisecond), false},
+		"another endpoint": {http.StatusMisdirectedRequest, registeredStart, false},
+		"no report":        {http.StatusNotFound, registeredStart, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, report(registeredStart))
+			e := registry.Endpoint{ID: "e", Address: f.endpoint.Address, Started: registeredStart}
+			v := f.confirmer.Verification(e)
+			must.Eq(t, "/report", v.Request.URI)
+			err := v.Check(test.status, []byte(strconv.FormatInt(test.started.UnixMilli(), 10)))
+			must.Eq(t, test.ok, err == nil)
+			must.Eq(t, name != "restarted", f.place(), must.Sprint("other requests must not use a restarted one"))
+		})
+	}
+	must.Nil(t, newFixture(t, report(registeredStart)).confirmer.Verification(registry.Endpoint{ID: "e"}))
+}
--- a/direct/entry/handler.go
+++ b/direct/entry/handler.go
@@ -20,6 +20,7 @@
 	"github.com/acaciaspar/acaciaspar/direct/dispatch"
 	"github.com/acaciaspar/acaciaspar/protocol/dialect"
 	"github.com/acaciaspar/acaciaspar/protocol/outcome"
+	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/state/routing"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 	"github.com/acaciaspar/acaciaspar/transport/sockpeek"
@@ -66,6 +67,9 @@
 	Overload Overload
 	// Origins finds the builds that began streams.
 	Origins Origins
+	// Verification returns how a connection to an endpoint is verified before a stream that may be resumed
+	// is sent on it, or nil. It is nil if connections are not verified.
+	Verification func(registry.Endpoint) *endpointhttp.Verification
 
 	heldBytes atomic.Int64
 	inFlight  atomic.Int64
@@ -581,6 +585,7 @@
 	errEndpointGone    = withdrawnError("the endpoint stopped accepting requests")
 	errOutdatedEntries = withdrawnError("the endpoint stopped accepting requests, or this router is late to learn it")
 	errTurnPassed      = withdrawnError("the endpoint is cold and the turn for the request has passed")
+	errUnverified      = withdrawnError("the connection may reach another incarnation of the endpoint")
 )
 
 // recheck is called immediately before the request is sent to an endpoint. On a busy
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/acaciaspar/acaciaspar/state/registry"
 	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
 
@@ -71,6 +72,7 @@
 		idle = singleExecutionMaxIdle
 	}
 	return &endpointhttp.Request{
+		Verify: r.verification(a.assignment.Endpoint),
 		Method: r.in.Method, URI: r.uri(), Host: r.in.Host,
 		Header: r.endpointHeader(instance, now), Body: r.body,
 		ID: r.id, IDHeader: r.h.Dialect.RequestID, MaxIdleTime: idle,
@@ -86,6 +88,26 @@
 	}
 }
 
+// verification returns the verification of a connection on which the request is sent, or nil if any
+// incarnation of the endpoint may get it.
+func (r *request) verification(e registry.Endpoint) *endpointhttp.Verification {
+	if !r.isResumable() || r.h.Verification == nil {
+		return nil
+	}
+	v := r.h.Verification(e)
+	if v == nil {
+		return nil
+	}
+	check := v.Check
+	v.Check = func(status int, body []byte) error {
+		if check(status, body) != nil {
+			return errUnverified
+		}
+		return nil
+	}
+	return v
+}
+
 // copyResponseHeader copies the headers of an endpoint's response to the caller's
 // response, right before they are written.
 func (r *request) copyResponseHeader(from http.Header) {
--- a/direct/entry/incarnation_test.go
+++ b/direct/entry/incarnation_test.go
@@ -1,8 +1,10 @@
 package entry_test
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/acaciaspar/acaciaspar/direct/directtest"
 	"github.com/acaciaspar/acaciaspar/state/registry"
+	"github.com/acaciaspar/acaciaspar/transport/endpointhttp"
 )
 
 // Guards against a stream of two versions: the endpoint that began it crashes and comes back under its
@@ -58,3 +61,40 @@
 	must.Eq(t, http.StatusServiceUnavailable, r.post("/resumable/1").status)
 	must.Eq(t, 1, len(e.Calls()))
 }
+
+// Guards against a stream that goes on at an endpoint which restarted with other software while the store was
+// away, through a router that had no connection to it and so noticed nothing.
+func TestStreamGoesOnOnlyAtAVerifiedIncarnation(t *testing.T) {
+	for range 3 {
+		r := newRouter(t)
+		r.handler.Pool.Uncertain = func() bool { return true }
+		r.handler.Verification = func(e registry.Endpoint) *endpointhttp.Verification {
+			request := &endpointhttp.Request{Method: http.MethodGet, URI: "/report", Host: e.Address}
+			return &endpointhttp.Verification{Request: request, Check: func(_ int, body []byte) error {
+				if string(body) != e.Version {
+					return errors.New("restarted")
+				}
+				return nil
+			}}
+		}
+		script := func(version string, last int) directtest.Script {
+			return func(c net.Conn, call *directtest.Call) bool {
+				if call.URL.Path == "/report" {
+					directtest.Respond(c, call, http.StatusOK, version)
+					return true
+				}
+				return streamFrom(version, last, 4)(c, call)
+			}
+		}
+		r.addVersion("e0", "engines", "v1", script("v1", 2))
+		got := r.post("/resumable/1")
+		must.ErrorContains(t, got.err, "EOF")
+		r.addVersion("e1", "engines", "v1", script("v2", 4))
+		r.addVersion("e2", "engines", "v1", script("v2", 4))
+		refused := r.takeUp("id-1", 2)
+		must.False(t, strings.Contains(refused.body, "v2"), must.Sprint(refused.body))
+		r.addVersion("e3", "engines", "v1", script("v1", 4))
+		got = r.takeUp("id-1", 2)
+		must.False(t, strings.Contains(got.body, "v2"), must.Sprint(got.body))
+	}
+}
--- a/direct/process.go
+++ b/direct/process.go
@@ -246,7 +246,9 @@
 		Dispatcher: p.dispatcher, Pool: p.pool, Dialect: p.options.Dialect, Report: p.options.Report,
 		StoreAnswered: p.storeAnswered, Log: p.log, Metrics: p.metrics,
 	}
+	p.handler.Verification = p.confirmer.Verification
 	p.pool.OnBroken = p.doubtIncarnation
+	p.pool.Uncertain = func() bool { return p.endpoints.EntriesDue(time.Now()) > 0 }
 }
 
 // doubtIncarnation handles a broken connection to an endpoint. While the store answers, it tells of a
--- a/transport/endpointhttp/conn.go
+++ b/transport/endpointhttp/conn.go
@@ -69,6 +69,8 @@
 	net.Conn
 	head   *headReader
 	reader *bufio.Reader
+	// verified is set if the connection is known to reach the registered incarnation of the endpoint.
+	verified bool
 	// patient is set while TCP_USER_TIMEOUT is off.
 	patient bool
 	// requestsSent is the number of requests sent on the connection so far.
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -39,6 +39,9 @@
 	Recheck func(unread func() bool) error
 	// MaxIdleTime is the maximum idle time of a pooled connection used for the request.
 	MaxIdleTime time.Duration
+	// Verify, if not nil, verifies a connection that was opened while the pool was uncertain, before the
+	// request is sent on it. If it fails, the request is not sent.
+	Verify *Verification
 }
 
 // NotSentError reports that no byte of the request was sent.
@@ -126,6 +129,13 @@
 
 func (p *Pool) doOn(ctx context.Context, c *conn, t Target, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if r.Verify != nil && !c.verified {
+		if err := p.verify(ctx, c, t.Instance, r.Verify); err != nil {
+			stop()
+			_ = c.Close()
+			return nil, &NotSentError{Err: err}
+		}
+	}
 	response, err := c.exchange(ctx, r)
 	if NotSent(err) && stop() {
 		p.putUnused(t.Instance, c)
@@ -335,6 +345,11 @@
 	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
 }
 
+// keepsConnection reports whether the connection may carry another request.
+func (r *Response) keepsConnection() bool {
+	return r.complete && !r.early && !r.raw.Close && r.Framed() && r.conn.reader.Buffered() == 0
+}
+
 // Close returns the connection to the pool if the request and the response were
 // transferred completely and no unread bytes remain; otherwise it closes the
 // connection.
@@ -342,10 +357,9 @@
 	if r.conn == nil {
 		return
 	}
-	c := r.conn
+	c, keeps := r.conn, r.keepsConnection()
 	r.conn = nil
-	notCanceled := r.stop()
-	if !notCanceled || !r.complete || r.early || r.raw.Close || !r.Framed() || c.reader.Buffered() > 0 {
+	if notCanceled := r.stop(); !notCanceled || !keeps {
 		_ = c.Close()
 		return
 	}
--- a/transport/endpointhttp/pool.go
+++ b/transport/endpointhttp/pool.go
@@ -27,6 +27,9 @@
 	// and this process didn't close it. idle is set if no exchange was in progress on it. It is set
 	// before the pool is used.
 	OnBroken func(instance string, idle bool)
+	// Uncertain, if not nil, reports whether a connection that is opened now may reach another
+	// incarnation of an endpoint than the registered one. It is set before the pool is used.
+	Uncertain func() bool
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -62,6 +65,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
+	uncertain := p.Uncertain != nil && p.Uncertain()
 	c, err := dial(ctx, t.Address, p.DialTimeout)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -69,6 +73,7 @@
 		}
 		return nil, err
 	}
+	c.verified = !uncertain
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
