Endpoints that report no start time are used without a verification

Cause: the verification of a connection refused an endpoint whose report names no start time, so that resumable streams found none for 2.5 s after the start of a router.

Change: if the report names no start time, the request is sent on another connection, as before the verification. The end of the verification's time, or of the request, ends the connection in any case.

--- a/direct/confirm/confirm.go
+++ b/direct/confirm/confirm.go
@@ -141,13 +141,16 @@
 	}
 	check := func(status int, body []byte) error {
 		started, err := c.decodeReport(status, body)
-		if err == nil && !started.Equal(e.Started) {
+		switch {
+		case err == nil && started.Equal(e.Started):
+			return nil
+		case err == nil:
 			c.Dispatcher.DoubtIncarnation(time.Now(), e.ID)
 			err = errRestarted
+		case !errors.Is(err, errOtherEndpoint):
+			return endpointhttp.ErrCannotVerify
 		}
-		if err != nil {
-			c.Log.Info("connection to an endpoint not used", "endpoint", e.ID, "started", started, "registered", e.Started, "error", err.Error())
-		}
+		c.Log.Info("connection to an endpoint not used", "endpoint", e.ID, "started", started, "registered", e.Started, "error", err.Error())
 		return err
 	}
 	return &endpointhttp.Verification{Request: c.reportRequest(e), Check: check}
--- a/direct/entry/headers.go
+++ b/direct/entry/headers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -100,10 +101,11 @@
 	}
 	check := v.Check
 	v.Check = func(status int, body []byte) error {
-		if check(status, body) != nil {
-			return errUnverified
+		err := check(status, body)
+		if err == nil || errors.Is(err, endpointhttp.ErrCannotVerify) {
+			return err
 		}
-		return nil
+		return errUnverified
 	}
 	return v
 }
--- a/transport/endpointhttp/exchange.go
+++ b/transport/endpointhttp/exchange.go
@@ -128,14 +128,13 @@
 }
 
 func (p *Pool) doOn(ctx context.Context, c *conn, t Target, r *Request) (*Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Verify != nil && !c.verified {
-		if err := p.verify(ctx, c, t.Instance, r.Verify); err != nil {
-			stop()
-			_ = c.Close()
+		var err error
+		if c, err = p.verified(ctx, c, t, r.Verify); err != nil {
 			return nil, &NotSentError{Err: err}
 		}
 	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := c.exchange(ctx, r)
 	if NotSent(err) && stop() {
 		p.putUnused(t.Instance, c)
