review: case 14, engines that restart in place beside a store in order

Shows that streams go on at another software version if workers restart in place and their entries follow one heartbeat later (ORDER, an entry of docs/incidents that was suspected and not shown).

A case that is ended by a signal ends its routers before it writes anything.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"streams": runStreams,
 	"takeups": runTakeUps,
+	"inplace": runInPlace,
 	"deadly":  runDeadly,
 	"budget":  runBudget,
 }
@@ -57,18 +58,22 @@
 
 // endEarly ends the processes of the case and this one at a signal or after maxTime.
 func endEarly(r *record) {
+	// A reader of the output that has gone must not end this process before its routers.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
+		reason := ""
 		select {
 		case s := <-signals:
-			r.summary("the case could not run: ended by %v", s)
+			reason = "ended by " + s.String()
 		case <-time.After(maxTime):
-			r.summary("the case could not run: it took longer than %v", maxTime)
+			reason = "it took longer than " + maxTime.String()
 		}
 		if f := started.Load(); f != nil {
 			f.close()
 		}
+		r.summary("the case could not run: %s", reason)
 		os.Exit(2)
 	}()
 }
--- a/review/standins-3/streams.go
+++ b/review/standins-3/streams.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -30,8 +31,8 @@
 	mostLate  = 6 * time.Second
 	// secondKill is the time between the two kills of all routers.
 	secondKill = 6 * time.Second
-	cycles     = 3
-	cycleTime  = 24 * time.Second
+	cycles     = 4
+	cycleTime  = 20 * time.Second
 	// maxMixed is the number of streams that may hold events of two versions.
 	maxMixed = 2
 )
@@ -48,6 +49,15 @@
 	// events is the number of events of the whole stream. order is set while none was missing or came twice.
 	events int
 	order  bool
+	// sharedTokens is the size of the part that the prompts of all streams share.
+	sharedTokens int
+}
+
+// ownPart returns a number for the part of the prompt that only this stream has.
+func ownPart(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
 }
 
 // mixed reports whether the stream holds events of two versions.
@@ -73,7 +83,7 @@
 	h.Set(name("request-id"), id)
 	h.Set(name("model"), "m")
 	h.Set(name("token-counts"), "628,300")
-	h.Set(name("prompt-prefix"), fmt.Sprintf("%x:119,%x:509", 7, len(s.id)*1000+len(id)))
+	h.Set(name("prompt-prefix"), fmt.Sprintf("7:%d,%x:509", max(s.sharedTokens, 119), ownPart(s.id)))
 	if deadline, ok := ctx.Deadline(); ok {
 		h.Set(name("deadline"), strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
