Streams stay at their version after late writes of an earlier process

Cause: a router numbered its records of origins by those that it found in the store. A write of the process before whose answer was lost isn't found; executed later, it replaced a record that the new process had saved under the same key. The streams in that record were then taken for ones of the implied build.

Change: each save has a key of its own, ROUTER/PROCESS/NUMBER, which is written once and removed only after its record was acknowledged or read, so no order of the writes hides a record. Removals go with the next save of the same process; the keepers of the implied builds remove those of processes that are gone.

TestRecordWithAHugeNumberIsIgnored read the number behind "origins/r1/", where the random process now stands; it reads the last part of the key, and now also requires that records of other writers are left alone.

--- a/direct/directtest/store.go
+++ b/direct/directtest/store.go
@@ -182,7 +182,7 @@
 }
 
 // Write implements follow.Store.
-func (s *Store) Write(_ context.Context, topic follow.Topic, key string, value []byte) (int64, error) {
+func (s *Store) Write(_ context.Context, topic follow.Topic, key string, value []byte, removals ...string) (int64, error) {
 	s.mu.Lock()
 	unreachable, era := s.unreachable, s.era
 	s.mu.Unlock()
@@ -190,6 +190,9 @@
 		return 0, ErrUnreachable
 	}
 	s.Append(topic, key, string(value))
+	for _, removal := range removals {
+		s.Append(topic, removal, "")
+	}
 	return era, nil
 }
 
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -555,10 +555,10 @@
 	return f.write(ctx, Crashes, crashesKey, value)
 }
 
-// write appends a record to a topic and returns the era to which it belongs.
-func (f *Follower) write(ctx context.Context, topic Topic, key string, value []byte) (era int64, err error) {
+// write appends a record and removals to a topic and returns the era to which they belong.
+func (f *Follower) write(ctx context.Context, topic Topic, key string, value []byte, removals ...string) (era int64, err error) {
 	err = f.call(ctx, topic, callMargin, func(ctx context.Context) (err error) {
-		era, err = f.store.Write(ctx, topic, key, value)
+		era, err = f.store.Write(ctx, topic, key, value, removals...)
 		return err
 	})
 	return era, err
@@ -588,8 +588,8 @@
 }
 
 // SaveStreams implements origins.Store.
-func (f *Follower) SaveStreams(ctx context.Context, key string, value []byte) error {
-	_, err := f.write(ctx, Streams, key, value)
+func (f *Follower) SaveStreams(ctx context.Context, key string, value []byte, removals []string) error {
+	_, err := f.write(ctx, Streams, key, value, removals...)
 	return err
 }
 
--- a/direct/follow/lost_calls_test.go
+++ b/direct/follow/lost_calls_test.go
@@ -75,9 +75,9 @@
 	}
 }
 
-func (s *lossyStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte) (era int64, err error) {
+func (s *lossyStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte, removals ...string) (era int64, err error) {
 	_, err = s.answer(ctx, topic, false, func(ctx context.Context) (mirror.Batch, error) {
-		era, err = s.Store.Write(ctx, topic, key, value)
+		era, err = s.Store.Write(ctx, topic, key, value, removals...)
 		return mirror.Batch{}, err
 	})
 	return era, err
--- a/direct/follow/store.go
+++ b/direct/follow/store.go
@@ -47,10 +47,11 @@
 	// store doesn't hold the records at from: they were compacted, or the store was
 	// restored from a copy that ends before.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
-	// Write appends a record to Members, Crashes or Streams and returns the era that it belongs
-	// to. If the store is restored from a copy later, the record may be lost.
-	Write(ctx context.Context, topic Topic, key string, value []byte) (era int64, err error)
-	// WriteAt does the same if the topic ends at the offset at, and otherwise returns an error.
+	// Write appends a record to Members, Crashes or Streams, and tombstones of the keys in removals, all
+	// or none, and returns the era that they belong to. If the store is restored from a copy later, they may
+	// be lost. If the call fails, the store may still execute it much later, after other writes to the key.
+	Write(ctx context.Context, topic Topic, key string, value []byte, removals ...string) (era int64, err error)
+	// WriteAt appends a record if the topic ends at the offset at, and otherwise returns an error.
 	WriteAt(ctx context.Context, topic Topic, key string, value []byte, at int64) (era int64, err error)
 }
 
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,13 +23,10 @@
 	// refreshInterval is the shortest interval at which the store is read because a lease of the implied
 	// builds ages, or an implied build is unknown or without endpoints.
 	refreshInterval = 2 * time.Second
-	// impliedKey is the key of the record with the implied builds, and originsKeyPrefix begins those of
-	// the records with origins.
-	impliedKey       = "implied-builds"
-	originsKeyPrefix = "origins/"
-	// maxSlot bounds the numbers of a router's records. It saves at most 25 a second, and uses each
-	// number again after retention.
-	maxSlot = 1 << 20
+	// removalInterval is the interval at which expired records of other routers are removed.
+	removalInterval = 5 * time.Second
+	// impliedKey is the key of the record with the implied builds.
+	impliedKey = "implied-builds"
 	// minRetention is the shortest time for which origins are kept.
 	minRetention = 30 * time.Second
 	// loadWait bounds how long a caller waits for a reading of saved origins, which may go on.
@@ -46,15 +42,15 @@
 )
 
 var (
-	errNotLoaded   = errors.New("the saved origins have not been read yet")
 	errUnknownKey  = errors.New("the key is of no saved origins and no implied builds")
 	errEarlierRead = errors.New("the reply is of an earlier era of the store")
 )
 
 // Store is the part of the store that holds the saved origins.
 type Store interface {
-	// SaveStreams writes a record under a key.
-	SaveStreams(ctx context.Context, key string, value []byte) error
+	// SaveStreams writes a record under a key and removes the records under others, all or none. An
+	// empty value removes the record. If it fails, the store may still do it much later.
+	SaveStreams(ctx context.Context, key string, value []byte, removals []string) error
 	// SaveStreamsAt writes a record if the topic ends at a position, and otherwise returns an
 	// error.
 	SaveStreamsAt(ctx context.Context, key string, value []byte, end mirror.Position) error
@@ -115,8 +111,9 @@
 	policy streamorigin.ImpliedPolicy
 	// longestStream is the longest time that a stream could last since this process started.
 	longestStream time.Duration
-	// refreshedAt is the time of the latest read for the implied builds. Only the upkeep uses it.
-	refreshedAt time.Time
+	// refreshedAt is the time of the latest read for the implied builds, and removedAt that of the latest
+	// removal of expired records. Only the upkeep uses them.
+	refreshedAt, removedAt time.Time
 }
 
 // New returns Origins that know no stream. Run saves and loads them.
@@ -350,6 +347,7 @@
 			o.noteEra(o.options.Store.Era())
 			o.refreshImplied(ctx, now)
 			o.saveImplied(ctx, now)
+			o.removeExpired(ctx, now)
 		}
 	}
 }
@@ -439,6 +437,14 @@
 	o.loadSince(ctx, time.Now())
 }
 
+// removeExpired removes the expired records of routers that are gone.
+func (o *Origins) removeExpired(ctx context.Context, now time.Time) {
+	if now.Sub(o.removedAt) >= removalInterval && o.options.Saves() && o.canSave(now) {
+		o.removedAt = now
+		o.saver.removeExpired(ctx)
+	}
+}
+
 // nextImplied returns the implied builds that should be saved, the position up to which the store was
 // read, and whether they differ from the saved ones.
 func (o *Origins) nextImplied() (streamorigin.ImpliedBuilds, mirror.Position, bool) {
@@ -510,12 +516,9 @@
 		return errEarlierRead
 	}
 	now := time.Now()
-	var ownSlots []int
+	o.saver.noteRecords(now, batch)
 	o.mu.Lock()
-	defer func() {
-		o.mu.Unlock()
-		o.saver.occupy(now, ownSlots)
-	}()
+	defer o.mu.Unlock()
 	if !o.hasLoaded {
 		o.era = batch.End.Era
 	}
@@ -527,9 +530,6 @@
 		if r.IsTombstone() {
 			continue
 		}
-		if slot, ok := o.ownSlot(r.Key); ok {
-			ownSlots = append(ownSlots, slot)
-		}
 		if err := o.mergeRecord(now, r); err != nil {
 			o.options.Log.Warn("invalid saved origins ignored", "key", r.Key, "error", err.Error())
 		}
@@ -551,16 +551,6 @@
 	o.lease = streamorigin.Lease{ImpliedBuilds: builds, ReadAt: began}
 }
 
-// ownSlot returns the slot of one of this router's records, which may be of an earlier process.
-func (o *Origins) ownSlot(key string) (slot int, ok bool) {
-	text, ok := strings.CutPrefix(key, originsKeyPrefix+o.options.Name+"/")
-	if !ok {
-		return 0, false
-	}
-	slot, err := strconv.Atoi(text)
-	return slot, err == nil && slot >= 0 && slot <= maxSlot
-}
-
 func (o *Origins) mergeRecord(now time.Time, r mirror.Record) error {
 	if r.Key == impliedKey {
 		implied, err := streamorigin.DecodeImplied(r.Value)
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -177,6 +177,18 @@
 	return o
 }
 
+// savedKeys returns the keys of the records with origins that the store holds.
+func (f *routers) savedKeys() (keys []string) {
+	listed, err := f.store.List(f.t.Context(), follow.Streams)
+	must.NoError(f.t, err)
+	for _, r := range listed.Records {
+		if strings.HasPrefix(r.Key, "origins/") {
+			keys = append(keys, r.Key)
+		}
+	}
+	return keys
+}
+
 const (
 	build      = streamorigin.Build(7)
 	otherBuild = streamorigin.Build(8)
@@ -440,7 +452,7 @@
 }
 
 // Guards against numbers of records that overflow because a record of another writer has the
-// largest one.
+// largest one, and against a removal of such records, which nobody of the fleet has written.
 func TestRecordWithAHugeNumberIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newRouters(t, build, build, otherBuild)
@@ -453,15 +465,19 @@
 		for i := range 3 {
 			must.True(t, o.Begin(t.Context(), fmt.Sprint("id-", i), onChat, otherBuild))
 		}
-		listed, err := f.store.List(t.Context(), follow.Streams)
-		must.NoError(t, err)
-		for _, r := range listed.Records {
-			if number, ok := strings.CutPrefix(r.Key, "origins/r1/"); ok && !slices.Contains(foreign, r.Key) {
-				n, err := strconv.Atoi(number)
-				must.NoError(t, err)
-				must.Between(t, 0, n, 9)
+		own, others := 0, 0
+		for _, key := range f.savedKeys() {
+			if slices.Contains(foreign, key) {
+				others++
+				continue
 			}
+			own++
+			n, err := strconv.Atoi(key[strings.LastIndexByte(key, '/')+1:])
+			must.NoError(t, err)
+			must.Between(t, 0, n, 9)
 		}
+		must.Positive(t, own)
+		must.Eq(t, len(foreign), others)
 		f.kill()
 	})
 }
@@ -603,9 +619,9 @@
 // slowStore is a store whose writes take almost as long as a router waits for one.
 type slowStore struct{ *directtest.Store }
 
-func (s slowStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte) (int64, error) {
+func (s slowStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte, removals ...string) (int64, error) {
 	time.Sleep(390 * time.Millisecond)
-	return s.Store.Write(ctx, topic, key, value)
+	return s.Store.Write(ctx, topic, key, value, removals...)
 }
 
 // Guards against streams that begin again at a build that needs a saved origin, because each save
--- a/direct/origins/saver.go
+++ b/direct/origins/saver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 const (
@@ -54,7 +54,8 @@
 	began time.Time
 	// lateAt is when a first event last waited in vain.
 	lateAt time.Time
-	slots  slots
+	// records are those that the store holds.
+	records records
 }
 
 type pendingSave struct {
@@ -64,7 +65,7 @@
 
 func newSaver(o *Origins) *saver {
 	return &saver{
-		origins: o, wake: make(chan struct{}, 1),
+		origins: o, wake: make(chan struct{}, 1), records: newRecords(o.options.Name),
 		saves:    metrics.GetOrRegisterCounter("direct.origin_saves", o.options.Metrics),
 		failed:   metrics.GetOrRegisterCounter("direct.origin_saves_failed", o.options.Metrics),
 		waitedMs: metrics.GetOrRegisterCounter("direct.origin_wait_ms", o.options.Metrics),
@@ -200,27 +201,73 @@
 	return true
 }
 
-// write saves origins as one record.
+// write saves origins as one record, and removes expired ones with the same call.
 func (s *saver) write(ctx context.Context, origins []streamorigin.SavedOrigin) error {
 	s.mu.Lock()
 	s.began = time.Now()
+	key := s.records.nextKey()
 	s.mu.Unlock()
-	// Before the first load, the slots of an earlier process aren't known.
-	if !s.origins.loadFirst(ctx) {
-		return errNotLoaded
+	return s.writeRecord(ctx, key, streamorigin.Encode(origins), s.takeExpired(false))
+}
+
+// removeExpired removes the expired records of this process and of others.
+func (s *saver) removeExpired(ctx context.Context) {
+	expired := s.takeExpired(true)
+	if len(expired) == 0 {
+		return
+	}
+	if err := s.writeRecord(ctx, expired[0].key, nil, expired); err != nil {
+		s.origins.options.Log.Warn("remove saved origins of streams failed; retrying", "records", len(expired), "error", err.Error())
 	}
-	now := time.Now()
+}
+
+func (s *saver) takeExpired(withOthers bool) []heldRecord {
+	retention := s.origins.retention()
 	s.mu.Lock()
-	slot := s.slots.next(now, s.origins.retention())
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.records.takeExpired(time.Now(), retention, withOthers)
+}
+
+// writeRecord writes a record and removes expired ones with the same call. An empty value removes the record.
+func (s *saver) writeRecord(ctx context.Context, key string, value []byte, expired []heldRecord) error {
+	var removals []string
+	for _, e := range expired {
+		if e.key != key {
+			removals = append(removals, e.key)
+		}
+	}
 	call, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	return s.origins.options.Store.SaveStreams(call, fmt.Sprintf("%s%s/%d", originsKeyPrefix, s.origins.options.Name, slot), streamorigin.Encode(origins))
+	err := s.origins.options.Store.SaveStreams(call, key, value, removals)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.records.putBack(expired)
+		return err
+	}
+	if len(value) > 0 {
+		s.records.add(time.Now(), key)
+	}
+	for _, e := range expired {
+		s.records.remove(e.key)
+	}
+	return nil
 }
 
-// occupy records the slots that an earlier process of this router has written.
-func (s *saver) occupy(now time.Time, occupied []int) {
+// noteRecords records which records a read returned.
+func (s *saver) noteRecords(now time.Time, batch mirror.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots.occupy(now, occupied)
+	listed := make(map[string]bool, len(batch.Records))
+	for _, r := range batch.Records {
+		listed[r.Key] = true
+		if r.IsTombstone() {
+			s.records.remove(r.Key)
+		} else {
+			s.records.add(now, r.Key)
+		}
+	}
+	if batch.Complete {
+		s.records.keepOnly(listed)
+	}
 }
