Saved crashes of all routers are kept, also beside late writes

What callers would see: after a restart of all routers, requests that crash engines are passed on again until they have crashed two more, although the fleet had quarantined them.

Cause, the same as for the records of origins: all routers wrote one record, without a condition. A write of another router, or one that the store executed late, replaced newer observations.

Change: a router reads the record, merges it and writes it under the condition that nothing was written since; if that fails it repeats both, after a random delay.

--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,7 +16,8 @@
 	// saveInterval is the interval at which new observations of crashes are written to
 	// the store, for routers that start when no other is running.
 	saveInterval = 500 * time.Millisecond
-	// saveRetryDelay is the delay before a failed write is repeated.
+	// saveRetryDelay is the mean delay before a failed write is repeated. It is random: routers that
+	// observe the same crash write at the same time, and only one of them succeeds.
 	saveRetryDelay = 2 * time.Second
 	// minLoadBackoff and maxLoadAttempts bound the reading of these observations from a
 	// store that does not respond. Peers send them, too.
@@ -49,22 +51,41 @@
 			if now.Before(retryAt) || !p.follower.StoreAnswers() || !p.dispatcher.TakeUnsavedCrashes() {
 				continue
 			}
-			era, err := p.follower.SaveCrashes(ctx, encodeSaved(now, p.dispatcher.CrashFacts()))
+			era, err := p.saveCrashes(ctx)
 			savedEra = era
 			if err != nil {
 				savedEra = unsavedEra
 				p.log.Warn("save crashes failed; retrying", "error", err.Error())
 				p.dispatcher.KeepCrashesUnsaved()
-				retryAt = now.Add(saveRetryDelay)
+				retryAt = now.Add(saveRetryDelay/2 + rand.N(saveRetryDelay))
 			}
 		}
 	}
 }
 
+// saveCrashes adds this router's observations to those in the store, and returns the era of the record. It
+// is written only if nothing was written since the reading, so that neither another router's
+// write nor one that the store executes late hides observations.
+func (p *process) saveCrashes(ctx context.Context) (era int64, err error) {
+	saved, end, err := p.follower.LoadCrashes(ctx)
+	if err != nil {
+		return unsavedEra, err
+	}
+	now := time.Now()
+	if saved != nil {
+		if facts, err := decodeSaved(now, saved); err != nil {
+			p.log.Warn("saved crashes can't be read; replacing them", "error", err.Error())
+		} else {
+			p.dispatcher.MergeCrashFacts(now, facts)
+		}
+	}
+	return end.Era, p.follower.SaveCrashes(ctx, encodeSaved(now, p.dispatcher.CrashFacts()), end)
+}
+
 func (p *process) loadCrashes(ctx context.Context) {
 	backoff := minLoadBackoff
 	for range maxLoadAttempts {
-		saved, err := p.follower.LoadCrashes(ctx)
+		saved, _, err := p.follower.LoadCrashes(ctx)
 		now := time.Now()
 		var facts quarantine.Facts
 		if err == nil && saved != nil {
--- a/direct/crashes_test.go
+++ b/direct/crashes_test.go
@@ -32,7 +32,7 @@
 func (readingPeer) HasStoreReader() bool { return true }
 
 // startCrashKeeper starts the part of a router that keeps crashes in the store.
-func startCrashKeeper(ctx context.Context, store *directtest.Store) (*process, *registry.Table) {
+func startCrashKeeper(ctx context.Context, store follow.Store) (*process, *registry.Table) {
 	endpoints := registry.NewTable()
 	p := &process{
 		log:        slog.New(slog.DiscardHandler),
@@ -43,28 +43,27 @@
 	return p, endpoints
 }
 
-func waitUntilQuarantined(t *testing.T, p *process) {
+func waitUntilQuarantined(t *testing.T, p *process, crashing prompt.Cost) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), crashingPrompt, 0) != nil }),
+		wait.BoolFunc(func() bool { return p.dispatcher.Quarantine(time.Now(), crashing, 0) != nil }),
 		wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
 
-// crashEngines lets two engines crash with crashingPrompt at router p and waits until it is
-// quarantined.
-func crashEngines(t *testing.T, p *process, endpoints *registry.Table) {
+// crashEngines lets two engines crash with a prompt at router p and waits until it is quarantined.
+func crashEngines(t *testing.T, p *process, endpoints *registry.Table, crashing prompt.Cost) {
 	t.Helper()
 	for i := range 2 {
 		id := fmt.Sprintf("engine-%d", i)
 		endpoints.Put(registry.Endpoint{ID: id, Service: "engines", Zone: "z", Slots: 8})
 		now := time.Now().Add(time.Duration(i) * time.Second)
-		a, refusal := p.dispatcher.PlaceEngine(now, &dispatch.Request{Service: "engines", Cost: crashingPrompt, Target: time.Minute})
+		a, refusal := p.dispatcher.PlaceEngine(now, &dispatch.Request{Service: "engines", Cost: crashing, Target: time.Minute})
 		must.Nil(t, refusal)
 		a.Interrupted(now, true)
 		a.End(now, endpointload.Failed)
 		p.dispatcher.RecordConnectFailure(now, a.Endpoint.ID)
 	}
-	waitUntilQuarantined(t, p)
+	waitUntilQuarantined(t, p, crashing)
 }
 
 // Guards against a fleet that forgets the parts that crash engines when all routers stop
@@ -73,10 +72,10 @@
 	store := directtest.NewStore()
 	ctx, stop := context.WithCancel(t.Context())
 	first, endpoints := startCrashKeeper(ctx, store)
-	crashEngines(t, first, endpoints)
+	crashEngines(t, first, endpoints, crashingPrompt)
 	must.Wait(t, wait.InitialSuccess(
 		wait.BoolFunc(func() bool {
-			saved, err := first.follower.LoadCrashes(ctx)
+			saved, _, err := first.follower.LoadCrashes(ctx)
 			return err == nil && saved != nil
 		}), wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 	stop()
@@ -85,7 +84,7 @@
 	second, _ := startCrashKeeper(t.Context(), store)
 	must.Nil(t, second.dispatcher.Quarantine(time.Now(), crashingPrompt, 0))
 	store.SetUnreachable(false)
-	waitUntilQuarantined(t, second)
+	waitUntilQuarantined(t, second, crashingPrompt)
 }
 
 // Guards against saved crashes that were lost when the store was restored from an older
@@ -94,9 +93,9 @@
 	store := directtest.NewStore()
 	empty := store.Copy()
 	p, endpoints := startCrashKeeper(t.Context(), store)
-	crashEngines(t, p, endpoints)
+	crashEngines(t, p, endpoints, crashingPrompt)
 	isSaved := wait.BoolFunc(func() bool {
-		saved, err := p.follower.LoadCrashes(t.Context())
+		saved, _, err := p.follower.LoadCrashes(t.Context())
 		return err == nil && saved != nil
 	})
 	must.Wait(t, wait.InitialSuccess(isSaved, wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
@@ -107,6 +106,62 @@
 	must.Wait(t, wait.InitialSuccess(isSaved, wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
 }
 
+// lateStore executes a router's writes only when they are released, without an answer. Conditions are
+// checked then.
+type lateStore struct {
+	*directtest.Store
+	sent    chan struct{}
+	release chan struct{}
+	done    chan struct{}
+}
+
+func (s *lateStore) execute(ctx context.Context, write func()) (int64, error) {
+	go func() {
+		<-s.release
+		write()
+		close(s.done)
+	}()
+	close(s.sent)
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (s *lateStore) Write(ctx context.Context, topic follow.Topic, key string, value []byte, removals ...string) (int64, error) {
+	return s.execute(ctx, func() { _, _ = s.Store.Write(context.Background(), topic, key, value, removals...) })
+}
+
+func (s *lateStore) WriteAt(ctx context.Context, topic follow.Topic, key string, value []byte, at int64) (int64, error) {
+	return s.execute(ctx, func() { _, _ = s.Store.WriteAt(context.Background(), topic, key, value, at) })
+}
+
+// Guards against a quarantine that is lost at a restart of all routers because another router's record replaced
+// the one with its crashes: a record that was written at the same time, or one that the store executed late.
+func TestSavedCrashesOfAllRoutersAreKept(t *testing.T) {
+	otherPrompt := prompt.Parse("77:800,bad:10,e5:250", "", "")
+	store := directtest.NewStore()
+	ctx, stop := context.WithCancel(t.Context())
+	late := &lateStore{Store: store, sent: make(chan struct{}), release: make(chan struct{}), done: make(chan struct{})}
+	killedCtx, kill := context.WithCancel(ctx)
+	killed, endpoints := startCrashKeeper(killedCtx, late)
+	crashEngines(t, killed, endpoints, crashingPrompt)
+	<-late.sent
+	kill()
+	for _, crashing := range []prompt.Cost{crashingPrompt, otherPrompt} {
+		p, endpoints := startCrashKeeper(ctx, store)
+		before := store.Len(follow.Crashes)
+		crashEngines(t, p, endpoints, crashing)
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return store.Len(follow.Crashes) > before }),
+			wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	}
+	close(late.release)
+	<-late.done
+	stop()
+
+	next, _ := startCrashKeeper(t.Context(), store)
+	waitUntilQuarantined(t, next, crashingPrompt)
+	waitUntilQuarantined(t, next, otherPrompt)
+}
+
 // Guards against saved crashes that get younger or older with each restart, and against
 // ones from a host whose clock is ahead.
 func TestSavedCrashesKeepTheirAge(t *testing.T) {
--- a/direct/follow/follower.go
+++ b/direct/follow/follower.go
@@ -546,13 +546,13 @@
 	return 0
 }
 
-// crashesKey is the key of the only record of Crashes. A router writes all that it knows.
+// crashesKey is the key of the only record of Crashes.
 const crashesKey = "crashes"
 
-// SaveCrashes writes what is known about requests that crash engines to the store. It
-// returns the era to which the record belongs.
-func (f *Follower) SaveCrashes(ctx context.Context, value []byte) (era int64, err error) {
-	return f.write(ctx, Crashes, crashesKey, value)
+// SaveCrashes writes what is known about requests that crash engines to the store, in place of what
+// LoadCrashes returned with a position. It fails if another router has written since.
+func (f *Follower) SaveCrashes(ctx context.Context, value []byte, end mirror.Position) error {
+	return f.writeAt(ctx, Crashes, crashesKey, value, end)
 }
 
 // write appends a record and removals to a topic and returns the era to which they belong.
@@ -573,18 +573,18 @@
 	return batch, err
 }
 
-// LoadCrashes returns what SaveCrashes wrote last, or nil.
-func (f *Follower) LoadCrashes(ctx context.Context) ([]byte, error) {
+// LoadCrashes returns what SaveCrashes wrote last, or nil, and the position up to which it read.
+func (f *Follower) LoadCrashes(ctx context.Context) ([]byte, mirror.Position, error) {
 	batch, err := f.listRecords(ctx, Crashes)
 	if err != nil {
-		return nil, err
+		return nil, mirror.Position{}, err
 	}
 	for _, r := range batch.Records {
 		if r.Key == crashesKey && !r.IsTombstone() {
-			return r.Value, nil
+			return r.Value, batch.End, nil
 		}
 	}
-	return nil, nil
+	return nil, batch.End, nil
 }
 
 // SaveStreams implements origins.Store.
@@ -595,9 +595,14 @@
 
 // SaveStreamsAt implements origins.Store.
 func (f *Follower) SaveStreamsAt(ctx context.Context, key string, value []byte, end mirror.Position) error {
+	return f.writeAt(ctx, Streams, key, value, end)
+}
+
+// writeAt appends a record to a topic if that ends at a position.
+func (f *Follower) writeAt(ctx context.Context, topic Topic, key string, value []byte, end mirror.Position) error {
 	var era int64
-	err := f.call(ctx, Streams, callMargin, func(ctx context.Context) (err error) {
-		era, err = f.store.WriteAt(ctx, Streams, key, value, end.Next)
+	err := f.call(ctx, topic, callMargin, func(ctx context.Context) (err error) {
+		era, err = f.store.WriteAt(ctx, topic, key, value, end.Next)
 		return err
 	})
 	if err == nil && era != end.Era {
