A build that replaced another is settled once all routers have read it

The streams were refused with 503, "the origin of the stream is unknown", for half a minute, although one version was left and new streams began.

Cause: an implied build that replaced another was settled only by time, counted anew by each process: the lease of a router that can't be asked (20 s), and the longest stream.

Change: processes register in the topic of the origins, act on leases only while they are registered, and acknowledge in their load reports what they have read, once all origins are saved that an earlier record allowed to omit. A build that replaced a settled one is settled when all processes have acknowledged that, about two seconds later. Where one can't be asked, the wait stays.

The formats of the load report and of the implied builds change. Routers of the version before ignore the new ones and save all origins meanwhile. TestImpliedBuildIsReplacedOnlyAfterItsStreamsEnded expects the new state of a replaced build; the delays that it checks are the same.

--- a/coordination/streamorigin/encode.go
+++ b/coordination/streamorigin/encode.go
@@ -14,7 +14,7 @@
 	// originBytes is the size of an encoded origin.
 	originBytes = 13
 	// impliedFormatVersion is the first byte of the implied builds.
-	impliedFormatVersion = 3
+	impliedFormatVersion = 4
 	// impliedHeaderBytes and impliedBytes are the sizes of the header and of one implied build.
 	impliedHeaderBytes = 9
 	impliedBytes       = 17
@@ -57,7 +57,7 @@
 			invalid = "route"
 		case i.Build == AnyBuild:
 			invalid = "build"
-		case i.State > Removed:
+		case i.State > Replacing:
 			invalid = "state"
 		case i.Since < 0:
 			invalid = "offset"
--- a/coordination/streamorigin/implied.go
+++ b/coordination/streamorigin/implied.go
@@ -47,6 +47,9 @@
 	Settled
 	// Removed is the state of a route that isn't in the configuration. Its streams may go on at another one.
 	Removed
+	// Replacing builds are unsettled, and have replaced a settled one of the route in the same era. All processes
+	// that may act on the settled one were registered in this era, see Processes.
+	Replacing
 )
 
 // ImpliedBuilds is the content of the store's record of implied builds.
@@ -140,10 +143,12 @@
 // ImpliedPolicy decides when a router may change the implied builds in the store. That a stream never
 // goes on at another build depends only on the order of the changes: an unsettled build may replace
 // any other at once, and is settled after no router can hold a lease of the earlier one and the
-// streams that began under it have ended. It is not safe for concurrent use.
+// streams that began under it have ended or have saved origins. It is not safe for concurrent use.
 type ImpliedPolicy struct {
 	// FirstStart is set if the whole fleet starts for the first time: no stream began before.
 	FirstStart bool
+	// Processes holds the processes of all routers, or is nil if they aren't known.
+	Processes *Processes
 
 	// unusedSince holds, by route, since when the implied build has had no endpoint.
 	unusedSince map[Route]time.Time
@@ -203,9 +208,15 @@
 				best = saved.Of[r].Build
 			}
 			i = Implied{Build: best, Since: end}
-		case i.State == Removed, p.isUnused(now, r, builds[i.Build]):
+		case i.State == Removed:
 			i = Implied{Build: best, Since: end}
-		case i.State == Unsettled && now.Sub(p.firstSeen(now, r, i, era)) >= delay:
+		case p.isUnused(now, r, builds[i.Build]):
+			if i.State == Settled {
+				i.State = Replacing
+			}
+			i.Build, i.Since = best, end
+		case i.State != Settled && now.Sub(p.firstSeen(now, r, i, era)) >= delay,
+			i.State == Replacing && p.Processes != nil && p.Processes.AllAcknowledged(now, era, i.Since, longestStream):
 			i.State = Settled
 		default:
 			continue
--- a/coordination/streamorigin/implied_test.go
+++ b/coordination/streamorigin/implied_test.go
@@ -79,7 +79,7 @@
 	mustKeep(3*time.Minute+unusedDelay-1, absent)
 	i, changed := next(3*time.Minute+unusedDelay, absent)
 	must.True(t, changed)
-	must.Eq(t, Implied{Build: 2, Since: 9}, i)
+	must.Eq(t, Implied{Build: 2, State: Replacing, Since: 9}, i)
 
 	saved = implied(0, i)
 	mustKeep(4*time.Minute, absent)
--- a/coordination/streamorigin/table.go
+++ b/coordination/streamorigin/table.go
@@ -257,6 +257,9 @@
 	return taken
 }
 
+// HasUnsaved reports whether TakeUnsaved would return any.
+func (t *Table) HasUnsaved() bool { return len(t.unsaved) > 0 }
+
 // Expire drops the origins that are older than two periods of retention.
 func (t *Table) Expire(now time.Time, retention time.Duration) {
 	if t.periodStart.IsZero() {
--- a/coordination/streamorigin/table_test.go
+++ b/coordination/streamorigin/table_test.go
@@ -170,7 +170,7 @@
 	twice := EncodeImplied(*implied(1, Implied{Build: 1}))
 	twice = append(twice, twice[impliedHeaderBytes:]...)
 	state := EncodeImplied(*implied(1, Implied{Build: 1}))
-	state[impliedHeaderBytes+8] = byte(Removed + 1)
+	state[impliedHeaderBytes+8] = byte(Replacing + 1)
 	for field, raw := range map[string][]byte{
 		"format": append([]byte{1}, make([]byte, impliedHeaderBytes-1)...), "length": {impliedFormatVersion, 1},
 		"build": EncodeImplied(*implied(1, Implied{})), "era": EncodeImplied(*implied(-1, Implied{Build: 1})),
--- a/direct/mesh/invalid_reports_test.go
+++ b/direct/mesh/invalid_reports_test.go
@@ -27,6 +27,10 @@
 
 func (noStreams) MergeLease(streamorigin.Lease) {}
 
+func (noStreams) Acknowledged() mirror.Position { return mirror.Position{} }
+
+func (noStreams) MergeAcknowledged(time.Time, string, mirror.Position) {}
+
 func (s noStreams) MergePeer(_ time.Time, origins []streamorigin.Origin) {
 	for _, o := range origins {
 		must.NotEq(s.t, streamorigin.AnyBuild, o.Build)
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -135,6 +135,10 @@
 	Lease() streamorigin.Lease
 	// MergeLease adds the implied builds that a peer has read from the store.
 	MergeLease(l streamorigin.Lease)
+	// Acknowledged returns the position up to which this process acknowledges to have read the origins.
+	Acknowledged() mirror.Position
+	// MergeAcknowledged records the position that a peer's process has acknowledged.
+	MergeAcknowledged(now time.Time, process string, position mirror.Position)
 }
 
 type peer struct {
@@ -367,6 +371,7 @@
 		ConfigVersion: m.local.ConfigVersion(), ReadsStore: m.local.ReadsStore(), OutOfRotation: m.local.OutOfRotation(),
 		ConfigEnd:    loadreport.Position(m.local.Mirror(follow.Configuration).Position()),
 		EndpointsEnd: loadreport.Position(m.local.Mirror(follow.Endpoints).Position()),
+		OriginsEnd:   loadreport.Position(m.local.Streams().Acknowledged()),
 		HasTeams:     now.Sub(m.teamsSentAt) >= teamsInterval,
 	}
 	for id, load := range report.Loads {
@@ -493,6 +498,7 @@
 	}
 	m.mu.Unlock()
 	m.dispatcher.ApplyPeerReport(now, decodeReport(report))
+	m.local.Streams().MergeAcknowledged(now, report.Instance, mirror.Position(report.OriginsEnd))
 	if len(report.Streams) > 0 {
 		m.local.Streams().MergePeer(now, decodeStreams(report.Streams))
 	}
--- a/direct/mesh/streams_test.go
+++ b/direct/mesh/streams_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/overload"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 // streams implements mesh.Streams in memory.
@@ -20,6 +21,24 @@
 	// lease is what this router has read, merged what peers report.
 	lease        streamorigin.Lease
 	mergedLeases []streamorigin.Lease
+	// acknowledged is what this router has acknowledged, peers what its peers have, by process.
+	acknowledged mirror.Position
+	peers        map[string]mirror.Position
+}
+
+func (s *streams) Acknowledged() mirror.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acknowledged
+}
+
+func (s *streams) MergeAcknowledged(_ time.Time, process string, position mirror.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers == nil {
+		s.peers = map[string]mirror.Position{}
+	}
+	s.peers[process] = position
 }
 
 func (s *streams) Lease() streamorigin.Lease {
@@ -95,6 +114,21 @@
 	}
 }
 
+// Guards against an implied build that stays unsettled because what a router has read of the origins doesn't reach
+// its peers.
+func TestAcknowledgedPositionReachesPeers(t *testing.T) {
+	a, b := newTestPeer(t, "a"), newTestPeer(t, "b")
+	a.streams.mu.Lock()
+	a.streams.acknowledged = mirror.Position{Era: 3, Next: 17}
+	a.streams.mu.Unlock()
+	a.Add(b.address)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		b.streams.mu.Lock()
+		defer b.streams.mu.Unlock()
+		return b.streams.peers["a"] == mirror.Position{Era: 3, Next: 17}
+	}), wait.Timeout(20*time.Second)))
+}
+
 // Guards against origins that nobody saves, or that all routers of a fleet save: two of those
 // that read the store do, and another one takes over.
 func TestTwoRoutersSaveOriginsOfStreams(t *testing.T) {
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -25,6 +25,8 @@
 	refreshInterval = 2 * time.Second
 	// removalInterval is the interval at which expired records of other routers are removed.
 	removalInterval = 5 * time.Second
+	// staleInterval is the shortest interval at which it is read because a peer has read other implied builds.
+	staleInterval = 500 * time.Millisecond
 	// impliedKey is the key of the record with the implied builds.
 	impliedKey = "implied-builds"
 	// minRetention is the shortest time for which origins are kept.
@@ -62,9 +64,10 @@
 
 // Options holds the dependencies of Origins.
 type Options struct {
-	// Name is the name of this router, under which it saves origins.
-	Name  string
-	Store Store
+	// Name is the name of this router, under which it saves origins, and Process that of this process in its
+	// reports to peers.
+	Name, Process string
+	Store         Store
 	// Saves reports whether this router currently keeps the implied builds, and saves the origins
 	// of other routers again after a restoration of the store.
 	Saves func() bool
@@ -109,19 +112,32 @@
 	// peer that has read them last.
 	lease  streamorigin.Lease
 	policy streamorigin.ImpliedPolicy
+	// processes are those of all routers that may hold a lease. ownLease is set while lease is from a read that
+	// this process made while it was registered.
+	processes *streamorigin.Processes
+	ownLease  bool
+	// acknowledged is the position up to which this process tells its peers to have read.
+	acknowledged mirror.Position
+	// isStale is set if a peer has read other implied builds later.
+	isStale bool
+	// saving is the number of unsaved origins that are being saved.
+	saving int
 	// longestStream is the longest time that a stream could last since this process started.
 	longestStream time.Duration
-	// refreshedAt is the time of the latest read for the implied builds, and removedAt that of the latest
-	// removal of expired records. Only the upkeep uses them.
+	startedAt     time.Time
+	// refreshedAt is the time of the latest read for the implied builds, removedAt that of the latest
+	// removal of expired records, and registrations counts those of this process. Only the upkeep uses them.
 	refreshedAt, removedAt time.Time
+	registrations          int
 }
 
 // New returns Origins that know no stream. Run saves and loads them.
 func New(o Options) *Origins {
+	processes := streamorigin.NewProcesses()
 	origins := &Origins{
-		options: o, table: streamorigin.NewTable(),
+		options: o, table: streamorigin.NewTable(), processes: processes, startedAt: time.Now(),
 		loadTimeout: minLoadTimeout,
-		policy:      streamorigin.ImpliedPolicy{FirstStart: o.FirstStart},
+		policy:      streamorigin.ImpliedPolicy{FirstStart: o.FirstStart, Processes: processes},
 		unknown:     metrics.GetOrRegisterCounter("direct.unknown_origins", o.Metrics),
 	}
 	origins.saver = newSaver(origins)
@@ -308,19 +324,44 @@
 func (o *Origins) Lease() streamorigin.Lease {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.hasLoaded {
+	if !o.ownLease {
 		return streamorigin.Lease{}
 	}
 	return o.lease
 }
 
+// Acknowledged returns the position up to which this process has read: it acts on no earlier record of the
+// implied builds, and all origins are saved that an earlier one allowed to omit.
+func (o *Origins) Acknowledged() mirror.Position {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.acknowledged
+}
+
+// MergeAcknowledged records the position that a process has acknowledged.
+func (o *Origins) MergeAcknowledged(now time.Time, process string, position mirror.Position) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.processes.Acknowledge(now, process, position.Era, position.Next)
+}
+
 // MergeLease adds the lease of a peer that has read the store. It matters to a router that starts while
-// the store is away: without it, its streams could begin nowhere.
+// the store is away, without which its streams could begin nowhere. A router that has a lease of its own
+// learns from it that the implied builds have changed.
 func (o *Origins) MergeLease(l streamorigin.Lease) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.hasLoaded && l.ReadAt.After(o.lease.ReadAt) {
+	if !l.ReadAt.After(o.lease.ReadAt) {
+		return
+	}
+	if !o.ownLease {
 		o.lease = l
+		return
+	}
+	for route, i := range l.Of {
+		if o.lease.Of[route].Build != i.Build {
+			o.isStale = true
+		}
 	}
 }
 
@@ -345,6 +386,7 @@
 				o.loadFirst(ctx)
 			}
 			o.noteEra(o.options.Store.Era())
+			o.register(ctx, now)
 			o.refreshImplied(ctx, now)
 			o.saveImplied(ctx, now)
 			o.removeExpired(ctx, now)
@@ -381,12 +423,19 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(now, retention)
+	o.processes.Expire(now, retention)
 }
 
 // refreshImplied reads the store if the lease of the implied builds ages, or if another router may have
 // saved an implied build that is needed here.
 func (o *Origins) refreshImplied(ctx context.Context, now time.Time) {
-	if now.Sub(o.refreshedAt) >= refreshInterval && o.needsRefresh(now) {
+	interval := refreshInterval
+	o.mu.Lock()
+	if o.isStale {
+		interval = staleInterval
+	}
+	o.mu.Unlock()
+	if now.Sub(o.refreshedAt) >= interval && o.needsRefresh(now) {
 		o.refreshedAt = now
 		o.loadSince(ctx, now)
 	}
@@ -396,7 +445,7 @@
 	shares := o.options.Shares()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(shares) > 0 && now.Sub(o.lease.ReadAt) >= streamorigin.LeaseRenewal {
+	if o.isStale || len(shares) > 0 && now.Sub(o.lease.ReadAt) >= streamorigin.LeaseRenewal {
 		return true
 	}
 	for route, builds := range shares {
@@ -455,6 +504,7 @@
 		return streamorigin.ImpliedBuilds{}, mirror.Position{}, false
 	}
 	o.longestStream = max(o.longestStream, longest)
+	o.processes.Acknowledge(time.Now(), o.options.Process, o.acknowledged.Era, o.acknowledged.Next)
 	// The time is taken after the state: an unsettled build was written before it.
 	next, changed := o.policy.Next(time.Now(), shares, o.saved, o.era, o.loaded.Next, o.longestStream)
 	return next, o.loaded, changed
@@ -534,12 +584,22 @@
 			o.options.Log.Warn("invalid saved origins ignored", "key", r.Key, "error", err.Error())
 		}
 	}
+	o.noteProcesses(now, batch)
 	o.renewLease(began)
+	o.acknowledge()
 	return nil
 }
 
-// renewLease renews the lease after a read. Streams that began without a saved origin, of a build that
-// isn't settled any more, need one now.
+// acknowledge tells the peers what this process has read, unless origins are still to be saved. The caller
+// holds mu.
+func (o *Origins) acknowledge() {
+	if o.ownLease && o.saving == 0 && !o.table.HasUnsaved() {
+		o.acknowledged = o.loaded
+	}
+}
+
+// renewLease renews the lease after a read, if this process was registered then. Streams that began without a
+// saved origin, of a build that isn't settled any more, need one now.
 func (o *Origins) renewLease(began time.Time) {
 	var builds streamorigin.ImpliedBuilds
 	if o.saved != nil {
@@ -548,7 +608,17 @@
 	for _, b := range builds.Unsettled(o.lease.ImpliedBuilds) {
 		o.table.KeepOmitted(b)
 	}
-	o.lease = streamorigin.Lease{ImpliedBuilds: builds, ReadAt: began}
+	wasOwn := o.ownLease
+	o.ownLease = o.processes.IsRegistered(o.options.Process)
+	switch {
+	case o.ownLease:
+		o.lease, o.isStale = streamorigin.Lease{ImpliedBuilds: builds, ReadAt: began}, false
+	case wasOwn:
+		o.lease = streamorigin.Lease{}
+	}
+	if o.table.HasUnsaved() {
+		o.saver.wakeUp()
+	}
 }
 
 func (o *Origins) mergeRecord(now time.Time, r mirror.Record) error {
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -132,6 +132,8 @@
 	// firstStart is set until a router was killed.
 	firstStart bool
 	size       int
+	// started counts the processes.
+	started int
 	// unread is set while no router reads the store.
 	unread atomic.Bool
 	ctx    context.Context
@@ -161,13 +163,14 @@
 
 func (f *routers) startOn(name string, store follow.Store) *origins.Origins {
 	f.t.Helper()
+	f.started++
 	registryMetrics := metrics.NewRegistry()
 	follower := follow.New(follow.Options{
 		ReadWait: time.Second, Store: store, Decoder: directtest.Decoder{}, Peers: noPeers{}, Routes: &routing.Store{},
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
+		Name: name, Process: f.process(), Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
 		Shares: f.builds.shares, KnowsAllEndpoints: func() bool { return true }, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
@@ -189,6 +192,9 @@
 	return keys
 }
 
+// process returns the name of the process that was started last.
+func (f *routers) process() string { return fmt.Sprint("process-", f.started) }
+
 const (
 	build      = streamorigin.Build(7)
 	otherBuild = streamorigin.Build(8)
--- a/direct/origins/records.go
+++ b/direct/origins/records.go
@@ -1,7 +1,6 @@
 package origins
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,8 +37,7 @@
 }
 
 // newRecords returns the records of a new process of a router.
-func newRecords(router string) records {
-	process := strconv.FormatUint(rand.Uint64(), 36)
+func newRecords(router, process string) records {
 	return records{prefix: originsKeyPrefix + router + "/" + process + "/", held: map[string]bool{}}
 }
 
@@ -123,8 +121,7 @@
 		return false
 	}
 	router, process, ok := cutLast(name)
-	_, err := strconv.ParseUint(process, 36, 64)
-	return ok && err == nil && strings.HasPrefix(router, originsKeyPrefix) && len(router) > len(originsKeyPrefix)
+	return ok && process != "" && strings.HasPrefix(router, originsKeyPrefix) && len(router) > len(originsKeyPrefix)
 }
 
 // cutLast slices key around its last slash.
--- /dev/null
+++ b/direct/origins/registration.go
@@ -0,0 +1,98 @@
+package origins
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/acaciaspar/acaciaspar/state/mirror"
+)
+
+const (
+	// registrationKeyPrefix begins the keys of the registrations of processes.
+	registrationKeyPrefix = "processes/"
+	// activeProcess and retiredProcess are the values of registrations.
+	activeProcess  = "active"
+	retiredProcess = "retired"
+)
+
+// registrationKey returns the key of a registration. A process that registers again uses another number, as
+// the store may execute an earlier write later.
+func registrationKey(router, process string, number int) string {
+	return registrationKeyPrefix + router + "/" + process + "/" + strconv.Itoa(number)
+}
+
+// parseRegistration returns the router and the process of a registration.
+func parseRegistration(key string) (router, process string, ok bool) {
+	text, ok := strings.CutPrefix(key, registrationKeyPrefix)
+	if !ok {
+		return "", "", false
+	}
+	text, _, hasNumber := cutLast(text)
+	router, process, hasProcess := cutLast(text)
+	return router, process, hasNumber && hasProcess && router != "" && process != ""
+}
+
+// noteProcesses records the registrations that a read returned. The caller holds mu.
+func (o *Origins) noteProcesses(now time.Time, batch mirror.Batch) {
+	listed := map[string]bool{}
+	for _, r := range batch.Records {
+		router, process, ok := parseRegistration(r.Key)
+		switch {
+		case !ok:
+		case r.IsTombstone():
+			o.processes.Remove(r.Key)
+		default:
+			listed[r.Key] = true
+			o.processes.Register(now, r.Key, router, process, string(r.Value) != activeProcess)
+		}
+	}
+	if batch.Complete {
+		o.processes.KeepOnly(listed)
+	}
+}
+
+// register keeps the registration of this process, removes those of processes that have ended and retires
+// those of silent ones.
+func (o *Origins) register(ctx context.Context, now time.Time) {
+	if !o.options.StoreIsRead() {
+		return
+	}
+	saves, longest := o.options.Saves(), o.options.LongestStream()
+	o.mu.Lock()
+	hasLoaded, isRegistered := o.hasLoaded, o.processes.IsRegistered(o.options.Process)
+	ended := o.processes.Ended(now, o.options.Name, o.options.Process, o.startedAt, max(o.longestStream, longest))
+	var silent []string
+	if saves {
+		silent = o.processes.Silent(now, o.options.Process)
+	}
+	o.mu.Unlock()
+	if !hasLoaded {
+		return
+	}
+	changed := false
+	write := func(key, value string, removals ...string) {
+		call, cancel := context.WithTimeout(ctx, saveTimeout)
+		defer cancel()
+		if err := o.options.Store.SaveStreams(call, key, []byte(value), removals); err != nil {
+			o.options.Log.Warn("save the registration of a process failed; retrying", "key", key, "error", err.Error())
+			return
+		}
+		changed = true
+	}
+	if !isRegistered {
+		o.registrations++
+		write(registrationKey(o.options.Name, o.options.Process, o.registrations), activeProcess)
+	}
+	if len(ended) > 0 {
+		write(ended[0], "", ended[1:]...)
+	}
+	for _, key := range silent {
+		o.options.Log.Info("a process has not reported for long; retiring its registration", "key", key)
+		write(key, retiredProcess)
+	}
+	if changed {
+		o.loadSince(ctx, time.Now())
+	}
+}
--- a/direct/origins/saver.go
+++ b/direct/origins/saver.go
@@ -65,7 +65,7 @@
 
 func newSaver(o *Origins) *saver {
 	return &saver{
-		origins: o, wake: make(chan struct{}, 1), records: newRecords(o.options.Name),
+		origins: o, wake: make(chan struct{}, 1), records: newRecords(o.options.Name, o.options.Process),
 		saves:    metrics.GetOrRegisterCounter("direct.origin_saves", o.options.Metrics),
 		failed:   metrics.GetOrRegisterCounter("direct.origin_saves_failed", o.options.Metrics),
 		waitedMs: metrics.GetOrRegisterCounter("direct.origin_wait_ms", o.options.Metrics),
@@ -92,10 +92,7 @@
 	s.mu.Lock()
 	s.pending = append(s.pending, p)
 	s.mu.Unlock()
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	s.wakeUp()
 	timer := time.NewTimer(s.interval() + saveMargin)
 	defer timer.Stop()
 	select {
@@ -117,6 +114,14 @@
 	return false
 }
 
+// wakeUp makes run save soon.
+func (s *saver) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // run saves origins until ctx is done and returns its error.
 func (s *saver) run(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval)
@@ -162,6 +167,7 @@
 	s.mu.Unlock()
 	o.mu.Lock()
 	unsaved := o.table.TakeUnsaved(maxSavedOrigins - len(pending))
+	o.saving = len(unsaved)
 	o.mu.Unlock()
 	if len(pending)+len(unsaved) == 0 && !(isProbe && failing) {
 		return false
@@ -172,13 +178,17 @@
 	}
 	err := s.write(ctx, append(origins, unsaved...))
 	s.saves.Inc(1)
+	o.mu.Lock()
+	o.saving = 0
 	if err != nil {
-		s.failed.Inc(1)
-		o.mu.Lock()
 		for _, u := range unsaved {
 			o.table.KeepUnsaved(u)
 		}
-		o.mu.Unlock()
+	}
+	o.acknowledge()
+	o.mu.Unlock()
+	if err != nil {
+		s.failed.Inc(1)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/direct/process.go
+++ b/direct/process.go
@@ -226,7 +226,8 @@
 	}
 	localState := mesh.LocalState{ConfigVersion: p.configVersion, Mirror: func(t follow.Topic) *mirror.Topic { return p.follower.Mirror(t) },
 		ReadsStore: func() bool { return p.follower.ReadsStore() }, OutOfRotation: p.rotation.Out, Streams: func() mesh.Streams { return p.origins }}
-	p.mesh = mesh.New(fleetrpc.NewInstanceID(), p.listeners.datagrams.LocalAddr().(*net.UDPAddr).AddrPort(), p.listeners.datagrams,
+	instance := fleetrpc.NewInstanceID()
+	p.mesh = mesh.New(instance, p.listeners.datagrams.LocalAddr().(*net.UDPAddr).AddrPort(), p.listeners.datagrams,
 		p.dispatcher, localState, p.log, p.metrics)
 	p.mesh.Add(s.peerList()...)
 	p.follower = follow.New(follow.Options{
@@ -236,7 +237,7 @@
 	p.follower.OnChange, p.follower.OnStoreNews = p.updateDispatcher, p.mesh.SendSoon
 	p.follower.OnZoneReturned = func(zone string) { p.dispatcher.ZoneReturned(time.Now(), zone) }
 	p.origins = origins.New(origins.Options{
-		Name: s.Name, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
+		Name: s.Name, Process: instance, Store: p.follower, Saves: p.mesh.SavesStreams, StoreIsRead: p.mesh.StoreIsRead,
 		Shares:            func() origins.Shares { return origins.SharesOf(p.routes.Current(), p.dispatcher.Builds()) },
 		KnowsAllEndpoints: func() bool { return p.dispatcher.KnowsAllEndpoints(time.Now()) }, Routers: p.dispatcher.Routers,
 		LongestStream: p.longestStream, FirstStart: s.FirstStart, Log: p.log, Metrics: p.metrics,
--- a/protocol/loadreport/loadreport.go
+++ b/protocol/loadreport/loadreport.go
@@ -11,7 +11,7 @@
 
 // formatVersion is the first byte of each datagram. Datagrams with another one are
 // refused.
-const formatVersion = 0xA8
+const formatVersion = 0xA9
 
 // maxInstanceBytes bounds the length of an instance identifier.
 const maxInstanceBytes = 64
@@ -33,6 +33,9 @@
 	// ConfigEnd and EndpointsEnd are the positions after the newest records that the
 	// sender has of both topics of the store.
 	ConfigEnd, EndpointsEnd Position
+	// OriginsEnd is the position up to which the sender acknowledges to have read the origins of streams and
+	// the implied builds.
+	OriginsEnd Position
 	// Leaving is set while the sender stops and accepts no more requests.
 	Leaving bool
 	// ReadsStore is set while the sender reads the store and the store responds.
@@ -121,7 +124,7 @@
 	b = appendAddress(b, r.Address)
 	b = binary.AppendUvarint(b, r.Sequence)
 	b = binary.AppendUvarint(b, r.ConfigVersion)
-	for _, p := range []Position{r.ConfigEnd, r.EndpointsEnd} {
+	for _, p := range []Position{r.ConfigEnd, r.EndpointsEnd, r.OriginsEnd} {
 		b = binary.AppendVarint(b, p.Era)
 		b = binary.AppendVarint(b, p.Next)
 	}
@@ -197,6 +200,7 @@
 	r.ConfigVersion = d.at("configuration version").uvarint()
 	r.ConfigEnd = d.at("end of the configuration").position()
 	r.EndpointsEnd = d.at("end of the endpoints").position()
+	r.OriginsEnd = d.at("end of the origins").position()
 	r.Members = decodeList(d.at("members"), addressBytes, d.address)
 	r.Endpoints = decodeList(d.at("endpoints"), minEndpointBytes, func() EndpointLoad {
 		e := EndpointLoad{Endpoint: d.uint32(), PendingTokens: d.count()}
