Parts that crash engines after the first event are quarantined

Cause: one event was taken for proof that a prompt is sound.

The part with the most crashes explains them, so that the sound streams that they cut don't count. Peers exchange this with the crash reports, whose format changes.

TestQuarantineEndsWithOneTrial ended a quarantine of three crashes with an event; it now requires that an event doesn't, and that a complete response does.

--- a/coordination/quarantine/facts.go
+++ b/coordination/quarantine/facts.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // mergeTolerance is the difference below which two times of a served request count as
 // equal. A time gets later with each report, by the time that the report was on its way.
@@ -19,6 +22,8 @@
 type ServedPart struct {
 	Part uint64
 	At   time.Time
+	// Lasted is set for a response that lasted for this time, of a part or of a request, see Table.Ran.
+	Lasted time.Duration
 }
 
 // Empty reports whether there are no observations.
@@ -32,6 +37,7 @@
 			f.Served = append(f.Served, ServedPart{Part: p, At: at})
 		}
 	}
+	t.runFacts(&f)
 	return f
 }
 
@@ -50,19 +56,53 @@
 // clear some of them and that the peer doesn't know.
 func (t *Table) Merge(f Facts) (clears bool) {
 	t.mergeServed(f.Served)
-	changed := false
+	changed, changedRuns := t.mergeRuns(f.Served), false
+	changedSets := false
 	for _, i := range f.Interrupted {
-		changed = t.merge(i) || changed
+		isNew, isSound := t.mergeRun(&i)
+		changedRuns = changedRuns || isNew
+		clears = clears || isSound && t.clearsMoreRuns(&i, f.Served)
+		changedSets = !i.Begun && t.merge(i) || changedSets
 	}
-	if changed {
+	if changed || changedRuns {
+		t.updateRuns()
+	}
+	if changedSets {
 		t.update()
 	}
-	return t.clearsMore(f)
+	return t.clearsMore(f) || clears
+}
+
+// mergeRuns adds what a peer knows of responses. It reports whether that clears a suspect.
+func (t *Table) mergeRuns(served []ServedPart) (changed bool) {
+	for _, s := range served {
+		if s.Lasted > 0 {
+			t.runs.sound.add(s.At, s.Part, s.Lasted)
+			changed = changed || t.IsRunSuspect([]uint64{s.Part})
+		}
+	}
+	return changed
+}
+
+// clearsMoreRuns reports whether this table clears an item of a peer's observation that the peer doesn't.
+func (t *Table) clearsMoreRuns(i *Interrupted, served []ServedPart) bool {
+	for _, item := range i.ids() {
+		isKnown := slices.ContainsFunc(served, func(s ServedPart) bool {
+			return s.Part == item && run{s.At, s.Lasted}.clears(i.At, i.Lasted)
+		})
+		if !isKnown && t.isSoundRun(item, i.At, i.Lasted) {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) mergeServed(parts []ServedPart) {
 	changed := false
 	for _, s := range parts {
+		if s.Lasted > 0 {
+			continue
+		}
 		suspected := t.isSuspected(s.Part)
 		at, ok := t.served[s.Part]
 		if ok && !s.At.After(at) || ok && !suspected && !s.At.After(at.Add(mergeTolerance)) {
@@ -80,9 +120,14 @@
 func (t *Table) clearsMore(f Facts) bool {
 	known := map[uint64]time.Time{}
 	for _, s := range f.Served {
-		known[s.Part] = s.At
+		if s.Lasted == 0 {
+			known[s.Part] = s.At
+		}
 	}
 	for _, i := range f.Interrupted {
+		if i.Begun {
+			continue
+		}
 		for _, p := range i.ids() {
 			at, ok := known[p]
 			if t.cleared(p, i.At) && (!ok || !at.After(i.At.Add(-clearedFor))) {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -35,15 +35,17 @@
 	// maxInterrupted bounds the interrupted attempts that are kept, maxPending those
 	// that are not confirmed, and maxServed the served parts.
 	maxInterrupted = 128
-	maxPending     = 256
+	maxPending     = 512
 	maxServed      = 8192
+	// maxNews bounds the interrupted attempts in one report to peers.
+	maxNews = 512
 	// involvedFor is how long after a crash peers are told that parts of its requests
 	// are sound. maxInvolved bounds their number.
 	involvedFor = time.Minute
 	maxInvolved = 256
 )
 
-// Interrupted is an attempt that was interrupted before its first event.
+// Interrupted is an attempt that was interrupted by the crash of its engine.
 type Interrupted struct {
 	// Crash identifies the incarnation of the engine that crashed.
 	Crash uint32
@@ -51,6 +53,10 @@
 	// Responding is set if the engine had begun the response. Otherwise the request may
 	// still have been queued.
 	Responding bool
+	// Begun is set if it counts only among the begun responses, because an event was received. Lasted is the
+	// time since the first event.
+	Begun  bool
+	Lasted time.Duration
 	// Parts holds the IDs of the request's shared parts.
 	Parts []uint64
 	// Request is the fingerprint of the whole request, or 0 if it is unknown. Repetitions
@@ -88,6 +94,10 @@
 	// recent holds the fingerprints of requests that were answered lately.
 	recent recentRequests
 	jitter float64
+	// runs judges the responses that crashes broke off.
+	runs runs
+	// latest is the latest time that a call named.
+	latest time.Time
 	// news holds the observations that peers haven't been told.
 	news Facts
 }
@@ -96,18 +106,18 @@
 func NewTable() *Table {
 	return &Table{
 		served: map[uint64]time.Time{}, involved: map[uint64]time.Time{}, requests: map[uint64]*quarantine{},
-		jitter: maxJitter * rand.Float64(),
+		jitter: maxJitter * rand.Float64(), runs: newRuns(),
 	}
 }
 
-// AddInterrupted records an attempt whose connection to the endpoint with this hash broke
-// before the first event. down reports whether the endpoint is known to be down;
+// AddInterrupted records an attempt whose connection to the endpoint with this hash broke. down reports whether the endpoint is known to be down;
 // otherwise the attempt counts once EndpointDown is called for it, and check is true for
 // the first one at an endpoint.
 func (t *Table) AddInterrupted(i Interrupted, endpoint uint32, down bool) (check bool) {
 	if len(i.Parts) == 0 && i.Request == 0 {
 		return false
 	}
+	t.noteTime(i.At)
 	if down {
 		if t.add(i) {
 			t.update()
@@ -144,15 +154,23 @@
 	}
 }
 
+func (t *Table) noteTime(now time.Time) {
+	if now.After(t.latest) {
+		t.latest = now
+	}
+}
+
 // add adds an interrupted attempt and reports whether that may change the sets.
 func (t *Table) add(i Interrupted) (changed bool) {
-	if !t.merge(i) {
-		return false
+	changedRuns := t.addRun(&i)
+	changed = !i.Begun && t.merge(i)
+	if changedRuns && !changed {
+		i.Begun, i.Parts, i.Request = true, t.runSuspects(&i), 0
 	}
-	if len(t.news.Interrupted) < maxInterrupted {
+	if (changed || changedRuns) && len(t.news.Interrupted) < maxNews {
 		t.news.Interrupted = append(t.news.Interrupted, i)
 	}
-	return true
+	return changed
 }
 
 // merge adds an interrupted attempt that has suspects and reports whether that may change
@@ -225,6 +243,7 @@
 // Served records that an engine produced an event for a request with these parts, which
 // clears them.
 func (t *Table) Served(now time.Time, parts []uint64) {
+	t.noteTime(now)
 	if len(t.served) > maxServed {
 		t.evictServed(now)
 	}
@@ -244,11 +263,13 @@
 // Answered records that an endpoint answered the request with this fingerprint completely,
 // so that it doesn't crash endpoints.
 func (t *Table) Answered(now time.Time, request uint64) {
+	t.recent.add(now, request)
 	if _, ok := t.involved[request]; ok {
 		t.Served(now, []uint64{request})
-		return
 	}
-	t.recent.add(now, request)
+	if t.IsRunSuspect([]uint64{request}) {
+		t.Ran(now, []uint64{request}, Completed)
+	}
 }
 
 // evictServed deletes the parts that no longer count as sound, except those that were
@@ -312,9 +333,11 @@
 		}
 	}
 	if q := t.requests[request]; q != nil {
-		return refuse(q)
+		if until, refused := refuse(q); refused {
+			return until, true
+		}
 	}
-	return time.Time{}, false
+	return t.runs.firstRefusal(parts, request, refuse)
 }
 
 // Contains reports whether a request with these parts contains a set that is in
@@ -323,7 +346,11 @@
 	if q := t.requests[request]; q != nil && now.Before(q.until) {
 		return true
 	}
-	return slices.ContainsFunc(t.sets, func(s set) bool { return now.Before(s.until) && containsAll(parts, s.parts) })
+	if slices.ContainsFunc(t.sets, func(s set) bool { return now.Before(s.until) && containsAll(parts, s.parts) }) {
+		return true
+	}
+	_, refuse := t.runs.firstRefusal(parts, request, func(q *quarantine) (time.Time, bool) { return q.until, now.Before(q.until) })
+	return refuse
 }
 
 func containsAll(parts, subset []uint64) bool {
@@ -336,11 +363,15 @@
 }
 
 // Quarantined returns the number of quarantined sets of parts and requests.
-func (t *Table) Quarantined() int { return len(t.sets) + len(t.requests) }
+func (t *Table) Quarantined() int {
+	return len(t.sets) + len(t.requests) + len(t.runs.quarantined)
+}
 
 // Expire deletes interrupted attempts whose quarantine has ended long ago, and the parts
 // that aren't needed to judge the others.
 func (t *Table) Expire(now time.Time) {
+	t.noteTime(now)
+	t.expireRuns(now)
 	before := len(t.interrupted)
 	t.interrupted = slices.DeleteFunc(t.interrupted, func(i Interrupted) bool { return now.Sub(i.At) > 2*maxPeriod })
 	if len(t.interrupted) != before {
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -131,7 +131,9 @@
 	must.True(t, refuses(table, end+time.Second+table.period(3)-1, deadly))
 	must.LessEq(t, 2*table.period(2), table.period(3))
 	table.Served(start.Add(end+2*time.Second), []uint64{deadly})
-	must.False(t, refuses(table, end+2*time.Second, deadly))
+	must.True(t, refuses(table, end+2*time.Second, deadly), must.Sprint("an event is no proof after three crashes"))
+	table.Ran(start.Add(end+3*time.Second), []uint64{deadly}, Completed)
+	must.False(t, refuses(table, end+3*time.Second, deadly))
 }
 
 // Guards against routers that draw other conclusions from the same observations, in any
--- a/direct/dispatch/crashes.go
+++ b/direct/dispatch/crashes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,17 +29,16 @@
 	return &Refusal{Reason: Quarantined, RetryAfter: until.Sub(now), Allowance: 1}
 }
 
-// Interrupted records that the connection of the attempt broke. responding reports
+// Interrupted records that the connection of the attempt broke, also after its first event. responding reports
 // whether the response had begun. It must be called before End. It returns true if the
 // caller should check whether the endpoint is down.
 func (a *Assignment) Interrupted(now time.Time, responding bool) (check bool) {
 	a.withLock(func() {
-		if a.attempt.FirstEventReceived() {
-			return
-		}
 		d := a.dispatcher
+		begun := a.attempt.FirstEventReceived()
 		check = d.crashingParts.AddInterrupted(quarantine.Interrupted{
-			Crash: incarnationHash(a.Endpoint), At: now, Responding: responding, Parts: a.sharedParts, Request: a.fingerprint,
+			Crash: incarnationHash(a.Endpoint), At: now, Responding: responding, Begun: begun, Lasted: a.lasted(now),
+			Parts: a.sharedParts, Request: a.fingerprint,
 		}, endpointload.Hash(a.Endpoint.ID), d.loads.Down(now, a.Endpoint.ID))
 		d.handleCrashes(now)
 	})
@@ -78,15 +78,44 @@
 
 // Answered records that the endpoint responded completely, with any status.
 func (a *Assignment) Answered(now time.Time) {
-	if a.fingerprint == 0 {
+	if a.fingerprint == 0 && len(a.sharedParts) == 0 {
 		return
 	}
 	a.withLock(func() {
-		a.dispatcher.crashingParts.Answered(now, a.fingerprint)
+		if a.served {
+			a.dispatcher.crashingParts.Ran(now, a.sharedParts, quarantine.Completed)
+		}
+		if a.fingerprint != 0 {
+			a.dispatcher.crashingParts.Answered(now, a.fingerprint)
+		}
 		a.dispatcher.announceCrashes()
 	})
 }
 
+// lasted returns the time since the first event, or 0 if there was none.
+func (a *Assignment) lasted(now time.Time) time.Duration {
+	if a.firstEventAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.firstEventAt)
+}
+
+// recordSurvivors records how long the responses in progress have lasted whose parts or requests are suspected.
+func (d *Dispatcher) recordSurvivors(now time.Time) {
+	if !d.crashingParts.RunSuspects() {
+		return
+	}
+	for a := range d.responding {
+		items := a.sharedParts
+		if a.fingerprint != 0 {
+			items = append(slices.Clone(items), a.fingerprint)
+		}
+		if d.crashingParts.IsRunSuspect(items) {
+			d.crashingParts.Ran(now, items, a.lasted(now))
+		}
+	}
+}
+
 // CancelIfQuarantined makes the dispatcher call cancel if the request or parts of its prompt
 // are quarantined before the endpoint has responded.
 func (a *Assignment) CancelIfQuarantined(cancel func()) {
@@ -127,6 +156,7 @@
 
 // handleCrashes acts on interrupted attempts that were added.
 func (d *Dispatcher) handleCrashes(now time.Time) {
+	d.recordSurvivors(now)
 	if d.announceCrashes() {
 		d.cancelQuarantined(now)
 	}
@@ -188,6 +218,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clears = d.crashingParts.Merge(f)
+	d.recordSurvivors(now)
+	d.announceCrashes()
 	d.cancelQuarantined(now)
 	return clears
 }
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -82,6 +82,8 @@
 	unsavedCrashes bool
 	// waiting holds the attempts with shared parts that have no response yet.
 	waiting map[*Assignment]struct{}
+	// responding holds the attempts whose first event was received.
+	responding map[*Assignment]struct{}
 	// requestLimits is signaled through limitNews when peers should be told about it.
 	requestLimits *requestlimit.Table
 	limitNews     chan struct{}
@@ -130,6 +132,7 @@
 		crashingParts: quarantine.NewTable(),
 		crashNews:     make(chan struct{}, 1),
 		waiting:       map[*Assignment]struct{}{},
+		responding:    map[*Assignment]struct{}{},
 		requestLimits: requestlimit.NewTable(),
 		limitNews:     make(chan struct{}, 1),
 		incarnations:  incarnation.NewTable(),
@@ -241,6 +244,8 @@
 	sharedParts []uint64
 	served      bool
 	fingerprint uint64
+	// firstEventAt is when the first event was received; zero before.
+	firstEventAt time.Time
 	// turn is the turn that was taken for the request at a cold endpoint, until it is sent.
 	turn warmup.Turn
 	// cancel ends the attempt if the request is quarantined; quarantined is set if it did.
@@ -596,6 +601,10 @@
 			c.team.window.AddBegun(now, c.units)
 		}
 		a.attempt.RecordFirstEvent(now)
+		if a.firstEventAt.IsZero() && (len(a.sharedParts) > 0 || a.fingerprint != 0) {
+			a.firstEventAt = now
+			a.dispatcher.responding[a] = struct{}{}
+		}
 	})
 }
 
@@ -623,6 +632,7 @@
 		}
 		a.attempt.End(now, r)
 		delete(a.dispatcher.waiting, a)
+		delete(a.dispatcher.responding, a)
 		a.returnTurn()
 		if r == endpointload.ConnectFailed {
 			a.dispatcher.recordEndpointDown(now, endpointload.Hash(a.Endpoint.ID))
@@ -708,6 +718,8 @@
 	d.loads.EvictIdle(now, d.registry.Remembers)
 	d.loads.ExpirePeers(now)
 	d.crashingParts.Expire(now)
+	d.recordSurvivors(now)
+	d.announceCrashes()
 	d.expireLimits(now)
 	d.expireCold(now)
 	d.incarnations.Evict(d.registry.Remembers)
--- a/direct/entry/crashing_part_test.go
+++ b/direct/entry/crashing_part_test.go
@@ -27,6 +27,8 @@
 	crashes int
 	// received counts the requests with the part, by the number of crashes before.
 	received map[int]int
+	// writesEvent is set if an engine writes the first event before it crashes.
+	writesEvent bool
 }
 
 func newCrashingFleet(t *testing.T, engines int) *crashingFleet {
@@ -60,7 +62,12 @@
 			f.mu.Lock()
 			f.received[f.crashes]++
 			f.crashes++
+			writesEvent := f.writesEvent
 			f.mu.Unlock()
+			if writesEvent {
+				directtest.Chunk(c, directtest.Event(1))
+				time.Sleep(eventLead)
+			}
 			e.Crash()
 			f.addEngine()
 			return false
@@ -111,6 +118,24 @@
 	must.NotEq(t, "", refused.header.Get("Retry-After"))
 }
 
+// eventLead is the time between the first event and the crash, in which the event is forwarded.
+const eventLead = 50 * time.Millisecond
+
+// Guards against a prompt part that crashes engines after their first event, and is never quarantined since an
+// event counts as proof that it is sound.
+func TestPartThatCrashesEnginesAfterTheFirstEvent(t *testing.T) {
+	f := newCrashingFleet(t, 6)
+	f.writesEvent = true
+	for i := range 14 {
+		time.Sleep(2 * crashInterval)
+		f.send(fmt.Sprintf("caller:100,topic%d:50,dead:70,own%d:9", i%2, i))
+		sound := f.send(fmt.Sprintf("caller:100,topic%d:50,own-sound%d:9", i%2, i))
+		must.Eq(t, http.StatusOK, sound.status, must.Sprintf("sound request %d", i))
+	}
+	must.LessEq(t, 3, f.receivedAfter(5), must.Sprint("requests with the part after the fifth crash"))
+	must.Eq(t, http.StatusServiceUnavailable, f.send("caller:100,topic0:50,dead:70,last:9").status)
+}
+
 // Guards against requests that were already sent when their part was quarantined: they
 // would still crash the engines at which they wait.
 func TestQueuedRequestsWithCrashingPartAreCancelled(t *testing.T) {
--- a/direct/mesh/crashes.go
+++ b/direct/mesh/crashes.go
@@ -85,11 +85,12 @@
 	r := &loadreport.CrashReport{Instance: instance}
 	for _, i := range f.Interrupted {
 		r.Interrupted = append(r.Interrupted, loadreport.InterruptedRequest{
-			Crash: i.Crash, AgeMs: wireAge(now.Sub(i.At)), Responding: i.Responding, Parts: i.Parts, Request: i.Request,
+			Crash: i.Crash, AgeMs: wireAge(now.Sub(i.At)), Responding: i.Responding,
+			Begun: i.Begun, LastedMs: wireAge(i.Lasted), Parts: i.Parts, Request: i.Request,
 		})
 	}
 	for _, s := range f.Served {
-		r.Served = append(r.Served, loadreport.ServedPart{Part: s.Part, AgeMs: wireAge(now.Sub(s.At))})
+		r.Served = append(r.Served, loadreport.ServedPart{Part: s.Part, AgeMs: wireAge(now.Sub(s.At)), LastedMs: wireAge(s.Lasted)})
 	}
 	return r.Append(nil)
 }
@@ -103,11 +104,12 @@
 	}
 	for _, i := range r.Interrupted {
 		f.Interrupted = append(f.Interrupted, quarantine.Interrupted{
-			Crash: i.Crash, At: now.Add(-fromWireAge(i.AgeMs)), Responding: i.Responding, Parts: i.Parts, Request: i.Request,
+			Crash: i.Crash, At: now.Add(-fromWireAge(i.AgeMs)), Responding: i.Responding,
+			Begun: i.Begun, Lasted: fromWireAge(i.LastedMs), Parts: i.Parts, Request: i.Request,
 		})
 	}
 	for _, s := range r.Served {
-		f.Served = append(f.Served, quarantine.ServedPart{Part: s.Part, At: now.Add(-fromWireAge(s.AgeMs))})
+		f.Served = append(f.Served, quarantine.ServedPart{Part: s.Part, At: now.Add(-fromWireAge(s.AgeMs)), Lasted: lastedFromWire(s.LastedMs)})
 	}
 	return r.Instance, f, nil
 }
@@ -115,3 +117,10 @@
 func wireAge(age time.Duration) uint32 { return wireCount(age.Milliseconds()) }
 
 func fromWireAge(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func lastedFromWire(ms uint32) time.Duration {
+	if ms == loadreport.MaxCount {
+		return quarantine.Completed
+	}
+	return fromWireAge(ms)
+}
--- a/protocol/loadreport/crashes.go
+++ b/protocol/loadreport/crashes.go
@@ -8,7 +8,7 @@
 
 // crashFormatVersion is the first byte of a datagram with a CrashReport. Routers that
 // don't know it ignore the datagram.
-const crashFormatVersion = 0xB4
+const crashFormatVersion = 0xB5
 
 // maxCrashParts bounds the parts of one prompt; routers parse no more.
 const maxCrashParts = 64
@@ -24,7 +24,7 @@
 	Served []ServedPart
 }
 
-// InterruptedRequest is a request that a crashed engine was running, without an event.
+// InterruptedRequest is a request that a crashed engine was running.
 type InterruptedRequest struct {
 	// Crash identifies the incarnation of the engine.
 	Crash ID
@@ -32,7 +32,11 @@
 	AgeMs uint32
 	// Responding is set if the response had begun.
 	Responding bool
-	// Parts holds the IDs of the prompt's shared parts.
+	// Begun is set if it counts only among the begun responses. LastedMs is the time since the first event, in
+	// milliseconds.
+	Begun    bool
+	LastedMs uint32
+	// Parts holds the IDs of the prompt's shared parts. If Begun is set, it also holds fingerprints of requests.
 	Parts []uint64
 	// Request is the fingerprint of the request, or 0 if it is unknown.
 	Request uint64
@@ -44,6 +48,8 @@
 	Part uint64
 	// AgeMs is the time since the latest one, in milliseconds.
 	AgeMs uint32
+	// LastedMs is set for a response that lasted for this time, in milliseconds, and MaxCount for a complete one.
+	LastedMs uint32
 }
 
 // IsCrashReport reports whether a datagram holds a CrashReport.
@@ -62,6 +68,11 @@
 			age |= 1
 		}
 		b = binary.AppendUvarint(b, age)
+		lasted := uint64(i.LastedMs) << 1
+		if i.Begun {
+			lasted |= 1
+		}
+		b = binary.AppendUvarint(b, lasted)
 		b = binary.AppendUvarint(b, uint64(len(i.Parts)))
 		for _, p := range i.Parts {
 			b = binary.LittleEndian.AppendUint64(b, p)
@@ -72,15 +83,16 @@
 	for _, s := range r.Served {
 		b = binary.LittleEndian.AppendUint64(b, s.Part)
 		b = binary.AppendUvarint(b, uint64(s.AgeMs))
+		b = binary.AppendUvarint(b, uint64(s.LastedMs))
 	}
 	return b
 }
 
 // Smallest sizes of list entries, in bytes.
 const (
-	minInterruptedBytes = 14
+	minInterruptedBytes = 15
 	partBytes           = 8
-	minServedBytes      = 9
+	minServedBytes      = 10
 )
 
 // DecodeCrashReport parses a datagram. The error names the field that is invalid.
@@ -91,12 +103,15 @@
 	r.Interrupted = decodeList(d.at("interrupted requests"), minInterruptedBytes, func() InterruptedRequest {
 		i := InterruptedRequest{Crash: d.uint32()}
 		i.AgeMs, i.Responding = d.countAndFlag()
+		i.LastedMs, i.Begun = d.countAndFlag()
 		i.Parts = decodeList(&d, partBytes, d.uint64)
 		d.check(len(i.Parts) <= maxCrashParts)
 		i.Request = d.uint64()
 		return i
 	})
-	r.Served = decodeList(d.at("served parts"), minServedBytes, func() ServedPart { return ServedPart{Part: d.uint64(), AgeMs: d.count()} })
+	r.Served = decodeList(d.at("served parts"), minServedBytes, func() ServedPart {
+		return ServedPart{Part: d.uint64(), AgeMs: d.count(), LastedMs: d.count()}
+	})
 	if err := d.end(); err != nil {
 		return nil, eris.Wrap(err, "invalid report of crashes")
 	}
--- a/protocol/loadreport/crashes_test.go
+++ b/protocol/loadreport/crashes_test.go
@@ -15,14 +15,14 @@
 	r := &CrashReport{Instance: rapid.StringMatching(`[a-z0-9]{1,64}`).Draw(t, "instance")}
 	for range rapid.IntRange(0, 4).Draw(t, "interrupted") {
 		i := InterruptedRequest{Crash: rapid.Uint32().Draw(t, "crash"), AgeMs: age.Draw(t, "age"), Responding: rapid.Bool().Draw(t, "responding"),
-			Request: rapid.Uint64().Draw(t, "request")}
+			Begun: rapid.Bool().Draw(t, "begun"), LastedMs: age.Draw(t, "lasted"), Request: rapid.Uint64().Draw(t, "request")}
 		for range rapid.IntRange(0, 4).Draw(t, "parts") {
 			i.Parts = append(i.Parts, rapid.Uint64().Draw(t, "part"))
 		}
 		r.Interrupted = append(r.Interrupted, i)
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "served") {
-		r.Served = append(r.Served, ServedPart{rapid.Uint64().Draw(t, "part"), age.Draw(t, "age")})
+		r.Served = append(r.Served, ServedPart{rapid.Uint64().Draw(t, "part"), age.Draw(t, "age"), age.Draw(t, "lasted")})
 	}
 	return r
 }
