Routers that were killed and started again stay within the retry budget

Cause: the budget bounds the retries of one process. The next process of the router had the whole floor, divided among the routers that it had heard, and knew nothing of what its predecessor had retried.

A silent peer keeps its part of the floor for 60 s instead of 12 s unless it said that it stops, so that both sides of a partition don't use the whole.

--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -51,21 +51,39 @@
 	return Limits{Floor: l.Floor / float64(n), Fraction: l.Fraction}
 }
 
+// UnknownSpan is how long retries that an earlier process of a router made may share a Window with those of the
+// present one.
+const UnknownSpan = Window + bucketWidth
+
+// Start bounds the retries of a process that doesn't know what was retried before it began. Zero for one
+// that does.
+type Start struct {
+	// Until is UnknownSpan after the beginning of the process.
+	Until time.Time
+	// Fraction is the fraction of the requests that may be retried before, without a floor. With Limits.Fraction,
+	// it must stay within what all processes may retry.
+	Fraction float64
+}
+
 // Budget is the retry budget of one router. The zero value uses DefaultLimits.
 // It is not safe for concurrent use.
 type Budget struct {
 	limits  *Limits
+	start   Start
 	origin  timebucket.Origin
 	buckets [retryBuckets]bucket
 }
 
 // NewBudget returns a budget with the given limits and no counts.
-func NewBudget(limits Limits) *Budget { return &Budget{limits: &limits} }
+func NewBudget(limits Limits, start Start) *Budget { return &Budget{limits: &limits, start: start} }
 
 // SetLimits replaces the limits and keeps the counts.
 func (b *Budget) SetLimits(limits Limits) { b.limits = &limits }
 
-func (b *Budget) allowed(requests int64) float64 {
+func (b *Budget) allowed(now time.Time, requests int64) float64 {
+	if now.Before(b.start.Until) {
+		return b.start.Fraction * float64(requests)
+	}
 	limits := DefaultLimits()
 	if b.limits != nil {
 		limits = *b.limits
@@ -103,7 +121,7 @@
 			retries += bk.retries
 		}
 	}
-	return float64(retries+1) <= b.allowed(requests)
+	return float64(retries+1) <= b.allowed(now, requests)
 }
 
 // bucketAt returns the bucket for now, cleared if it held an earlier interval.
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -58,8 +58,11 @@
 	peerTeams map[uint32]fairshare.Usage
 	budgets   map[string]*retry.Budget
 	limits    retry.Limits
-	// routers is the number of routers that share the retry budget.
-	routers int
+	// retryStart bounds the retries while it isn't known what was retried before this process began.
+	retryStart retry.Start
+	// routers is the number of routers that run, and budgetRouters that of those which may use the retry budget,
+	// also while they aren't heard.
+	routers, budgetRouters int
 	// capacity is the configured token rate of all engines, in tokens per second.
 	capacity float64
 	// configuredLevel is a team's max-min share of the configured token rate.
@@ -127,7 +130,7 @@
 		peerTeams: map[uint32]fairshare.Usage{},
 		budgets:   map[string]*retry.Budget{},
 		limits:    limits,
-		routers:   1,
+		routers:   1, budgetRouters: 1,
 
 		crashingParts: quarantine.NewTable(),
 		crashNews:     make(chan struct{}, 1),
@@ -683,33 +686,44 @@
 func (d *Dispatcher) budget(service string) *retry.Budget {
 	b := d.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(d.limits.Divide(d.routers))
+		b = retry.NewBudget(d.limits.Divide(d.budgetRouters), d.retryStart)
 		d.budgets[service] = b
 	}
 	return b
 }
 
-// Routers returns the number of routers that share the retry budget.
+// Routers returns the number of routers that run.
 func (d *Dispatcher) Routers() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.routers
 }
 
-// SetRouters sets the number of routers that share the retry budget.
-func (d *Dispatcher) SetRouters(n int) {
+// SetRouters sets the number of routers that run, and that of those which may use the retry budget.
+func (d *Dispatcher) SetRouters(n, budgetRouters int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if n = max(n, 1); n == d.routers {
+	if n = max(n, 1); n != d.routers {
+		d.routers = n
+		d.requestLimits.SetRouters(n)
+	}
+	if budgetRouters = max(budgetRouters, 1); budgetRouters == d.budgetRouters {
 		return
 	}
-	d.routers = n
-	d.requestLimits.SetRouters(n)
+	d.budgetRouters = budgetRouters
 	for _, b := range d.budgets {
-		b.SetLimits(d.limits.Divide(n))
+		b.SetLimits(d.limits.Divide(budgetRouters))
 	}
 }
 
+// LimitRetriesAtStart bounds the retries of a process that doesn't know what was retried before it began. It is
+// called before the first request.
+func (d *Dispatcher) LimitRetriesAtStart(start retry.Start) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retryStart = start
+}
+
 // EvictExpired evicts the loads of endpoints that departed long ago, expired
 // reports of peers, and the usage of idle teams and inactive peers.
 func (d *Dispatcher) EvictExpired(now time.Time) {
--- a/direct/mesh/mesh.go
+++ b/direct/mesh/mesh.go
@@ -60,9 +60,9 @@
 	inactivePeerEvery = 16
 	// evictAfter is the time without a report after which a peer is evicted.
 	evictAfter = 60 * time.Second
-	// retryBudgetTimeout is the time without a report after which a peer no longer
-	// counts as sharing the retry budget, whose window is 10 s.
-	retryBudgetTimeout = 12 * time.Second
+	// silentAfter is the time without a report after which a peer no longer counts as running. The window of
+	// the retry budget, 10 s, has passed then.
+	silentAfter = 12 * time.Second
 	// emptySocketWait is the duration of a read from which on the socket counts as
 	// having been empty.
 	emptySocketWait = time.Millisecond
@@ -286,8 +286,8 @@
 
 func (m *Mesh) broadcast(now time.Time, sequence uint64, report *dispatch.Report) {
 	message := m.encodeReport(now, sequence, report)
-	targets, routers := m.targets(now, sequence)
-	m.dispatcher.SetRouters(routers)
+	targets, routers, budgetRouters := m.targets(now, sequence)
+	m.dispatcher.SetRouters(routers, budgetRouters)
 	m.dispatcher.SetFleet(now, m.fleetView(now))
 	if hasNew := m.takeNewMembers(); hasNew || sequence%membersEvery == 1 {
 		message.Members = m.members(now)
@@ -311,27 +311,31 @@
 	}
 }
 
-// targets returns the addresses to send a report to, and the number of routers,
-// including this one, that share the retry budget. It evicts peers that have
-// sent no report for evictAfter.
-func (m *Mesh) targets(now time.Time, sequence uint64) (targets []*net.UDPAddr, routers int) {
+// targets returns the addresses to send a report to, the number of routers that run, including this one, and
+// of those which may use the retry budget: a peer that is silent may run, cut off from this router, unless it
+// said that it stops. It evicts peers that have sent no report for evictAfter.
+func (m *Mesh) targets(now time.Time, sequence uint64) (targets []*net.UDPAddr, routers, budgetRouters int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	routers = 1
+	routers, budgetRouters = 1, 1
 	for address, p := range m.peers {
 		sinceContact := now.Sub(later(p.lastReport, p.addedAt))
 		if sinceContact > evictAfter {
 			delete(m.peers, address)
 			continue
 		}
-		if now.Sub(p.lastReport) < retryBudgetTimeout {
+		isHeard := now.Sub(p.lastReport) < silentAfter
+		if isHeard {
 			routers++
 		}
+		if isHeard || !p.leaving {
+			budgetRouters++
+		}
 		if sinceContact < inactiveAfter || sequence%inactivePeerEvery == 1 {
 			targets = append(targets, p.address)
 		}
 	}
-	return targets, routers
+	return targets, routers, budgetRouters
 }
 
 func later(a, b time.Time) time.Time {
--- a/direct/process.go
+++ b/direct/process.go
@@ -213,6 +213,9 @@
 	p.endpoints.SetMaxAge(s.StoreWait)
 	limits := retry.Limits{Floor: s.RetryFloor, Fraction: s.RetryFraction}
 	p.dispatcher = dispatch.New(s.Zone, p.endpoints, placement.DefaultPolicy(), limits)
+	if !s.FirstStart {
+		p.dispatcher.LimitRetriesAtStart(retry.Start{Until: time.Now().Add(retry.UnknownSpan), Fraction: s.RetryStart})
+	}
 	p.evacuations = evacuation.NewTable()
 	p.dispatcher.UseEvacuations(p.evacuations)
 	p.dispatcher.SetColdBounds(warmup.Bounds{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack})
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -26,6 +26,7 @@
 	Descriptors       int           `flag:"descriptors" default:"4096" usage:"file descriptors that this process may use"`
 	RetryFraction     float64       `flag:"retry-fraction" default:"0.1" usage:"fraction of a service's requests that may be retried, in addition to the retry floor"`
 	RetryFloor        float64       `flag:"retry-floor" default:"10" usage:"retries of a service per 10 s that the whole fleet may make regardless of the number of requests"`
+	RetryStart        float64       `flag:"retry-start" default:"0" usage:"fraction of a service's requests that may be retried, without the floor, in the first 11 s of a process that isn't part of the first start of the fleet, since it doesn't know what was retried before"`
 	ColdOvershoot     float64       `flag:"cold-overshoot" default:"1.5" usage:"factor of the rate that a cold endpoint sustains in the bound on its requests per second, to which cold-slack is added"`
 	ColdSlack         float64       `flag:"cold-slack" default:"5" usage:"requests per second that a cold endpoint may get in addition to cold-overshoot times its rate, from all routers together"`
 	FirstStart        bool          `flag:"first-start" default:"false" usage:"whether the whole fleet starts for the first time, so that no stream began before"`
@@ -71,6 +72,9 @@
 	if s.RetryFraction < 0 || s.RetryFraction > 1 {
 		errs = append(errs, fmt.Errorf("retry-fraction: %v is not between 0 and 1", s.RetryFraction))
 	}
+	if s.RetryStart < 0 || s.RetryStart > 1 {
+		errs = append(errs, fmt.Errorf("retry-start: %v is not between 0 and 1", s.RetryStart))
+	}
 	if s.RetryFloor < 0 {
 		errs = append(errs, errors.New("retry-floor: must not be negative"))
 	}
