A process that was not registered saves the origins that it omitted before

If an implied build was replaced meanwhile, the process acknowledged that without saving the origins that it had omitted; a kill then left their streams to be taken for ones of the new build. The builds of the latest read are kept apart from the lease now.

--- a/coordination/quarantine/facts.go
+++ b/coordination/quarantine/facts.go
@@ -22,7 +22,7 @@
 type ServedPart struct {
 	Part uint64
 	At   time.Time
-	// Lasted is set for a response that lasted for this time, of a part or of a request, see Table.Ran.
+	// Lasted is 0 if At is the time of an event. Otherwise a response lasted for this time, see Table.Ran.
 	Lasted time.Duration
 }
 
@@ -56,15 +56,14 @@
 // clear some of them and that the peer doesn't know.
 func (t *Table) Merge(f Facts) (clears bool) {
 	t.mergeServed(f.Served)
-	changed, changedRuns := t.mergeRuns(f.Served), false
-	changedSets := false
+	changedRuns, changedSets := t.mergeRuns(f.Served), false
 	for _, i := range f.Interrupted {
 		isNew, isSound := t.mergeRun(&i)
 		changedRuns = changedRuns || isNew
 		clears = clears || isSound && t.clearsMoreRuns(&i, f.Served)
 		changedSets = !i.Begun && t.merge(i) || changedSets
 	}
-	if changed || changedRuns {
+	if changedRuns {
 		t.updateRuns()
 	}
 	if changedSets {
--- a/coordination/quarantine/runs.go
+++ b/coordination/quarantine/runs.go
@@ -280,7 +280,7 @@
 		}
 	}
 	for item := range t.runs.cleared {
-		if r, ok := t.runs.sound.lookup(item); ok {
+		if r, ok := t.runs.sound.lookup(item); ok && r.lasted >= survivalMargin {
 			f.Served = append(f.Served, ServedPart{Part: item, At: r.at, Lasted: r.lasted})
 		} else if at, ok := t.recent.lookup(item); ok {
 			f.Served = append(f.Served, ServedPart{Part: item, At: at, Lasted: Completed})
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -53,8 +53,8 @@
 	// Responding is set if the engine had begun the response. Otherwise the request may
 	// still have been queued.
 	Responding bool
-	// Begun is set if it counts only among the begun responses, because an event was received. Lasted is the
-	// time since the first event.
+	// Begun is set if an event was received, so that the attempt is judged among the begun responses only.
+	// Lasted is the time since that event.
 	Begun  bool
 	Lasted time.Duration
 	// Parts holds the IDs of the request's shared parts.
@@ -110,9 +110,9 @@
 	}
 }
 
-// AddInterrupted records an attempt whose connection to the endpoint with this hash broke. down reports whether the endpoint is known to be down;
-// otherwise the attempt counts once EndpointDown is called for it, and check is true for
-// the first one at an endpoint.
+// AddInterrupted records an attempt whose connection to the endpoint with this hash broke.
+// down reports whether the endpoint is known to be down; otherwise the attempt counts once
+// EndpointDown is called for it, and check is true for the first one at an endpoint.
 func (t *Table) AddInterrupted(i Interrupted, endpoint uint32, down bool) (check bool) {
 	if len(i.Parts) == 0 && i.Request == 0 {
 		return false
@@ -154,6 +154,7 @@
 	}
 }
 
+// noteTime keeps the latest time that a call named, for facts of peers, which name none.
 func (t *Table) noteTime(now time.Time) {
 	if now.After(t.latest) {
 		t.latest = now
@@ -165,6 +166,7 @@
 	changedRuns := t.addRun(&i)
 	changed = !i.Begun && t.merge(i)
 	if changedRuns && !changed {
+		// Peers need only what is suspected.
 		i.Begun, i.Parts, i.Request = true, t.runSuspects(&i), 0
 	}
 	if (changed || changedRuns) && len(t.news.Interrupted) < maxNews {
--- a/direct/dispatch/crashes.go
+++ b/direct/dispatch/crashes.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +12,9 @@
 	"github.com/acaciaspar/acaciaspar/state/registry"
 )
 
+// survivorsInterval is the shortest interval between two checks how long the responses in progress have lasted.
+const survivorsInterval = 250 * time.Millisecond
+
 // Quarantine returns a refusal if the request with this fingerprint crashes endpoints, or if
 // requests with some of the prompt's parts crash engines, and otherwise nil. The fingerprint
 // is 0 while it is unknown.
@@ -102,16 +104,15 @@
 
 // recordSurvivors records how long the responses in progress have lasted whose parts or requests are suspected.
 func (d *Dispatcher) recordSurvivors(now time.Time) {
-	if !d.crashingParts.RunSuspects() {
+	if !d.crashingParts.RunSuspects() || now.Sub(d.survivorsAt) < survivorsInterval {
 		return
 	}
+	d.survivorsAt = now
 	for a := range d.responding {
-		items := a.sharedParts
-		if a.fingerprint != 0 {
-			items = append(slices.Clone(items), a.fingerprint)
-		}
-		if d.crashingParts.IsRunSuspect(items) {
-			d.crashingParts.Ran(now, items, a.lasted(now))
+		for _, items := range [][]uint64{a.sharedParts, {a.fingerprint}} {
+			if d.crashingParts.IsRunSuspect(items) {
+				d.crashingParts.Ran(now, items, a.lasted(now))
+			}
 		}
 	}
 }
--- a/direct/dispatch/dispatcher.go
+++ b/direct/dispatch/dispatcher.go
@@ -87,6 +87,8 @@
 	waiting map[*Assignment]struct{}
 	// responding holds the attempts whose first event was received.
 	responding map[*Assignment]struct{}
+	// survivorsAt is when it was last recorded how long they have lasted.
+	survivorsAt time.Time
 	// requestLimits is signaled through limitNews when peers should be told about it.
 	requestLimits *requestlimit.Table
 	limitNews     chan struct{}
--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -23,10 +23,11 @@
 	// refreshInterval is the shortest interval at which the store is read because a lease of the implied
 	// builds ages, or an implied build is unknown or without endpoints.
 	refreshInterval = 2 * time.Second
+	// staleInterval is the shortest interval at which the store is read because a peer has read other implied
+	// builds.
+	staleInterval = 500 * time.Millisecond
 	// removalInterval is the interval at which expired records of other routers are removed.
 	removalInterval = 5 * time.Second
-	// staleInterval is the shortest interval at which it is read because a peer has read other implied builds.
-	staleInterval = 500 * time.Millisecond
 	// impliedKey is the key of the record with the implied builds.
 	impliedKey = "implied-builds"
 	// minRetention is the shortest time for which origins are kept.
@@ -116,6 +117,8 @@
 	// this process made while it was registered.
 	processes *streamorigin.Processes
 	ownLease  bool
+	// readBuilds are the implied builds of the latest read, whether or not this process was registered.
+	readBuilds streamorigin.ImpliedBuilds
 	// acknowledged is the position up to which this process tells its peers to have read.
 	acknowledged mirror.Position
 	// isStale is set if a peer has read other implied builds later.
@@ -126,9 +129,10 @@
 	longestStream time.Duration
 	startedAt     time.Time
 	// refreshedAt is the time of the latest read for the implied builds, removedAt that of the latest
-	// removal of expired records, and registrations counts those of this process. Only the upkeep uses them.
-	refreshedAt, removedAt time.Time
-	registrations          int
+	// removal of expired records, and registeredAt that of the latest registration of this process, of which
+	// registrations is the number. Only the upkeep uses them.
+	refreshedAt, removedAt, registeredAt time.Time
+	registrations                        int
 }
 
 // New returns Origins that know no stream. Run saves and loads them.
@@ -577,7 +581,7 @@
 	}
 	o.loaded, o.hasLoaded = batch.End, true
 	for _, r := range batch.Records {
-		if r.IsTombstone() {
+		if r.IsTombstone() || strings.HasPrefix(r.Key, registrationKeyPrefix) {
 			continue
 		}
 		if err := o.mergeRecord(now, r); err != nil {
@@ -605,9 +609,10 @@
 	if o.saved != nil {
 		builds = *o.saved
 	}
-	for _, b := range builds.Unsettled(o.lease.ImpliedBuilds) {
+	for _, b := range builds.Unsettled(o.readBuilds) {
 		o.table.KeepOmitted(b)
 	}
+	o.readBuilds = builds
 	wasOwn := o.ownLease
 	o.ownLease = o.processes.IsRegistered(o.options.Process)
 	switch {
--- a/direct/origins/registration.go
+++ b/direct/origins/registration.go
@@ -81,7 +81,8 @@
 		}
 		changed = true
 	}
-	if !isRegistered {
+	if !isRegistered && now.Sub(o.registeredAt) >= refreshInterval {
+		o.registeredAt = now
 		o.registrations++
 		write(registrationKey(o.options.Name, o.options.Process, o.registrations), activeProcess)
 	}
--- a/direct/origins/release_test.go
+++ b/direct/origins/release_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/origins"
 )
@@ -134,3 +135,27 @@
 		})
 	}
 }
+
+// Guards against origins that a process never saves because its registration was gone when it read that the
+// implied build had been replaced.
+func TestUnregisteredProcessSavesOmittedOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build)
+		o := f.start("r1")
+		time.Sleep(2 * time.Second)
+		must.True(t, o.Begin(t.Context(), "omitted", onChat, build))
+		replaced := streamorigin.ImpliedBuilds{Era: 1, Of: map[streamorigin.Route]streamorigin.Implied{
+			chatID: {Build: otherBuild, State: streamorigin.Replacing, Since: 2},
+		}}
+		f.builds.set(otherBuild)
+		f.store.Append(follow.Streams, "processes/r1/"+f.process()+"/1", "retired")
+		mustFind(t, o, "any", build)
+		must.False(t, o.Lease().IsValid(time.Now()), must.Sprint("the process has read that it isn't registered"))
+		f.store.Append(follow.Streams, "implied-builds", string(streamorigin.EncodeImplied(replaced)))
+		time.Sleep(5 * time.Second)
+		must.True(t, o.Lease().IsValid(time.Now()))
+		f.kill()
+		mustFind(t, f.start("r1"), "omitted", build)
+		f.kill()
+	})
+}
