Crashes of a part whose requests come seldom are remembered

Its crashes are kept for a minute after the latest one now. TestSeldomCrashesAreRemembered fails without the change.

--- a/coordination/quarantine/runs.go
+++ b/coordination/quarantine/runs.go
@@ -17,7 +17,7 @@
 	// shows that the crash was not caused by what they have in common.
 	survivalFactor = 2
 	survivalMargin = time.Second
-	// runMemory is how long a crash is remembered for parts that aren't quarantined.
+	// runMemory is how long the crashes of an item are remembered after its latest one, unless it is quarantined.
 	runMemory = time.Minute
 	// maxRunSuspects bounds the suspects of all crashes and maxRecentRuns each half of recentRuns.
 	maxRunSuspects = 512
@@ -288,12 +288,20 @@
 	}
 }
 
-// expireRuns forgets crashes after runMemory, except those of items in quarantine.
+// expireRuns forgets the crashes of items that have not crashed an engine for long.
 func (t *Table) expireRuns(now time.Time) {
+	latest := map[uint64]time.Time{}
+	for _, c := range t.runs.crashes {
+		for item := range c.lasted {
+			if c.at.After(latest[item]) {
+				latest[item] = c.at
+			}
+		}
+	}
 	changed := false
 	for _, c := range t.runs.crashes {
 		for item := range c.lasted {
-			age := now.Sub(c.at)
+			age := now.Sub(latest[item])
 			if q := t.runs.quarantined[item]; q == nil && age > runMemory || age > 2*maxPeriod {
 				delete(c.lasted, item)
 				changed = true
--- a/coordination/quarantine/runs_test.go
+++ b/coordination/quarantine/runs_test.go
@@ -27,6 +27,17 @@
 	must.False(t, refuses(table, 3*time.Second, caller))
 }
 
+// Guards against a part whose requests come seldom, and whose crashes are forgotten before there are enough.
+func TestSeldomCrashesAreRemembered(t *testing.T) {
+	table := NewTable()
+	for i := range uint32(3) {
+		at := time.Duration(i) * (runMemory - time.Second)
+		breakOff(table, i, at, 0, deadly)
+		table.Expire(start.Add(at + runMemory - time.Second))
+	}
+	must.True(t, refuses(table, 2*runMemory, deadly))
+}
+
 // Guards against engines that crash at the same moment, for which their requests are blamed.
 func TestCrashesAtTheSameMomentCountOnce(t *testing.T) {
 	table := NewTable()
