--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -47,13 +47,21 @@
 	b.list = list
 }
 
-func (b *builds) shares() origins.Shares {
+// counts returns the number of endpoints of each build.
+func (b *builds) counts() map[streamorigin.Build]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := map[streamorigin.Build]int{}
 	for _, build := range b.list {
 		counts[build]++
 	}
+	return counts
+}
+
+func (b *builds) shares() origins.Shares {
+	counts := b.counts()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return origins.SharesOf(b.config, map[string]map[streamorigin.Build]int{service: counts, otherService: {thirdBuild: 1}})
 }
 
@@ -106,7 +114,7 @@
 
 // link is one router's path to the store.
 type link struct {
-	*directtest.Store
+	follow.Store
 	cut atomic.Bool
 }
 
@@ -132,6 +140,8 @@
 	// firstStart is set until a router was killed.
 	firstStart bool
 	size       int
+	// longestStream is how long a stream may be taken up.
+	longestStream time.Duration
 	// started counts the processes.
 	started int
 	// unread is set while no router reads the store.
@@ -170,7 +180,7 @@
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Process: f.process(), Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return 0 },
+		Name: name, Process: f.process(), Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return f.longestStream },
 		Shares: f.builds.shares, KnowsAllEndpoints: func() bool { return true }, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
--- a/direct/origins/release_test.go
+++ b/direct/origins/release_test.go
@@ -24,9 +24,14 @@
 
 // startPeers starts routers, whose reports reach each other until the fleet is killed.
 func (f *routers) startPeers(names ...string) *peers {
+	return f.startPeersOn(func(int) follow.Store { return f.store }, names...)
+}
+
+// startPeersOn starts routers that reach the store by paths of their own.
+func (f *routers) startPeersOn(path func(i int) follow.Store, names ...string) *peers {
 	p := &peers{}
-	for _, name := range names {
-		p.fleet = append(p.fleet, f.start(name))
+	for i, name := range names {
+		p.fleet = append(p.fleet, f.startOn(name, path(i)))
 		p.names = append(p.names, f.process())
 	}
 	ctx := f.ctx
