A registration outlives its process for as long as a stream may last

Found in reading: a process that had no configuration yet took the longest stream for 0 and removed the registration of its predecessor at once. A replaced build could then be settled while streams of the predecessor, without a saved origin, may still be taken up. Registrations are ended only once the routes are known. TestRegistrationOfAnEarlierProcessIsKept fails without the change.

--- a/direct/origins/origins.go
+++ b/direct/origins/origins.go
@@ -130,9 +130,10 @@
 	startedAt     time.Time
 	// refreshedAt is the time of the latest read for the implied builds, removedAt that of the latest
 	// removal of expired records, and registeredAt that of the latest registration of this process, of which
-	// registrations is the number. Only the upkeep uses them.
-	refreshedAt, removedAt, registeredAt time.Time
-	registrations                        int
+	// registrations is the number; endedAt is when registrations of other processes were last ended. Only the
+	// upkeep uses them.
+	refreshedAt, removedAt, registeredAt, endedAt time.Time
+	registrations                                 int
 }
 
 // New returns Origins that know no stream. Run saves and loads them.
@@ -349,9 +350,9 @@
 	o.processes.Acknowledge(now, process, position.Era, position.Next)
 }
 
-// MergeLease adds the lease of a peer that has read the store. It matters to a router that starts while
-// the store is away, without which its streams could begin nowhere. A router that has a lease of its own
-// learns from it that the implied builds have changed.
+// MergeLease adds the lease of a peer that has read the store. A router that starts while the store is away
+// could begin no streams without it. A router that has a lease of its own learns from it that the implied
+// builds have changed.
 func (o *Origins) MergeLease(l streamorigin.Lease) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -387,10 +388,14 @@
 		case now := <-ticker.C:
 			o.expire(now)
 			if o.options.StoreIsRead() {
-				o.loadFirst(ctx)
+				since := time.Time{}
+				if o.register(ctx, now) {
+					since = now
+				}
+				o.loadFirst(ctx, since)
+				o.endRegistrations(ctx, now)
 			}
 			o.noteEra(o.options.Store.Era())
-			o.register(ctx, now)
 			o.refreshImplied(ctx, now)
 			o.saveImplied(ctx, now)
 			o.removeExpired(ctx, now)
@@ -412,12 +417,14 @@
 	o.table.KeepAllUnsaved(saves)
 }
 
-// loadFirst loads what the store holds if that has not succeeded yet.
-func (o *Origins) loadFirst(ctx context.Context) bool {
+// loadFirst loads what the store holds if that has not succeeded yet, or not since a time.
+func (o *Origins) loadFirst(ctx context.Context, since time.Time) {
 	o.mu.Lock()
 	hasLoaded := o.hasLoaded
 	o.mu.Unlock()
-	return hasLoaded || o.loadSince(ctx, time.Time{})
+	if !hasLoaded || !since.IsZero() {
+		o.loadSince(ctx, since)
+	}
 }
 
 func (o *Origins) retention() time.Duration { return max(minRetention, o.options.LongestStream()) }
--- a/direct/origins/origins_test.go
+++ b/direct/origins/origins_test.go
@@ -65,14 +65,17 @@
 	return origins.SharesOf(b.config, map[string]map[streamorigin.Build]int{service: counts, otherService: {thirdBuild: 1}})
 }
 
-// publish puts a configuration with these routes in force.
-func (b *builds) publish(routes ...routing.Route) {
-	config := compile(routes...)
+func (b *builds) setConfig(config *routing.Table) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.config = config
 }
 
+// publish puts a configuration with these routes in force.
+func (b *builds) publish(routes ...routing.Route) {
+	b.setConfig(compile(routes...))
+}
+
 // matching returns the routes that match a path.
 func (b *builds) matching(path string) []*routing.Route {
 	b.mu.Lock()
@@ -140,8 +143,8 @@
 	// firstStart is set until a router was killed.
 	firstStart bool
 	size       int
-	// longestStream is how long a stream may be taken up.
-	longestStream time.Duration
+	// longestStream is how long a stream may be taken up, a time.Duration.
+	longestStream atomic.Int64
 	// started counts the processes.
 	started int
 	// unread is set while no router reads the store.
@@ -180,7 +183,7 @@
 		Endpoints: registry.NewTable(), Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
 	o := origins.New(origins.Options{
-		Name: name, Process: f.process(), Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return f.longestStream },
+		Name: name, Process: f.process(), Store: follower, Saves: func() bool { return true }, StoreIsRead: func() bool { return !f.unread.Load() }, LongestStream: func() time.Duration { return time.Duration(f.longestStream.Load()) },
 		Shares: f.builds.shares, KnowsAllEndpoints: func() bool { return true }, Routers: func() int { return f.size }, FirstStart: f.firstStart,
 		Log: slog.New(slog.DiscardHandler), Metrics: registryMetrics,
 	})
--- a/direct/origins/registration.go
+++ b/direct/origins/registration.go
@@ -53,47 +53,60 @@
 	}
 }
 
-// register keeps the registration of this process, removes those of processes that have ended and retires
-// those of silent ones.
-func (o *Origins) register(ctx context.Context, now time.Time) {
-	if !o.options.StoreIsRead() {
+// register writes the registration of this process if the store doesn't hold it, and reports whether it did.
+func (o *Origins) register(ctx context.Context, now time.Time) bool {
+	o.mu.Lock()
+	isRegistered := o.processes.IsRegistered(o.options.Process)
+	o.mu.Unlock()
+	if isRegistered || now.Sub(o.registeredAt) < refreshInterval {
+		return false
+	}
+	o.registeredAt = now
+	o.registrations++
+	return o.saveRegistration(ctx, registrationKey(o.options.Name, o.options.Process, o.registrations), activeProcess)
+}
+
+// endRegistrations removes the registrations of processes that have ended, and retires those of silent ones.
+func (o *Origins) endRegistrations(ctx context.Context, now time.Time) {
+	// Without the routes it isn't known how long streams may last.
+	if o.options.Shares() == nil || now.Sub(o.endedAt) < refreshInterval {
 		return
 	}
 	saves, longest := o.options.Saves(), o.options.LongestStream()
 	o.mu.Lock()
-	hasLoaded, isRegistered := o.hasLoaded, o.processes.IsRegistered(o.options.Process)
 	ended := o.processes.Ended(now, o.options.Name, o.options.Process, o.startedAt, max(o.longestStream, longest))
 	var silent []string
 	if saves {
 		silent = o.processes.Silent(now, o.options.Process)
 	}
 	o.mu.Unlock()
-	if !hasLoaded {
+	if len(ended)+len(silent) == 0 {
 		return
 	}
-	changed := false
-	write := func(key, value string, removals ...string) {
-		call, cancel := context.WithTimeout(ctx, saveTimeout)
-		defer cancel()
-		if err := o.options.Store.SaveStreams(call, key, []byte(value), removals); err != nil {
-			o.options.Log.Warn("save the registration of a process failed; retrying", "key", key, "error", err.Error())
-			return
+	o.endedAt = now
+	if len(ended) > 0 && o.saveRegistration(ctx, ended[0], "", ended[1:]...) {
+		o.mu.Lock()
+		for _, key := range ended {
+			o.processes.Remove(key)
 		}
-		changed = true
-	}
-	if !isRegistered && now.Sub(o.registeredAt) >= refreshInterval {
-		o.registeredAt = now
-		o.registrations++
-		write(registrationKey(o.options.Name, o.options.Process, o.registrations), activeProcess)
-	}
-	if len(ended) > 0 {
-		write(ended[0], "", ended[1:]...)
+		o.mu.Unlock()
 	}
 	for _, key := range silent {
 		o.options.Log.Info("a process has not reported for long; retiring its registration", "key", key)
-		write(key, retiredProcess)
+		o.saveRegistration(ctx, key, retiredProcess)
 	}
-	if changed {
+	if len(silent) > 0 {
 		o.loadSince(ctx, time.Now())
 	}
 }
+
+// saveRegistration writes a registration and removes others. An empty value removes it, too.
+func (o *Origins) saveRegistration(ctx context.Context, key, value string, removals ...string) bool {
+	call, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	err := o.options.Store.SaveStreams(call, key, []byte(value), removals)
+	if err != nil {
+		o.options.Log.Warn("save the registration of a process failed; retrying", "key", key, "error", err.Error())
+	}
+	return err == nil
+}
--- a/direct/origins/release_test.go
+++ b/direct/origins/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/acaciaspar/acaciaspar/coordination/streamorigin"
 	"github.com/acaciaspar/acaciaspar/direct/follow"
 	"github.com/acaciaspar/acaciaspar/direct/origins"
+	"github.com/acaciaspar/acaciaspar/state/mirror"
 )
 
 // peers are routers of a fleet that exchange reports.
@@ -164,3 +166,31 @@
 		f.kill()
 	})
 }
+
+// Guards against the registration of an earlier process that is removed before it is known how long its streams
+// may last, because the next process has no configuration yet.
+func TestRegistrationOfAnEarlierProcessIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRouters(t, build)
+		f.start("r1")
+		time.Sleep(2 * time.Second)
+		earlier := "processes/r1/" + f.process() + "/1"
+		f.kill()
+		holds := func() bool {
+			listed, err := f.store.List(t.Context(), follow.Streams)
+			must.NoError(t, err)
+			return slices.ContainsFunc(listed.Records, func(r mirror.Record) bool { return r.Key == earlier })
+		}
+		f.builds.setConfig(nil)
+		f.start("r1")
+		time.Sleep(5 * time.Second)
+		must.True(t, holds(), must.Sprint("the routes aren't known"))
+		f.longestStream.Store(int64(10 * time.Second))
+		f.builds.setConfig(chat)
+		time.Sleep(4 * time.Second)
+		must.True(t, holds(), must.Sprint("its streams may last"))
+		time.Sleep(5 * time.Second)
+		must.False(t, holds())
+		f.kill()
+	})
+}
--- a/direct/origins/search_test.go
+++ b/direct/origins/search_test.go
@@ -42,9 +42,12 @@
 
 const searchedRouters = 3
 
+// searchedLife is how long a stream may be taken up.
+const searchedLife = 10 * time.Second
+
 func newOriginSearch(t *testing.T, seed uint64) *originSearch {
 	s := &originSearch{f: newRouters(t, build), random: rand.New(rand.NewPCG(seed, 2))}
-	s.f.longestStream = 10 * time.Second
+	s.f.longestStream.Store(int64(searchedLife))
 	var draws atomic.Uint64
 	draws.Store(seed)
 	s.late = &lateStore{Store: s.f.store, delay: func() time.Duration {
@@ -117,7 +120,7 @@
 	}
 	stream := s.begun[len(s.begun)-1-s.random.IntN(min(len(s.begun), 20))]
 	got, ok := s.router().Find(s.f.t.Context(), stream.attempt, onChat)
-	if !ok || time.Since(stream.at) > s.f.longestStream {
+	if !ok || time.Since(stream.at) > searchedLife {
 		return nil
 	}
 	s.found++
